--- /dev/null
+++ b/src/base/clock.cc
@@ -0,0 +1,38 @@
+#include "base/clock.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace pomelokeel::base {
+
+Millis monotonicNow() {
+  using namespace std::chrono;
+  return duration_cast<milliseconds>(steady_clock::now().time_since_epoch())
+      .count();
+}
+
+Millis wallNow() {
+  using namespace std::chrono;
+  return duration_cast<milliseconds>(system_clock::now().time_since_epoch())
+      .count();
+}
+
+Stamp HybridClock::tick() {
+  const std::lock_guard Lock(m_mutex);
+  return advance(wallNow(), m_last);
+}
+
+Stamp HybridClock::observe(const Stamp &Remote) {
+  const std::lock_guard Lock(m_mutex);
+  return advance(wallNow(), std::max(m_last, Remote));
+}
+
+Stamp HybridClock::advance(Millis Wall, const Stamp &Floor) {
+  if (Wall > Floor.m_wall)
+    m_last = {Wall, 0};
+  else
+    m_last = {Floor.m_wall, Floor.m_count + 1};
+  return m_last;
+}
+
+} // namespace pomelokeel::base
--- /dev/null
+++ b/src/base/error.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+
+/// Building blocks without knowledge of jobs or workers.
+namespace pomelokeel::base {
+
+/// The closed list of error kinds. `errorAnswer` maps each to its answer.
+enum class ErrorKind {
+  BadRequest,
+  BadSettings,
+  UnknownField,
+  WrongType,
+  OutOfRange,
+  NotFound,
+  UnknownSchema,
+  UnknownAccount,
+  UnknownClass,
+  VersionConflict,
+  GuaranteeExceedsCapacity,
+  QuotaExceeded,
+  QueueFull,
+  TooLarge,
+  CanNeverRun,
+  DeadlinePassed,
+  Cancelled,
+  AttemptsExhausted,
+  WorkerLost,
+  Preempted,
+  StaleEpoch,
+  StaleFence,
+  ReservationExpired,
+  DuplicateTask,
+  LogUnavailable,
+  LogUnconfirmed,
+  LogTruncated,
+  BehindRetention,
+  NotReady,
+  ShuttingDown,
+  Timeout,
+  Unreachable,
+  Overloaded,
+  Internal,
+};
+
+/// What a caller is told for an error kind.
+struct ErrorAnswer {
+  std::string_view m_name; ///< Stable name in JSON, logs and docs.
+  int m_httpStatus;
+  int m_exitCode;            ///< Exit code of `ctl`.
+  bool m_notRun;             ///< True if the work surely did not run.
+  bool m_retryable;          ///< True if the same request may succeed later.
+  std::string_view m_advice; ///< What an operator or caller can do.
+};
+
+/// Returns the table row of \p Kind.
+const ErrorAnswer &errorAnswer(ErrorKind Kind);
+
+/// Returns the kind with the given name, if there is one.
+std::optional<ErrorKind> errorKindFromName(std::string_view Name);
+
+/// An error kind with a message for a person.
+struct Error {
+  ErrorKind m_kind = ErrorKind::Internal;
+  std::string m_message;
+};
+
+/// Formats \p E as `name: message`.
+std::string toString(const Error &E);
+
+/// Success value of operations that return nothing.
+using Unit = std::monostate;
+
+/// Either a value or an Error.
+template <typename T> class Result {
+public:
+  Result(T Value) : m_value(std::in_place_index<0>, std::move(Value)) {}
+  Result(Error E) : m_value(std::in_place_index<1>, std::move(E)) {}
+
+  bool ok() const { return m_value.index() == 0; }
+  explicit operator bool() const { return ok(); }
+  T &value() { return std::get<0>(m_value); }
+  const T &value() const { return std::get<0>(m_value); }
+  T &operator*() { return value(); }
+  const T &operator*() const { return value(); }
+  T *operator->() { return &value(); }
+  const T *operator->() const { return &value(); }
+  const Error &error() const { return std::get<1>(m_value); }
+
+private:
+  std::variant<T, Error> m_value;
+};
+
+/// Result of an operation without a value.
+using Status = Result<Unit>;
+
+/// The successful Status.
+inline Status success() { return Unit{}; }
+
+} // namespace pomelokeel::base
--- /dev/null
+++ b/src/ctl/ctl.cc
@@ -0,0 +1,7 @@
+#include "ctl/ctl.h"
+
+namespace pomelokeel::ctl {
+
+void addCommands(CLI::App &, int &) {}
+
+} // namespace pomelokeel::ctl
--- /dev/null
+++ b/src/entry/entry.cc
@@ -0,0 +1,7 @@
+#include "entry/entry.h"
+
+namespace pomelokeel::entry {
+
+int run(const settings::EntrySettings &) { return 1; }
+
+} // namespace pomelokeel::entry
--- /dev/null
+++ b/src/http/http.cc
@@ -0,0 +1,1 @@
+#include "http/http.h"
--- /dev/null
+++ b/src/http/http.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "base/error.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+/// A bounded HTTP/1.1 server and client on Boost.Beast. No Boost types appear
+/// in the interface, because Beast compiles slowly.
+namespace pomelokeel::http {
+
+/// A request as received or to send. Method is upper case; Target includes the
+/// query.
+struct Request {
+  std::string m_method = "GET";
+  std::string m_target = "/";
+  std::string m_body;
+  std::string m_contentType = "application/json";
+};
+
+struct Response {
+  int m_status = 200;
+  std::string m_body;
+  std::string m_contentType = "application/json";
+};
+
+/// Returns the path of \p Target without the query.
+std::string pathOf(const std::string &Target);
+
+/// Returns the value of query parameter \p Name, percent-decoded, or "".
+std::string queryOf(const std::string &Target, const std::string &Name);
+
+/// Percent-encodes \p Text for use in a path or query.
+std::string percentEncode(const std::string &Text);
+
+/// Builds the JSON body {"error":{"kind","message","notRun","retryable"}} with
+/// the kind's status.
+Response errorResponse(const base::Error &E);
+
+/// Answers one request. May be called from any thread, at most once. If it is
+/// dropped without a call, the client gets `internal`.
+using Responder = std::function<void(Response)>;
+
+/// Called on the server thread; must not block.
+using Handler = std::function<void(Request, Responder)>;
+
+struct ServerLimits {
+  std::size_t m_maxConnections = 256;
+  std::size_t m_maxHeaderBytes = 16 * 1024;
+  std::size_t m_maxBodyBytes = 1024 * 1024;
+  int m_idleTimeoutMs = 30000; ///< Between requests and while reading.
+  int m_responseTimeoutMs =
+      90000; ///< From request to response; then `timeout`.
+};
+
+/// Serves on one thread of its own. Connections over the limit get `overloaded`
+/// and are closed.
+class Server {
+public:
+  /// Binds to `host:port`; port 0 is chosen by the system. Error: badSettings.
+  static base::Result<std::unique_ptr<Server>>
+  start(const std::string &Address, ServerLimits Limits, Handler H);
+
+  virtual ~Server() = default;
+
+  /// The bound `host:port`.
+  virtual std::string address() const = 0;
+
+  /// Stops accepting, waits at most \p GraceMs for requests in flight to be
+  /// answered, then closes all connections and joins the thread.
+  virtual void stop(int GraceMs) = 0;
+};
+
+/// Whether the request may have had an effect when a call failed.
+enum class Sent { No, Maybe };
+
+/// A failed call.
+struct CallError {
+  base::Error m_error; ///< unreachable or timeout.
+  Sent m_sent = Sent::Maybe;
+};
+
+/// Sends requests over a kept-open connection, one at a time. A call that
+/// fails or times out closes the connection; the next one dials anew. It does
+/// not repeat a request on its own. Not thread-safe.
+class Client {
+public:
+  /// \p Address is `host:port`.
+  static std::unique_ptr<Client> create(const std::string &Address);
+
+  virtual ~Client() = default;
+
+  /// Calls and waits at most \p TimeoutMs for the whole response.
+  virtual std::variant<Response, CallError> call(const Request &R,
+                                                 int TimeoutMs) = 0;
+
+  /// Ends a call in progress on another thread, and all later ones.
+  virtual void cancel() = 0;
+
+  /// Bytes sent and received on sockets so far.
+  virtual std::uint64_t bytesSent() const = 0;
+  virtual std::uint64_t bytesReceived() const = 0;
+};
+
+} // namespace pomelokeel::http
--- /dev/null
+++ b/src/logclient/logclient.cc
@@ -0,0 +1,1 @@
+#include "logclient/logclient.h"
--- /dev/null
+++ b/src/logclient/logclient.h
@@ -0,0 +1,140 @@
+#pragma once
+
+#include "base/counters.h"
+#include "base/error.h"
+#include "base/ring.h"
+#include "model/record.h"
+#include "state/state.h"
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <thread>
+#include <variant>
+#include <vector>
+
+/// Client of the platform's log service.
+namespace pomelokeel::logclient {
+
+using base::Json;
+using base::Millis;
+
+/// What became of an append.
+enum class AppendFate {
+  Done,        ///< The log service confirmed it.
+  NoEffect,    ///< It surely did not take effect.
+  Unconfirmed, ///< It may have taken effect; reading the log tells.
+};
+
+struct AppendOutcome {
+  AppendFate m_fate = AppendFate::Unconfirmed;
+  std::uint64_t m_first = 0; ///< Offset of the first value; only for Done.
+  base::Error m_error; ///< Of the other fates: logUnavailable, logUnconfirmed.
+};
+
+/// A page of values read from a stream.
+struct ReadPage {
+  struct Value {
+    std::uint64_t m_offset = 0;
+    Millis m_timeMs = 0;
+    Json m_value;
+  };
+  std::vector<Value> m_values;
+  std::uint64_t m_first = 0; ///< Earliest offset still held.
+  std::uint64_t m_next = 0;  ///< Offset of the next append.
+};
+
+struct LogSettings {
+  std::string m_address; ///< `host:port` of the log service.
+  int m_timeoutMs = 2000;
+};
+
+/// Synchronous calls to the log service over one connection. Not thread-safe.
+class LogClient {
+public:
+  explicit LogClient(LogSettings Settings);
+  ~LogClient();
+
+  AppendOutcome append(const std::string &Stream,
+                       const std::vector<Json> &Values);
+
+  /// Reads at most \p Max values from \p From on, waiting up to \p WaitMs for
+  /// the first. Errors: logTruncated (From was dropped by retention; first and
+  /// next in the message), logUnavailable.
+  base::Result<ReadPage> read(const std::string &Stream, std::uint64_t From,
+                              int Max, int WaitMs);
+
+  /// Ends a call in progress on another thread, and all later ones.
+  void cancel();
+
+  std::uint64_t bytesSent() const;
+  std::uint64_t bytesReceived() const;
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> m_impl;
+};
+
+/// Appends records on a thread of its own. Records waiting at the same time go
+/// into one append (group commit).
+class Writer {
+public:
+  using Done = std::function<void(const AppendOutcome &)>;
+
+  Writer(LogSettings Settings, std::size_t Capacity, base::Counters &Counters);
+  ~Writer();
+
+  /// Queues values for one append to \p Stream. \p OnDone is called on the
+  /// writer's thread. Returns false, without effect, if the queue is full or
+  /// stopping.
+  [[nodiscard]] bool submit(std::string Stream, std::vector<Json> Values,
+                            Done OnDone);
+
+  /// True while the last append had an answer. False after a failure, until a
+  /// probe or an append succeeds again.
+  bool available() const;
+
+  /// Appends what is queued, waiting at most \p GraceMs, then stops.
+  void stop(int GraceMs);
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> m_impl;
+};
+
+/// Events of a Follower, in log order.
+struct Loaded { ///< A snapshot replaces the state. Never older than what was
+                ///< delivered.
+  state::State m_state;
+};
+struct Batch { ///< Records to apply, without gaps. May be empty: a successful
+               ///< read at the log's end.
+  std::vector<model::LogEntry> m_entries;
+  std::uint64_t m_end =
+      0; ///< Offset of the next append at the time of the read.
+};
+struct ReadFailed { ///< The log could not be read; repeated while that lasts.
+  base::Error m_error; ///< logUnavailable or behindRetention.
+};
+using FollowerEvent = std::variant<Loaded, Batch, ReadFailed>;
+
+/// Reads the newest snapshot and then follows the stream "records", on a thread
+/// of its own. A value that is not a valid record is skipped, counted and
+/// logged. If the next offset was dropped by retention it loads a newer
+/// snapshot.
+class Follower {
+public:
+  Follower(LogSettings Settings, base::Ring<FollowerEvent> &Out,
+           base::Counters &Counters);
+  ~Follower();
+
+  void stop();
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> m_impl;
+};
+
+} // namespace pomelokeel::logclient
--- /dev/null
+++ b/src/main.cc
@@ -0,0 +1,55 @@
+#include "agent/agent.h"
+#include "ctl/ctl.h"
+#include "entry/entry.h"
+#include "settings/settings.h"
+
+#include <CLI/CLI.hpp>
+#include <glog/logging.h>
+
+#include <cstdio>
+#include <string>
+
+namespace {
+
+using namespace pomelokeel;
+
+// Loads settings and runs the process, or reports the error.
+template <typename Load, typename Run>
+int runProcess(const std::string &File, Load LoadSettings, Run RunSettings) {
+  const auto Settings = LoadSettings(File);
+  if (Settings)
+    return RunSettings(*Settings);
+  std::fprintf(stderr, "pomelokeel: %s\n",
+               base::toString(Settings.error()).c_str());
+  return base::errorAnswer(Settings.error().m_kind).m_exitCode;
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  FLAGS_logtostderr = true;
+  google::InitGoogleLogging(Argv[0]);
+
+  CLI::App App{"Scheduler of multi-accelerator jobs under client account "
+               "guarantees"};
+  App.require_subcommand(1);
+  int ExitCode = 0;
+  std::string File;
+
+  CLI::App *Entry = App.add_subcommand("entry", "Run an entry instance");
+  Entry->add_option("--settings", File, "JSON settings file")->required();
+  Entry->callback(
+      [&] { ExitCode = runProcess(File, settings::loadEntry, entry::run); });
+
+  CLI::App *Agent = App.add_subcommand("agent", "Run the process beside an "
+                                                "endpoint");
+  Agent->add_option("--settings", File, "JSON settings file")->required();
+  Agent->callback(
+      [&] { ExitCode = runProcess(File, settings::loadAgent, agent::run); });
+
+  CLI::App *Ctl = App.add_subcommand("ctl", "Publish records, read reports");
+  ctl::addCommands(*Ctl, ExitCode);
+
+  CLI11_PARSE(App, Argc, Argv);
+  return ExitCode;
+}
--- /dev/null
+++ b/src/mesh/mesh.cc
@@ -0,0 +1,1 @@
+#include "mesh/mesh.h"
--- /dev/null
+++ b/src/model/message.h
@@ -0,0 +1,296 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/fields.h"
+#include "model/job.h"
+#include "model/worker.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace pomelokeel::model {
+
+/// Kinds of messages between processes; docs/design.md, section 7.
+enum class MessageKind {
+  Ping,
+  Pong,
+  Attach,
+  Attached,
+  Report,
+  ReportAck,
+  Command,
+  CommandReply,
+  Digest,
+  ConfigNotice,
+  GangBeat,
+  GangReply,
+  GangStop,
+};
+
+/// A message between two processes. Names are process names.
+struct Message {
+  MessageKind m_kind = MessageKind::Ping;
+  std::string m_from;
+  std::string m_to;           ///< Final receiver; an entry relays to others.
+  std::string m_replyAddress; ///< Mesh address of the sender.
+  std::uint64_t m_epoch = 0;
+  std::uint64_t m_requestId = 0; ///< Repeated in the reply.
+  base::Stamp m_stamp;
+  Json m_body = Json::object();
+
+  static constexpr auto fields() {
+    return std::tuple{base::required("kind", &Message::m_kind),
+                      base::required("from", &Message::m_from),
+                      base::required("to", &Message::m_to),
+                      base::optional("replyAddress", &Message::m_replyAddress),
+                      base::optional("epoch", &Message::m_epoch),
+                      base::optional("requestId", &Message::m_requestId),
+                      base::optional("stamp", &Message::m_stamp),
+                      base::optional("body", &Message::m_body)};
+  }
+};
+
+/// Encodes as a msgpack map.
+std::vector<std::uint8_t> encodeMessage(const Message &M);
+
+/// Decodes a msgpack map. Errors: badRequest and those of base::decode.
+base::Result<Message> decodeMessage(const std::uint8_t *Data, std::size_t Size);
+
+/// Body of Ping and Pong.
+struct Heartbeat {
+  std::string m_role; ///< "leader", "standby" or "agent".
+  std::string m_region;
+  std::uint64_t m_appliedOffset = 0;
+  std::uint64_t m_configVersion = 0;
+
+  static constexpr auto fields() {
+    return std::tuple{
+        base::required("role", &Heartbeat::m_role),
+        base::optional("region", &Heartbeat::m_region),
+        base::optional("appliedOffset", &Heartbeat::m_appliedOffset),
+        base::optional("configVersion", &Heartbeat::m_configVersion)};
+  }
+};
+
+/// State of one task (a member of an attempt) at an agent.
+enum class HoldState { Reserved, Paused, Running, Succeeded, Failed, Stopped };
+
+/// One task that an agent holds. Ended ones stay until released by the leader.
+struct Hold {
+  std::string m_job;
+  int m_attempt = 0;
+  int m_member = 0;
+  std::uint64_t m_fence = 0;
+  HoldState m_state = HoldState::Reserved;
+  bool m_everRan = false; ///< False proves that the task did not run.
+  std::string m_reason;   ///< Of Failed and Stopped.
+  Json m_answer;          ///< Of Succeeded.
+  Json m_checkpoint;      ///< Latest one.
+  MemberPlace m_place;
+
+  static constexpr auto fields() {
+    return std::tuple{base::required("job", &Hold::m_job),
+                      base::required("attempt", &Hold::m_attempt),
+                      base::required("member", &Hold::m_member),
+                      base::required("fence", &Hold::m_fence),
+                      base::required("state", &Hold::m_state),
+                      base::optional("everRan", &Hold::m_everRan),
+                      base::optional("reason", &Hold::m_reason),
+                      base::optional("answer", &Hold::m_answer),
+                      base::optional("checkpoint", &Hold::m_checkpoint),
+                      base::optional("place", &Hold::m_place)};
+  }
+};
+
+/// Measured use of a worker, with a lag.
+struct Usage {
+  double m_cores = 0;
+  int m_memoryMb = 0;
+  int m_busyAccelerators = 0;
+  int m_busySlots = 0;
+
+  bool operator==(const Usage &) const = default;
+
+  static constexpr auto fields() {
+    return std::tuple{
+        base::optional("cores", &Usage::m_cores),
+        base::optional("memoryMb", &Usage::m_memoryMb),
+        base::optional("busyAccelerators", &Usage::m_busyAccelerators),
+        base::optional("busySlots", &Usage::m_busySlots)};
+  }
+};
+
+/// Body of Attach and Report (agent to its entry, relayed to the leader).
+/// Every Report carries the complete list of holds, so a lost one does no harm.
+struct AgentReport {
+  Worker m_worker;
+  std::vector<Hold> m_holds;
+  Usage m_usage;
+  bool m_draining = false;
+  bool m_workerReachable = true;
+  std::uint64_t m_configVersion = 0;
+
+  static constexpr auto fields() {
+    return std::tuple{
+        base::required("worker", &AgentReport::m_worker),
+        base::optional("holds", &AgentReport::m_holds),
+        base::optional("usage", &AgentReport::m_usage),
+        base::optional("draining", &AgentReport::m_draining),
+        base::optional("workerReachable", &AgentReport::m_workerReachable),
+        base::optional("configVersion", &AgentReport::m_configVersion)};
+  }
+};
+
+/// Body of Attached and ReportAck (entry to agent).
+struct AttachAnswer {
+  bool m_accepted = false;
+  std::string m_reason;
+  std::vector<Member> m_members;
+  std::uint64_t m_configVersion = 0;
+  bool m_draining = false;   ///< The agent's endpoint is to be drained.
+  Millis m_leaderAgeMs = -1; ///< Since the entry last heard from the leader.
+
+  static constexpr auto fields() {
+    return std::tuple{
+        base::required("accepted", &AttachAnswer::m_accepted),
+        base::optional("reason", &AttachAnswer::m_reason),
+        base::optional("members", &AttachAnswer::m_members),
+        base::optional("configVersion", &AttachAnswer::m_configVersion),
+        base::optional("draining", &AttachAnswer::m_draining),
+        base::optional("leaderAgeMs", &AttachAnswer::m_leaderAgeMs)};
+  }
+};
+
+/// What the leader asks of an agent.
+enum class CommandKind { Reserve, Start, Stop, Checkpoint, Throttle, Release };
+
+/// Body of Command. Every command may be repeated without further effect.
+struct Command {
+  CommandKind m_kind = CommandKind::Reserve;
+  std::string m_job;
+  int m_attempt = 0;
+  int m_member = 0;
+  std::uint64_t m_fence = 0;
+  // Only for Reserve and Start:
+  JobSpec m_spec;
+  std::vector<MemberPlace> m_places; ///< Of all members, in member order.
+  std::vector<std::string> m_peers;  ///< Mesh addresses, in member order.
+  Millis m_orphanLimitMs = 0;
+  Millis m_startTimeoutMs = 0;
+  Json m_checkpoint; ///< To resume from.
+  std::string m_reason;
+
+  static constexpr auto fields() {
+    return std::tuple{
+        base::required("kind", &Command::m_kind),
+        base::required("job", &Command::m_job),
+        base::required("attempt", &Command::m_attempt),
+        base::required("member", &Command::m_member),
+        base::required("fence", &Command::m_fence),
+        base::optional("spec", &Command::m_spec),
+        base::optional("places", &Command::m_places),
+        base::optional("peers", &Command::m_peers),
+        base::optional("orphanLimitMs", &Command::m_orphanLimitMs),
+        base::optional("startTimeoutMs", &Command::m_startTimeoutMs),
+        base::optional("checkpoint", &Command::m_checkpoint),
+        base::optional("reason", &Command::m_reason)};
+  }
+};
+
+/// Body of CommandReply.
+struct CommandReply {
+  CommandKind m_kind = CommandKind::Reserve;
+  std::string m_worker;
+  std::string m_job;
+  int m_attempt = 0;
+  int m_member = 0;
+  bool m_accepted = false;
+  std::optional<base::ErrorKind> m_error;
+  std::string m_message;
+
+  static constexpr auto fields() {
+    return std::tuple{base::required("kind", &CommandReply::m_kind),
+                      base::required("worker", &CommandReply::m_worker),
+                      base::required("job", &CommandReply::m_job),
+                      base::required("attempt", &CommandReply::m_attempt),
+                      base::required("member", &CommandReply::m_member),
+                      base::required("accepted", &CommandReply::m_accepted),
+                      base::optional("error", &CommandReply::m_error),
+                      base::optional("message", &CommandReply::m_message)};
+  }
+};
+
+/// One attached agent in a Digest.
+struct DigestEntry {
+  std::string m_worker;
+  std::string m_incarnation;
+  Millis m_silentMs = 0; ///< Since the entry last heard from the agent.
+
+  static constexpr auto fields() {
+    return std::tuple{
+        base::required("worker", &DigestEntry::m_worker),
+        base::required("incarnation", &DigestEntry::m_incarnation),
+        base::optional("silentMs", &DigestEntry::m_silentMs)};
+  }
+};
+
+/// Body of Digest (entry to leader): all agents attached to the entry.
+struct Digest {
+  std::vector<DigestEntry> m_agents;
+
+  static constexpr auto fields() {
+    return std::tuple{base::required("agents", &Digest::m_agents)};
+  }
+};
+
+/// Body of GangBeat (gang head to members), GangReply and GangStop.
+struct GangNote {
+  std::string m_job;
+  int m_attempt = 0;
+  int m_member = 0;
+  bool m_ready = false;   ///< The member's task is paused at the start barrier.
+  bool m_release = false; ///< Head to members: all are ready, run.
+  bool m_stopped = false;
+  std::string m_reason;
+
+  static constexpr auto fields() {
+    return std::tuple{base::required("job", &GangNote::m_job),
+                      base::required("attempt", &GangNote::m_attempt),
+                      base::required("member", &GangNote::m_member),
+                      base::optional("ready", &GangNote::m_ready),
+                      base::optional("release", &GangNote::m_release),
+                      base::optional("stopped", &GangNote::m_stopped),
+                      base::optional("reason", &GangNote::m_reason)};
+  }
+};
+
+/// Builds a message with an encoded body.
+template <typename Body>
+Message makeMessage(MessageKind Kind, std::string To, const Body &B) {
+  Message M;
+  M.m_kind = Kind;
+  M.m_to = std::move(To);
+  M.m_body = base::encode(B);
+  return M;
+}
+
+} // namespace pomelokeel::model
+
+namespace pomelokeel::base {
+template <> struct NameTable<model::MessageKind> {
+  static constexpr std::array<std::string_view, 13> Names = {
+      "ping",      "pong",      "attach",       "attached", "report",
+      "reportAck", "command",   "commandReply", "digest",   "configNotice",
+      "gangBeat",  "gangReply", "gangStop"};
+};
+template <> struct NameTable<model::HoldState> {
+  static constexpr std::array<std::string_view, 6> Names = {
+      "reserved", "paused", "running", "succeeded", "failed", "stopped"};
+};
+template <> struct NameTable<model::CommandKind> {
+  static constexpr std::array<std::string_view, 6> Names = {
+      "reserve", "start", "stop", "checkpoint", "throttle", "release"};
+};
+} // namespace pomelokeel::base
--- /dev/null
+++ b/src/model/record.cc
@@ -0,0 +1,1 @@
+#include "model/record.h"
--- /dev/null
+++ b/src/report/report.cc
@@ -0,0 +1,1 @@
+#include "report/report.h"
--- /dev/null
+++ b/src/report/report.h
@@ -0,0 +1,4 @@
+#pragma once
+
+/// Reports for operators.
+namespace pomelokeel::report {} // namespace pomelokeel::report
--- /dev/null
+++ b/src/sched/sched.cc
@@ -0,0 +1,1 @@
+#include "sched/sched.h"
--- /dev/null
+++ b/src/sched/sched.h
@@ -0,0 +1,178 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "model/config.h"
+#include "model/job.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// Scheduling decisions as pure functions: no sockets, no clock, no logging.
+namespace pomelokeel::sched {
+
+using base::Millis;
+
+/// A worker as the scheduler sees it.
+struct WorkerView {
+  std::string m_name;
+  std::string m_dataCentre;
+  std::string m_region;
+  std::string m_rack;
+  int m_accelerators = 0;
+  int m_slots = 0;
+  int m_cores = 0;
+  int m_memoryMb = 0;
+  bool m_placeable = true;    ///< False if silent, quarantined or draining.
+  bool m_healthy = true;      ///< Counts towards guarantees.
+  bool m_onProbation = false; ///< Takes one job at a time.
+};
+
+/// A job that holds resources: placed or running and not proven to have ended.
+struct RunningView {
+  std::string m_id;
+  std::string m_account;
+  std::string m_class;
+  bool m_preemptible = true;
+  bool m_urgent = false;
+  bool m_reclaiming = false; ///< Already told to give up its resources.
+  std::vector<model::MemberPlace> m_places;
+  int m_cores = 0; ///< Per member.
+  int m_memoryMb = 0;
+  Millis m_startedMs = 0;
+  Millis m_expectedEndMs = 0; ///< From the corrected run time.
+};
+
+/// A waiting job.
+struct WaitingView {
+  std::string m_id;
+  model::JobSpec m_spec;
+  bool m_urgent = false;
+  bool m_preemptible = true;
+  Millis m_submittedMs = 0;
+  Millis m_notBeforeMs = 0;
+  Millis m_expectedRunMs = 0;
+  std::vector<std::string> m_avoid; ///< Workers on which it failed before.
+};
+
+/// Input of one planning pass.
+struct Snapshot {
+  Millis m_nowMs = 0;
+  model::PlacementRule m_rule;
+  std::vector<model::Account> m_accounts;
+  std::vector<WorkerView> m_workers;
+  std::vector<RunningView> m_running;
+  std::vector<WaitingView> m_waiting; ///< In order of submission.
+};
+
+/// Place a job now.
+struct PlaceJob {
+  std::string m_job;
+  std::vector<model::MemberPlace> m_places;
+  std::string m_reason;
+};
+
+/// Take back the resources of a running job for another one.
+struct ReclaimJob {
+  std::string m_job;
+  std::string m_forJob;
+  std::string m_reason;
+};
+
+/// Finish a waiting job as not run.
+struct RejectJob {
+  std::string m_job;
+  base::ErrorKind m_kind = base::ErrorKind::CanNeverRun;
+  std::string m_message;
+};
+
+/// Why a job still waits.
+struct WaitReason {
+  std::string m_job;
+  std::string m_reason;
+};
+
+/// A guarantee that cannot be kept with the healthy workers.
+struct Shortfall {
+  std::string m_account;
+  int m_blockSize = 0;
+  int m_missingBlocks = 0;
+};
+
+/// Output of one planning pass.
+struct Plan {
+  std::vector<PlaceJob> m_place;
+  std::vector<ReclaimJob> m_reclaim;
+  std::vector<RejectJob> m_reject;
+  std::vector<WaitReason> m_wait;
+  std::vector<Shortfall> m_shortfalls;
+};
+
+/// Plans one pass. Deterministic. At most \p MaxPlacements jobs are placed.
+Plan plan(const Snapshot &S, std::size_t MaxPlacements = 64);
+
+/// Blocks promised to an account at this moment.
+struct BlockAssignment {
+  std::string m_account;
+  std::string m_worker; ///< First worker, for blocks larger than a worker.
+  int m_firstAccelerator = 0;
+  int m_size = 0;
+};
+
+/// One assignment of disjoint blocks for all guarantees, and what is missing.
+struct GuaranteeCheck {
+  std::vector<BlockAssignment> m_blocks;
+  std::vector<Shortfall> m_shortfalls;
+};
+
+/// Finds an assignment on the given fleet; docs/design.md, section 9.
+GuaranteeCheck checkGuarantees(const std::vector<model::Account> &Accounts,
+                               const std::vector<WorkerView> &Workers,
+                               const std::vector<RunningView> &Running);
+
+/// Learned corrections of declared run times, per class and account.
+class RunTimeEstimates {
+public:
+  /// Corrected run time of a job declared with \p DeclaredMs.
+  Millis estimate(const std::string &Class, const std::string &Account,
+                  Millis DeclaredMs) const;
+
+  /// Learns from a completed run.
+  void learn(const std::string &Class, const std::string &Account,
+             Millis DeclaredMs, Millis ActualMs);
+
+private:
+  std::map<std::string, double> m_factors; ///< By `class/account`.
+};
+
+/// Finds workers that fail the tasks of different jobs one after another.
+class FailureTracker {
+public:
+  struct Verdict {
+    bool m_quarantine = false;
+    Millis m_untilMs = 0;
+  };
+
+  /// Records the end of a task on \p Worker. Failures of the same job on
+  /// several workers speak against the job and not against the workers.
+  Verdict record(const std::string &Worker, const std::string &Job, bool Failed,
+                 Millis NowMs);
+
+  /// True if failures of \p Job on quarantined workers are not the job's fault.
+  bool blamesWorker(const std::string &Worker, const std::string &Job) const;
+
+private:
+  struct History {
+    std::vector<std::string> m_failedJobs;
+    int m_quarantines = 0;
+  };
+  std::map<std::string, History> m_workers;
+};
+
+/// Backoff before attempt \p Failures + 1, with the class's base, capped.
+Millis retryBackoff(const model::JobClass &C, int Failures);
+
+} // namespace pomelokeel::sched
--- /dev/null
+++ b/src/state/state.cc
@@ -0,0 +1,1 @@
+#include "state/state.h"
--- /dev/null
+++ b/src/state/state.h
@@ -0,0 +1,179 @@
+#pragma once
+
+#include "model/record.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+/// The state that every entry folds from the log, and its snapshots. No
+/// sockets, no clock: time is the log's.
+namespace pomelokeel::state {
+
+using base::Json;
+using base::Millis;
+
+/// A worker in the state.
+struct WorkerEntry {
+  model::Worker m_worker;
+  model::WorkerStanding m_standing = model::WorkerStanding::Healthy;
+  std::string m_standingReason;
+  Millis m_standingUntilMs = 0;
+
+  static constexpr auto fields() {
+    return std::tuple{
+        base::required("worker", &WorkerEntry::m_worker),
+        base::optional("standing", &WorkerEntry::m_standing),
+        base::optional("standingReason", &WorkerEntry::m_standingReason),
+        base::optional("standingUntilMs", &WorkerEntry::m_standingUntilMs)};
+  }
+};
+
+/// The accepted versions of one configuration record, oldest first, bounded.
+struct ConfigHistory {
+  std::vector<model::ConfigRecord> m_versions;
+
+  static constexpr auto fields() {
+    return std::tuple{base::required("versions", &ConfigHistory::m_versions)};
+  }
+};
+
+/// What became of a published configuration record, by record id. Bounded.
+struct ConfigVerdict {
+  bool m_accepted = false;
+  std::optional<base::ErrorKind> m_error;
+  std::string m_message;
+  std::uint64_t m_configVersion = 0; ///< In force after the record.
+
+  static constexpr auto fields() {
+    return std::tuple{
+        base::required("accepted", &ConfigVerdict::m_accepted),
+        base::optional("error", &ConfigVerdict::m_error),
+        base::optional("message", &ConfigVerdict::m_message),
+        base::optional("configVersion", &ConfigVerdict::m_configVersion)};
+  }
+};
+
+/// Everything that follows from the log up to an offset.
+struct State {
+  std::uint64_t m_nextOffset = 0; ///< First offset that is not applied yet.
+  Millis m_timeMs = 0;            ///< Log time of the last applied record.
+  std::uint64_t m_epoch = 0;
+  std::string m_leader;
+  std::string m_leaderIncarnation;
+  std::vector<Millis> m_recentClaimsMs; ///< Log times, last minute.
+  std::uint64_t m_configVersion = 0;
+  Millis m_configTimeMs = 0; ///< Log time of the last accepted change.
+  std::map<std::string, ConfigHistory> m_config; ///< By `kind/name`.
+  std::map<std::string, ConfigVerdict> m_verdicts;
+  std::vector<std::string> m_verdictOrder;
+  std::map<std::string, model::Member> m_members;
+  std::map<std::string, WorkerEntry> m_workers;
+  std::map<std::string, model::Job> m_jobs;
+  std::map<std::string, std::string> m_jobByKey; ///< `account/key` to job id.
+  std::vector<std::string> m_finishedOrder;      ///< Job ids, for retention.
+
+  static constexpr auto fields() {
+    return std::tuple{
+        base::required("nextOffset", &State::m_nextOffset),
+        base::required("timeMs", &State::m_timeMs),
+        base::required("epoch", &State::m_epoch),
+        base::required("leader", &State::m_leader),
+        base::required("leaderIncarnation", &State::m_leaderIncarnation),
+        base::required("recentClaimsMs", &State::m_recentClaimsMs),
+        base::required("configVersion", &State::m_configVersion),
+        base::required("configTimeMs", &State::m_configTimeMs),
+        base::required("config", &State::m_config),
+        base::required("verdicts", &State::m_verdicts),
+        base::required("verdictOrder", &State::m_verdictOrder),
+        base::required("members", &State::m_members),
+        base::required("workers", &State::m_workers),
+        base::required("jobs", &State::m_jobs),
+        base::required("jobByKey", &State::m_jobByKey),
+        base::required("finishedOrder", &State::m_finishedOrder)};
+  }
+};
+
+/// Limits of what the state keeps. Part of the protocol: all entries must use
+/// the same values.
+struct Retention {
+  Millis m_outcomeMs = 24LL * 3600 * 1000;
+  std::size_t m_verdicts = 1000;
+  std::size_t m_versionsPerRecord = 20;
+};
+
+/// What the fold made of one record.
+struct Applied {
+  bool m_accepted = false;
+  std::optional<base::ErrorKind> m_error; ///< Why it was ignored.
+  std::string m_message;
+  std::string m_job; ///< Job it concerns, if any.
+};
+
+/// Applies the record at State.m_nextOffset or later. A refused record changes
+/// nothing but the offset and the time.
+Applied apply(State &S, const model::LogEntry &Entry,
+              const Retention &Limits = {});
+
+/// Checks whether \p R would be accepted now. Errors: versionConflict,
+/// unknownSchema, guaranteeExceedsCapacity and those of model::checkRecord.
+base::Status checkConfig(const State &S, const model::ConfigRecord &R);
+
+/// The version of a configuration record in force, or null.
+const model::ConfigRecord *findConfig(const State &S, model::ConfigKind Kind,
+                                      const std::string &Name);
+
+/// Typed lookups of the configuration in force.
+std::optional<model::Account> findAccount(const State &S,
+                                          const std::string &Name);
+std::optional<model::JobClass> findClass(const State &S,
+                                         const std::string &Name);
+model::PlacementRule placementRule(const State &S);
+bool isDraining(const State &S, const std::string &Worker);
+
+/// Finds a job by account and idempotency key, or null.
+const model::Job *findByKey(const State &S, const std::string &Account,
+                            const std::string &Key);
+
+/// Checks a submission against the configuration in force: unknownAccount,
+/// unknownClass, quotaExceeded, canNeverRun and those of model::checkSpec.
+base::Status admit(const State &S, const model::JobSpec &Spec);
+
+/// A part of a snapshot on the stream "snapshots".
+struct SnapshotChunk {
+  std::string m_snapshot; ///< Identifier of the snapshot.
+  std::uint64_t m_nextOffset = 0;
+  int m_index = 0;
+  int m_count = 0;
+  std::string m_data;
+
+  static constexpr auto fields() {
+    return std::tuple{
+        base::required("snapshot", &SnapshotChunk::m_snapshot),
+        base::required("nextOffset", &SnapshotChunk::m_nextOffset),
+        base::required("index", &SnapshotChunk::m_index),
+        base::required("count", &SnapshotChunk::m_count),
+        base::required("data", &SnapshotChunk::m_data)};
+  }
+};
+
+/// Splits the state into chunks of at most \p MaxBytes of data.
+std::vector<SnapshotChunk> encodeSnapshot(const State &S, std::string Id,
+                                          std::size_t MaxBytes = 200 * 1024);
+
+/// Collects chunks in any order and decodes the complete snapshot with the
+/// highest offset. Damaged or incomplete snapshots are passed over.
+class SnapshotReader {
+public:
+  void add(SnapshotChunk Chunk);
+
+  /// Returns the newest complete snapshot, if there is one.
+  std::optional<State> newest() const;
+
+private:
+  std::map<std::string, std::vector<SnapshotChunk>> m_snapshots;
+};
+
+} // namespace pomelokeel::state
--- /dev/null
+++ b/tests/standin/standin.cc
@@ -0,0 +1,1 @@
+#include "model/job.h"
