--- /dev/null
+++ b/src/entry/election.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "base/clock.h"
+#include "state/state.h"
+
+#include <cstddef>
+#include <string>
+
+namespace pomelokeel::entry {
+
+/// Decides when a standby claims leadership; docs/design.md, section 4.1. A
+/// claim is safe at any time, the decision affects only availability.
+class Election {
+public:
+  Election(std::string Name, std::string Incarnation,
+           base::Millis LeaderTimeoutMs);
+
+  /// A heartbeat of the leader of \p Epoch arrived, or one of its records was
+  /// read.
+  void heardLeader(std::uint64_t Epoch, base::Millis NowMs);
+
+  /// The claim that this process appended had its answer, or failed.
+  void claimSettled(base::Millis NowMs);
+
+  /// True if this process should append a claim now; it then waits for
+  /// claimSettled() and for its record to be read back.
+  bool shouldClaim(const state::State &S, base::Millis NowMs);
+
+  /// Whether this process is the leader according to \p S.
+  bool isLeader(const state::State &S) const;
+
+  /// Silence after which this process claims.
+  base::Millis claimTimeout(const state::State &S) const;
+
+private:
+  std::string m_name;
+  std::string m_incarnation;
+  base::Millis m_leaderTimeoutMs;
+  base::Millis m_lastHeardMs = -1;
+  bool m_claiming = false;
+};
+
+} // namespace pomelokeel::entry
