--- a/src/base/fields.h
+++ b/src/base/fields.h
@@ -109,7 +109,7 @@
     return wrongType(Path, "an object");
   std::set<std::string> Known;
   Status Outcome = success();
-  auto decodeField = [&](const auto &F) {
+  auto DecodeField = [&](const auto &F) {
     Known.insert(F.m_name);
     if (!Outcome.ok())
       return;
@@ -122,7 +122,7 @@
       Outcome = Error{ErrorKind::BadRequest,
                       "\"" + join(Path, F.m_name) + "\" is missing"};
   };
-  std::apply([&](const auto &...F) { (decodeField(F), ...); }, S::fields());
+  std::apply([&](const auto &...F) { (DecodeField(F), ...); }, S::fields());
   if (!Outcome.ok())
     return Outcome;
   for (const auto &Item : J.items()) {
@@ -140,12 +140,12 @@
 template <typename T> Json encode(const T &Value) {
   if constexpr (HasFields<T>) {
     Json Out = Json::object();
-    auto encodeField = [&](const auto &F) {
+    auto EncodeField = [&](const auto &F) {
       Json J = encode(Value.*(F.m_member));
       if (!J.is_null())
         Out[F.m_name] = std::move(J);
     };
-    std::apply([&](const auto &...F) { (encodeField(F), ...); }, T::fields());
+    std::apply([&](const auto &...F) { (EncodeField(F), ...); }, T::fields());
     return Out;
   } else if constexpr (std::is_enum_v<T>) {
     return std::string(nameOf(Value));
--- /dev/null
+++ b/tests/state/state_test.cc
@@ -0,0 +1,260 @@
+#include "state/state.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace pomelokeel;
+using base::ErrorKind;
+using base::Json;
+using model::RecordKind;
+
+namespace {
+
+/// A log that applies each record at once.
+class Log {
+public:
+  template <typename Body>
+  state::Applied append(RecordKind Kind, const Body &B, std::uint64_t Epoch = 0,
+                        base::Millis AdvanceMs = 1) {
+    model::Record R;
+    R.m_id = "r" + std::to_string(m_state.m_nextOffset);
+    R.m_kind = Kind;
+    R.m_by = "test";
+    R.m_epoch = Epoch;
+    R.m_body = base::encode(B);
+    m_timeMs += AdvanceMs;
+    return state::apply(m_state, {m_state.m_nextOffset, m_timeMs, R});
+  }
+
+  state::Applied publish(model::ConfigKind Kind, const std::string &Name,
+                         std::uint64_t Previous, Json Body, int Schema = 2) {
+    return append(RecordKind::ConfigPublished,
+                  model::ConfigRecord{Kind, Name, Previous + 1, Previous,
+                                      Schema, "op", std::move(Body)});
+  }
+
+  void addWorker(const std::string &Name) {
+    model::Worker W;
+    W.m_name = Name;
+    W.m_incarnation = "1";
+    W.m_dataCentre = "milano-a";
+    W.m_region = "nord-ovest";
+    W.m_rack = "r1";
+    W.m_cores = 32;
+    W.m_memoryMb = 64000;
+    W.m_accelerators = 8;
+    append(RecordKind::WorkerAnnounced, W);
+  }
+
+  void claim() {
+    append(RecordKind::LeaderClaimed, model::LeaderClaim{"e1", "i1"},
+           m_state.m_epoch + 1);
+  }
+
+  state::State m_state;
+  base::Millis m_timeMs = 1000;
+};
+
+Json accountBody(int Size, int Count) {
+  return {{"guarantee", Json::array({{{"size", Size}, {"count", Count}}})}};
+}
+
+model::JobSpec spec(const std::string &Key) {
+  model::JobSpec S;
+  S.m_key = Key;
+  S.m_account = "acct";
+  S.m_class = "batch";
+  return S;
+}
+
+Log configuredLog() {
+  Log L;
+  L.addWorker("w1");
+  L.publish(model::ConfigKind::Account, "acct", 0, accountBody(4, 0));
+  L.publish(model::ConfigKind::JobClass, "batch", 0, Json::object());
+  L.claim();
+  return L;
+}
+
+} // namespace
+
+// Guards against two racing operators that both believe they won.
+TEST(Fold, RacingPublishersGetOneWinner) {
+  Log L;
+  EXPECT_TRUE(L.publish(model::ConfigKind::JobClass, "c", 0, Json::object())
+                  .m_accepted);
+  const auto Loser =
+      L.publish(model::ConfigKind::JobClass, "c", 0, {{"urgent", true}});
+  EXPECT_FALSE(Loser.m_accepted);
+  EXPECT_EQ(Loser.m_error, ErrorKind::VersionConflict);
+  EXPECT_EQ(L.m_state.m_configVersion, 1u);
+  EXPECT_FALSE(state::findClass(L.m_state, "c")->m_urgent);
+}
+
+TEST(Fold, SchemasOneAndTwoWorkSideBySide) {
+  Log L;
+  L.addWorker("w1");
+  EXPECT_TRUE(L.publish(model::ConfigKind::Account, "old", 0,
+                        {{"blocks", 0}, {"blockSize", 4}}, 1)
+                  .m_accepted);
+  EXPECT_TRUE(L.publish(model::ConfigKind::Account, "new", 0, accountBody(4, 0))
+                  .m_accepted);
+  const auto Unknown =
+      L.publish(model::ConfigKind::Account, "x", 0, accountBody(4, 0), 3);
+  EXPECT_EQ(Unknown.m_error, ErrorKind::UnknownSchema);
+  EXPECT_NE(Unknown.m_message.find("schema 3"), std::string::npos);
+}
+
+// Guards G4 and G5 against a leader that was frozen past a claim: its records
+// are ignored.
+TEST(Fold, StaleEpochChangesNothing) {
+  Log L = configuredLog();
+  L.append(RecordKind::JobSubmitted, model::Submission{"j1", spec("k1")});
+  L.claim();
+  const auto Stale = L.append(RecordKind::JobPlaced,
+                              model::Placement{"j1", 1, {{"w1", 0, 0}}, ""}, 1);
+  EXPECT_EQ(Stale.m_error, ErrorKind::StaleEpoch);
+  EXPECT_EQ(L.m_state.m_jobs.at("j1").m_phase, model::JobPhase::Waiting);
+  EXPECT_TRUE(L.append(RecordKind::JobPlaced,
+                       model::Placement{"j1", 1, {{"w1", 0, 0}}, ""}, 2)
+                  .m_accepted);
+}
+
+TEST(Fold, SecondClaimOfAnEpochIsRefused) {
+  Log L;
+  L.claim();
+  const auto Late =
+      L.append(RecordKind::LeaderClaimed, model::LeaderClaim{"e2", "i2"}, 1);
+  EXPECT_EQ(Late.m_error, ErrorKind::StaleEpoch);
+  EXPECT_EQ(L.m_state.m_leader, "e1");
+}
+
+// Guards G5 against a submission that was appended twice or at two entries.
+TEST(Fold, SameKeyLeadsToOneJob) {
+  Log L = configuredLog();
+  L.append(RecordKind::JobSubmitted, model::Submission{"j1", spec("k1")});
+  EXPECT_FALSE(
+      L.append(RecordKind::JobSubmitted, model::Submission{"j2", spec("k1")})
+          .m_accepted);
+  EXPECT_EQ(L.m_state.m_jobs.size(), 1u);
+  EXPECT_EQ(state::findByKey(L.m_state, "acct", "k1")->m_id, "j1");
+}
+
+TEST(Fold, OutcomeIsFinal) {
+  Log L = configuredLog();
+  L.append(RecordKind::JobSubmitted, model::Submission{"j1", spec("k1")});
+  L.append(RecordKind::JobPlaced, model::Placement{"j1", 1, {{"w1", 0, 0}}, ""},
+           1);
+  EXPECT_TRUE(L.append(RecordKind::JobFinished,
+                       model::Finish{"j1",
+                                     1,
+                                     {model::Outcome::Completed, std::nullopt,
+                                      "", Json::array({1})}},
+                       1)
+                  .m_accepted);
+  EXPECT_FALSE(
+      L.append(RecordKind::JobFinished,
+               model::Finish{"j1", 1, {model::Outcome::Failed, {}, "", {}}}, 1)
+          .m_accepted);
+  EXPECT_EQ(L.m_state.m_jobs.at("j1").m_result->m_outcome,
+            model::Outcome::Completed);
+}
+
+TEST(Fold, CancelBeforePlacementIsNotRun) {
+  Log L = configuredLog();
+  L.append(RecordKind::JobSubmitted, model::Submission{"j1", spec("k1")});
+  L.append(RecordKind::JobCancelRequested, model::CancelRequest{"j1", "op"});
+  EXPECT_EQ(L.m_state.m_jobs.at("j1").m_result->m_outcome,
+            model::Outcome::NotRun);
+  EXPECT_EQ(L.append(RecordKind::JobPlaced,
+                     model::Placement{"j1", 1, {{"w1", 0, 0}}, ""}, 1)
+                .m_error,
+            ErrorKind::StaleFence);
+}
+
+TEST(Fold, OutcomesAreDroppedAfterRetention) {
+  Log L = configuredLog();
+  L.append(RecordKind::JobSubmitted, model::Submission{"j1", spec("k1")});
+  L.append(RecordKind::JobCancelRequested, model::CancelRequest{"j1", "op"});
+  L.append(RecordKind::LeaderRenewed, model::LeaderClaim{"e1", "i1"}, 1,
+           state::Retention().m_outcomeMs + 1);
+  EXPECT_TRUE(L.m_state.m_jobs.empty());
+  EXPECT_TRUE(L.m_state.m_jobByKey.empty());
+}
+
+// Guards against a fold that differs after a restart from a snapshot: any cut
+// of a random log, reloaded and continued, gives the same state.
+RC_GTEST_PROP(Fold, SnapshotAndTailEqualWholeLog, ()) {
+  Log Whole = configuredLog();
+  const int Steps = *rc::gen::inRange(1, 60);
+  const int Cut = *rc::gen::inRange(0, Steps);
+  std::optional<Log> Restarted;
+  for (int I = 0; I < Steps; ++I) {
+    if (I == Cut) {
+      state::SnapshotReader Reader;
+      auto Chunks = state::encodeSnapshot(Whole.m_state, "s", 100);
+      std::reverse(Chunks.begin(), Chunks.end());
+      for (auto &C : Chunks)
+        Reader.add(C);
+      const auto Loaded = Reader.newest();
+      RC_ASSERT(Loaded.has_value());
+      Restarted.emplace(Log{*Loaded, Whole.m_timeMs});
+    }
+    const std::string Job = "j" + std::to_string(*rc::gen::inRange(0, 6));
+    const int Attempt = *rc::gen::inRange(0, 4);
+    const int Step = *rc::gen::inRange(0, 7);
+    const auto Append = [&](Log &L) {
+      switch (Step) {
+      case 0:
+        L.append(RecordKind::JobSubmitted, model::Submission{Job, spec(Job)});
+        break;
+      case 1:
+        L.append(RecordKind::JobCancelRequested,
+                 model::CancelRequest{Job, "op"});
+        break;
+      case 2:
+        L.append(RecordKind::JobPlaced,
+                 model::Placement{Job, Attempt, {{"w1", 0, 0}}, ""}, 1);
+        break;
+      case 3:
+        L.append(RecordKind::JobStarted, model::JobStart{Job, Attempt}, 1);
+        break;
+      case 4:
+        L.append(RecordKind::JobRequeued,
+                 model::Requeue{Job, Attempt, "x", true, false, 5, Json()}, 1);
+        break;
+      case 5:
+        L.append(RecordKind::JobFinished,
+                 model::Finish{Job,
+                               Attempt,
+                               {model::Outcome::Failed,
+                                ErrorKind::AttemptsExhausted, "", Json()}},
+                 1);
+        break;
+      default:
+        L.publish(model::ConfigKind::JobClass, Job,
+                  static_cast<std::uint64_t>(Attempt), Json::object());
+      }
+    };
+    Append(Whole);
+    if (Restarted)
+      Append(*Restarted);
+  }
+  RC_ASSERT(base::encode(Restarted->m_state) == base::encode(Whole.m_state));
+}
+
+// Guards against loading half a snapshot after the leader died writing it.
+TEST(Snapshots, IncompleteOnesArePassedOver) {
+  Log L = configuredLog();
+  state::SnapshotReader Reader;
+  for (auto &C : state::encodeSnapshot(L.m_state, "old", 50))
+    Reader.add(C);
+  L.publish(model::ConfigKind::JobClass, "late", 0, Json::object());
+  auto Newer = state::encodeSnapshot(L.m_state, "new", 50);
+  Newer.pop_back();
+  for (auto &C : Newer)
+    Reader.add(C);
+  const auto Loaded = Reader.newest();
+  ASSERT_TRUE(Loaded.has_value());
+  EXPECT_EQ(Loaded->m_nextOffset + 1, L.m_state.m_nextOffset);
+}
