--- a/src/state/snapshot.cc
+++ b/src/state/snapshot.cc
@@ -28,7 +28,7 @@
 
 } // namespace
 
-std::vector<SnapshotChunk> encodeSnapshot(const State &S, std::string Id,
+std::vector<SnapshotChunk> encodeSnapshot(const State &S, const std::string &Id,
                                           std::size_t MaxBytes) {
   const std::string Text = base::encode(S).dump(
       -1, ' ', true, Json::error_handler_t::replace); // ASCII: cut anywhere
--- a/src/state/state.h
+++ b/src/state/state.h
@@ -160,7 +160,7 @@
 };
 
 /// Splits the state into chunks of at most \p MaxBytes of data.
-std::vector<SnapshotChunk> encodeSnapshot(const State &S, std::string Id,
+std::vector<SnapshotChunk> encodeSnapshot(const State &S, const std::string &Id,
                                           std::size_t MaxBytes = 200 * 1024);
 
 /// Collects chunks in any order and decodes the complete snapshot with the
