Add links between processes over nng

One push socket per peer address with a bounded queue, one pull listener. Kept links are pinged and redialled when no pong comes; the ping tells the peer which pong arrived last, so that the reverse link is redialled too.

Seen to fail: the silent relay test without redial, the damaged message test without the count, the full queue test without the message limit, and the oversized message test without either size check.

--- /dev/null
+++ b/src/mesh/connection.cc
@@ -0,0 +1,98 @@
+#include "mesh/connection.h"
+
+#include <nng/protocol/pipeline0/push.h>
+
+#include <cstring>
+
+namespace pomelokeel::mesh::detail {
+namespace {
+
+constexpr nng_duration ReconnectMinMs = 50;
+constexpr nng_duration ReconnectMaxMs = 500;
+
+} // namespace
+
+std::shared_ptr<Connection> Connection::dial(const std::string &Address,
+                                             Limits Limits) {
+  const std::shared_ptr<Connection> Out(new Connection(Limits));
+  if (nng_push0_open(&Out->m_socket) != 0)
+    return nullptr;
+  if (nng_aio_alloc(&Out->m_aio, &Connection::onSent, Out.get()) != 0)
+    return nullptr;
+  nng_socket_set_ms(Out->m_socket, NNG_OPT_RECONNMINT, ReconnectMinMs);
+  nng_socket_set_ms(Out->m_socket, NNG_OPT_RECONNMAXT, ReconnectMaxMs);
+  const std::string Url = "tcp://" + Address;
+  if (nng_dial(Out->m_socket, Url.c_str(), nullptr, NNG_FLAG_NONBLOCK) != 0)
+    return nullptr;
+  return Out;
+}
+
+Connection::~Connection() {
+  if (nng_socket_id(m_socket) > 0)
+    nng_close(m_socket);
+  if (m_aio != nullptr) {
+    nng_aio_stop(m_aio);
+    nng_aio_free(m_aio);
+  }
+  for (nng_msg *Message : m_queue)
+    nng_msg_free(Message);
+}
+
+bool Connection::enqueue(const std::vector<std::uint8_t> &Bytes) {
+  nng_msg *Message = nullptr;
+  if (nng_msg_alloc(&Message, Bytes.size()) != 0)
+    return false;
+  std::memcpy(nng_msg_body(Message), Bytes.data(), Bytes.size());
+  {
+    const std::lock_guard Lock(m_mutex);
+    if (m_queue.size() >= m_limits.m_messages ||
+        m_queuedBytes + Bytes.size() > m_limits.m_bytes) {
+      nng_msg_free(Message);
+      return false;
+    }
+    m_queuedBytes += Bytes.size();
+    if (m_sending) {
+      m_queue.push_back(Message);
+      return true;
+    }
+    m_sending = true;
+  }
+  sendNext(Message);
+  return true;
+}
+
+// Only called by the thread that set m_sending or by the completion of the
+// previous send, so m_aio is used by one thread at a time.
+void Connection::sendNext(nng_msg *Next) {
+  nng_aio_set_msg(m_aio, Next);
+  nng_send_aio(m_socket, m_aio);
+}
+
+void Connection::onSent(void *Self) {
+  static_cast<Connection *>(Self)->finishOne();
+}
+
+void Connection::finishOne() {
+  if (nng_aio_result(m_aio) != 0) {
+    // The socket was closed: whatever is queued goes with the connection.
+    nng_msg_free(nng_aio_get_msg(m_aio));
+    return;
+  }
+  const std::size_t Size = nng_aio_count(m_aio);
+  if (base::Counter *Sent = m_sent.load())
+    *Sent += static_cast<std::int64_t>(Size);
+  nng_msg *Next = nullptr;
+  {
+    const std::lock_guard Lock(m_mutex);
+    m_queuedBytes -= Size;
+    if (m_queue.empty()) {
+      m_sending = false;
+      return;
+    }
+    Next = m_queue.front();
+    m_queue.pop_front();
+  }
+  sendNext(Next);
+}
+
+} // namespace pomelokeel::mesh::detail
--- /dev/null
+++ b/src/mesh/connection.h
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "base/counters.h"
+
+#include <nng/nng.h>
+
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace pomelokeel::mesh::detail {
+
+/// One push socket that dials one peer, with a bounded queue. Thread-safe.
+/// The destructor closes the socket and drops what is queued.
+class Connection {
+public:
+  struct Limits {
+    std::size_t m_messages = 0;
+    std::size_t m_bytes = 0; ///< Of all queued messages.
+  };
+
+  /// Starts to dial \p Address (`host:port`) in the background. Returns null
+  /// if nng refuses the address or has no resources.
+  static std::shared_ptr<Connection> dial(const std::string &Address,
+                                          Limits Limits);
+
+  Connection(const Connection &) = delete;
+  Connection &operator=(const Connection &) = delete;
+  ~Connection();
+
+  /// Queues an encoded message. Returns false if the queue is full.
+  bool enqueue(const std::vector<std::uint8_t> &Bytes);
+
+  /// Adds the sizes of messages that were handed to the transport to
+  /// \p Sent from now on; it must outlive the connection.
+  void countTo(base::Counter *Sent) { m_sent = Sent; }
+
+private:
+  explicit Connection(Limits Limits) : m_limits(Limits) {}
+
+  static void onSent(void *Self);
+  void finishOne();
+  void sendNext(nng_msg *Next);
+
+  const Limits m_limits;
+  nng_socket m_socket = NNG_SOCKET_INITIALIZER;
+  nng_aio *m_aio = nullptr;
+  std::atomic<base::Counter *> m_sent = nullptr;
+  std::mutex m_mutex;
+  std::deque<nng_msg *> m_queue;
+  std::size_t m_queuedBytes = 0; ///< Including the message being sent.
+  bool m_sending = false;
+};
+
+} // namespace pomelokeel::mesh::detail
--- a/src/mesh/mesh.cc
+++ b/src/mesh/mesh.cc
@@ -1,1 +1,403 @@
 #include "mesh/mesh.h"
+
+#include "mesh/connection.h"
+
+#include <fmt/format.h>
+#include <nng/nng.h>
+#include <nng/protocol/pipeline0/pull.h>
+
+#include <algorithm>
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <thread>
+#include <utility>
+
+namespace pomelokeel::mesh {
+namespace {
+
+using base::Error;
+using base::ErrorKind;
+using detail::Connection;
+using model::Message;
+using model::MessageKind;
+
+constexpr Millis TickMinMs = 5;
+constexpr Millis TickMaxMs = 100;
+/// Links that were opened by send() close after this time without use.
+constexpr Millis IdleLinkMs = 60000;
+/// Peers without a link are forgotten after this silence.
+constexpr Millis ForgetPeerMs = 600000;
+/// Queued bytes per link, in messages of the largest size.
+constexpr std::size_t QueuedLargest = 2;
+
+struct Link {
+  std::shared_ptr<Connection> m_connection;
+  bool m_kept = false;
+  Millis m_usedAt = 0;
+  Millis m_pingedAt = 0;
+  /// Last proof that the link works, or when it was dialled.
+  Millis m_provenAt = 0;
+  std::uint32_t m_pings = 0;  ///< Number of the last ping sent.
+  std::uint32_t m_ponged = 0; ///< Number of the last ping that was answered.
+};
+
+struct Peer {
+  Millis m_heardAt = -1;
+  std::uint32_t m_acknowledged = 0; ///< Last pong that the peer reported.
+  base::Counter *m_sent = nullptr;
+  base::Counter *m_received = nullptr;
+};
+
+// The request id of a ping carries its number and, in the low half, the number
+// of the last ping that was answered on the link. The receiver of the ping
+// learns from the low half that its own link to the sender works.
+std::uint64_t pingId(const Link &L) {
+  return (std::uint64_t{L.m_pings} << 32) | L.m_ponged;
+}
+
+class NngMesh final : public Mesh {
+public:
+  NngMesh(MeshSettings Settings, base::HybridClock &Clock,
+          base::Counters &Counters, base::Ring<Incoming> &Received,
+          std::function<model::Heartbeat()> Beat)
+      : m_settings(std::move(Settings)), m_clock(Clock), m_counters(Counters),
+        m_received(Received), m_beat(std::move(Beat)),
+        m_tickMs(
+            std::clamp(m_settings.m_heartbeatMs / 4, TickMinMs, TickMaxMs)),
+        m_damaged(Counters.get("mesh_damaged_messages")),
+        m_lost(Counters.get("mesh_send_refused")),
+        m_overflow(Counters.get("mesh_receive_queue_full")),
+        m_redials(Counters.get("mesh_redials")) {}
+
+  ~NngMesh() override { stopThread(); }
+
+  base::Status listen();
+  std::string address() const override { return m_address; }
+  bool send(const std::string &Address, Message M) override;
+  void keep(const std::string &Address) override;
+  void drop(const std::string &Address) override;
+  Millis silence(const std::string &Address) const override;
+  void setRegion(const std::string &Address,
+                 const std::string &Region) override;
+  void stop() override { stopThread(); }
+
+private:
+  void stopThread();
+  void run();
+  void receiveOne();
+  void handle(const nng_msg *Raw);
+  void noteArrival(const Message &M, std::size_t Bytes);
+  void tick(Millis Now);
+  void tickLink(const std::string &Address, Link &L, Millis Now,
+                std::vector<std::string> &Pings);
+  void forgetIdle(Millis Now);
+  void ping(const std::string &Address);
+  void redial(const std::string &Address, Link &L, Millis Now);
+  void dial(const std::string &Address, Link &L, Millis Now);
+  Link *openLink(const std::string &Address, Millis Now);
+  Peer &peer(const std::string &Address);
+  void label(Peer &P, const std::string &Region);
+  bool sendEncoded(const std::string &Address, Message &M);
+
+  const MeshSettings m_settings;
+  base::HybridClock &m_clock;
+  base::Counters &m_counters;
+  base::Ring<Incoming> &m_received;
+  const std::function<model::Heartbeat()> m_beat;
+  const Millis m_tickMs;
+  base::Counter &m_damaged;
+  base::Counter &m_lost;
+  base::Counter &m_overflow;
+  base::Counter &m_redials;
+  nng_socket m_pull = NNG_SOCKET_INITIALIZER;
+  std::string m_address;
+  std::thread m_thread;
+  std::atomic<bool> m_stopping = false;
+  mutable std::mutex m_mutex;
+  std::map<std::string, Link> m_links;
+  std::map<std::string, Peer> m_peers;
+  /// Connections that the mesh thread closes, because closing may block.
+  std::vector<std::shared_ptr<Connection>> m_closing;
+};
+
+Error listenError(const std::string &Address, int Code) {
+  return {ErrorKind::BadSettings,
+          fmt::format("cannot listen on {}: {}", Address, nng_strerror(Code))};
+}
+
+base::Status NngMesh::listen() {
+  if (const int Code = nng_pull0_open(&m_pull); Code != 0)
+    return listenError(m_settings.m_listen, Code);
+  nng_socket_set_ms(m_pull, NNG_OPT_RECVTIMEO,
+                    static_cast<nng_duration>(m_tickMs));
+  nng_socket_set_size(m_pull, NNG_OPT_RECVMAXSZ, m_settings.m_maxMessageBytes);
+  nng_listener Listener = NNG_LISTENER_INITIALIZER;
+  const std::string Url = "tcp://" + m_settings.m_listen;
+  if (const int Code = nng_listen(m_pull, Url.c_str(), &Listener, 0);
+      Code != 0) {
+    nng_close(m_pull);
+    return listenError(m_settings.m_listen, Code);
+  }
+  int Port = 0;
+  nng_listener_get_int(Listener, NNG_OPT_TCP_BOUND_PORT, &Port);
+  const auto Colon = m_settings.m_listen.rfind(':');
+  m_address = fmt::format("{}:{}", m_settings.m_listen.substr(0, Colon), Port);
+  m_thread = std::thread([this] { run(); });
+  return base::success();
+}
+
+void NngMesh::stopThread() {
+  m_stopping = true;
+  if (!m_thread.joinable())
+    return;
+  m_thread.join();
+  nng_close(m_pull);
+  const std::lock_guard Lock(m_mutex);
+  m_links.clear();
+  m_closing.clear();
+}
+
+void NngMesh::run() {
+  Millis NextTick = base::monotonicNow();
+  while (!m_stopping) {
+    receiveOne();
+    const Millis Now = base::monotonicNow();
+    if (Now < NextTick)
+      continue;
+    tick(Now);
+    NextTick = Now + m_tickMs;
+  }
+}
+
+void NngMesh::receiveOne() {
+  nng_msg *Raw = nullptr;
+  if (nng_recvmsg(m_pull, &Raw, 0) != 0)
+    return;
+  handle(Raw);
+  nng_msg_free(Raw);
+}
+
+void NngMesh::handle(const nng_msg *Raw) {
+  const std::size_t Bytes = nng_msg_len(Raw);
+  auto *Mutable = const_cast<nng_msg *>(Raw);
+  auto Decoded = model::decodeMessage(
+      static_cast<const std::uint8_t *>(nng_msg_body(Mutable)), Bytes);
+  if (!Decoded) {
+    ++m_damaged;
+    return;
+  }
+  m_clock.observe(Decoded->m_stamp);
+  noteArrival(*Decoded, Bytes);
+  if (Decoded->m_kind == MessageKind::Ping &&
+      !Decoded->m_replyAddress.empty()) {
+    Message Pong =
+        model::makeMessage(MessageKind::Pong, Decoded->m_from, m_beat());
+    Pong.m_requestId = Decoded->m_requestId;
+    send(Decoded->m_replyAddress, std::move(Pong));
+  }
+  if (!m_received.tryPush({std::move(*Decoded), Bytes}))
+    ++m_overflow;
+}
+
+void NngMesh::noteArrival(const Message &M, std::size_t Bytes) {
+  if (M.m_replyAddress.empty())
+    return;
+  const Millis Now = base::monotonicNow();
+  const std::lock_guard Lock(m_mutex);
+  Peer &P = peer(M.m_replyAddress);
+  P.m_heardAt = Now;
+  *P.m_received += static_cast<std::int64_t>(Bytes);
+  const auto It = m_links.find(M.m_replyAddress);
+  if (It == m_links.end())
+    return;
+  Link &L = It->second;
+  if (M.m_kind == MessageKind::Pong) {
+    L.m_ponged =
+        std::max(L.m_ponged, static_cast<std::uint32_t>(M.m_requestId >> 32));
+    L.m_provenAt = Now;
+    return;
+  }
+  if (M.m_kind != MessageKind::Ping || L.m_kept)
+    return;
+  const auto Acknowledged = static_cast<std::uint32_t>(M.m_requestId);
+  if (Acknowledged != P.m_acknowledged)
+    L.m_provenAt = Now;
+  P.m_acknowledged = Acknowledged;
+  // The peer is alive and gets no pong: the link to it has gone silent.
+  if (Now - L.m_provenAt > m_settings.m_linkTimeoutMs)
+    redial(M.m_replyAddress, L, Now);
+}
+
+void NngMesh::tick(Millis Now) {
+  std::vector<std::string> Pings;
+  std::vector<std::shared_ptr<Connection>> Closing;
+  {
+    const std::lock_guard Lock(m_mutex);
+    for (auto &[Address, L] : m_links)
+      tickLink(Address, L, Now, Pings);
+    forgetIdle(Now);
+    Closing.swap(m_closing);
+  }
+  for (const std::string &Address : Pings)
+    ping(Address);
+}
+
+void NngMesh::tickLink(const std::string &Address, Link &L, Millis Now,
+                       std::vector<std::string> &Pings) {
+  if (!L.m_kept)
+    return;
+  if (Now - L.m_provenAt > m_settings.m_linkTimeoutMs)
+    redial(Address, L, Now);
+  if (Now - L.m_pingedAt < m_settings.m_heartbeatMs)
+    return;
+  L.m_pingedAt = Now;
+  ++L.m_pings;
+  Pings.push_back(Address);
+}
+
+void NngMesh::forgetIdle(Millis Now) {
+  for (auto It = m_links.begin(); It != m_links.end();) {
+    Link &L = It->second;
+    if (L.m_kept || Now - L.m_usedAt < IdleLinkMs) {
+      ++It;
+      continue;
+    }
+    m_closing.push_back(std::move(L.m_connection));
+    It = m_links.erase(It);
+  }
+  std::erase_if(m_peers, [&](const auto &Item) {
+    return !m_links.contains(Item.first) &&
+           Now - Item.second.m_heardAt > ForgetPeerMs;
+  });
+}
+
+void NngMesh::ping(const std::string &Address) {
+  Message M = model::makeMessage(MessageKind::Ping, "", m_beat());
+  {
+    const std::lock_guard Lock(m_mutex);
+    const auto It = m_links.find(Address);
+    if (It == m_links.end())
+      return;
+    M.m_requestId = pingId(It->second);
+  }
+  sendEncoded(Address, M);
+}
+
+// Needs m_mutex.
+void NngMesh::redial(const std::string &Address, Link &L, Millis Now) {
+  ++m_redials;
+  if (L.m_connection)
+    m_closing.push_back(std::move(L.m_connection));
+  dial(Address, L, Now);
+}
+
+// Needs m_mutex.
+void NngMesh::dial(const std::string &Address, Link &L, Millis Now) {
+  L.m_provenAt = Now;
+  L.m_pingedAt = 0;
+  L.m_connection = Connection::dial(
+      Address, {static_cast<std::size_t>(m_settings.m_sendQueue),
+                QueuedLargest * m_settings.m_maxMessageBytes});
+  if (L.m_connection)
+    L.m_connection->countTo(peer(Address).m_sent);
+}
+
+// Needs m_mutex.
+Link *NngMesh::openLink(const std::string &Address, Millis Now) {
+  if (m_stopping ||
+      (m_links.size() >= m_settings.m_maxLinks && !m_links.contains(Address)))
+    return nullptr;
+  Link &L = m_links[Address];
+  L.m_usedAt = Now;
+  if (!L.m_connection)
+    dial(Address, L, Now);
+  return &L;
+}
+
+// Needs m_mutex.
+Peer &NngMesh::peer(const std::string &Address) {
+  Peer &P = m_peers[Address];
+  if (P.m_sent == nullptr)
+    label(P, "unknown");
+  return P;
+}
+
+void NngMesh::label(Peer &P, const std::string &Region) {
+  P.m_sent = &m_counters.get("mesh_bytes_sent{region=\"" + Region + "\"}");
+  P.m_received =
+      &m_counters.get("mesh_bytes_received{region=\"" + Region + "\"}");
+}
+
+bool NngMesh::send(const std::string &Address, Message M) {
+  return sendEncoded(Address, M);
+}
+
+bool NngMesh::sendEncoded(const std::string &Address, Message &M) {
+  M.m_from = m_settings.m_name;
+  M.m_replyAddress = m_address;
+  M.m_stamp = m_clock.tick();
+  const std::vector<std::uint8_t> Bytes = model::encodeMessage(M);
+  std::shared_ptr<Connection> Target;
+  if (Bytes.size() <= m_settings.m_maxMessageBytes) {
+    const Millis Now = base::monotonicNow();
+    const std::lock_guard Lock(m_mutex);
+    if (const Link *L = openLink(Address, Now))
+      Target = L->m_connection;
+  }
+  if (Target && Target->enqueue(Bytes))
+    return true;
+  ++m_lost;
+  return false;
+}
+
+void NngMesh::keep(const std::string &Address) {
+  const Millis Now = base::monotonicNow();
+  const std::lock_guard Lock(m_mutex);
+  Link *L = openLink(Address, Now);
+  if (L == nullptr || L->m_kept)
+    return;
+  L->m_kept = true;
+  L->m_provenAt = Now;
+}
+
+void NngMesh::drop(const std::string &Address) {
+  const std::lock_guard Lock(m_mutex);
+  const auto It = m_links.find(Address);
+  if (It == m_links.end())
+    return;
+  m_closing.push_back(std::move(It->second.m_connection));
+  m_links.erase(It);
+}
+
+Millis NngMesh::silence(const std::string &Address) const {
+  const std::lock_guard Lock(m_mutex);
+  const auto It = m_peers.find(Address);
+  if (It == m_peers.end() || It->second.m_heardAt < 0)
+    return -1;
+  return base::monotonicNow() - It->second.m_heardAt;
+}
+
+void NngMesh::setRegion(const std::string &Address, const std::string &Region) {
+  const std::lock_guard Lock(m_mutex);
+  Peer &P = peer(Address);
+  label(P, Region);
+  const auto It = m_links.find(Address);
+  if (It != m_links.end() && It->second.m_connection)
+    It->second.m_connection->countTo(P.m_sent);
+}
+
+} // namespace
+
+base::Result<std::unique_ptr<Mesh>>
+Mesh::start(MeshSettings Settings, base::HybridClock &Clock,
+            base::Counters &Counters, base::Ring<Incoming> &Received,
+            std::function<model::Heartbeat()> Beat) {
+  auto Out = std::make_unique<NngMesh>(std::move(Settings), Clock, Counters,
+                                       Received, std::move(Beat));
+  if (auto Listening = Out->listen(); !Listening)
+    return Listening.error();
+  return std::unique_ptr<Mesh>(std::move(Out));
+}
+
+} // namespace pomelokeel::mesh
