--- a/src/http/http.h
+++ b/src/http/http.h
@@ -19,14 +19,19 @@
   std::string m_target = "/";
   std::string m_body;
   std::string m_contentType = "application/json";
+  std::uint64_t m_connection = 0; ///< Set by Server: counts connections from 1.
 };
 
+/// Status 0 is never sent: the server closes the connection without an answer.
 struct Response {
   int m_status = 200;
   std::string m_body;
   std::string m_contentType = "application/json";
 };
 
+/// Status 0; for stand-ins that lose answers.
+inline Response noAnswer() { return {0, "", ""}; }
+
 /// Returns the path of \p Target without the query.
 std::string pathOf(const std::string &Target);
 
@@ -51,13 +56,16 @@
   std::size_t m_maxConnections = 256;
   std::size_t m_maxHeaderBytes = 16 * 1024;
   std::size_t m_maxBodyBytes = 1024 * 1024;
-  int m_idleTimeoutMs = 30000; ///< Between requests and while reading.
-  int m_responseTimeoutMs =
-      90000; ///< From request to response; then `timeout`.
+  /// Longest time between requests, for reading one and for writing a response.
+  int m_idleTimeoutMs = 30000;
+  /// From request to response; then `timeout`.
+  int m_responseTimeoutMs = 90000;
 };
 
-/// Serves on one thread of its own. Connections over the limit get `overloaded`
-/// and are closed.
+/// Serves on one thread of its own. Connections over the limit get
+/// `overloaded`, too large requests `tooLarge`, malformed ones and those that
+/// do not arrive in time `badRequest`; then the connection is closed. A client
+/// that closes its side of the connection gives up the answer it waits for.
 class Server {
 public:
   /// Binds to `host:port`; port 0 is chosen by the system. Error: badSettings.
@@ -70,7 +78,9 @@
   virtual std::string address() const = 0;
 
   /// Stops accepting, waits at most \p GraceMs for requests in flight to be
-  /// answered, then closes all connections and joins the thread.
+  /// answered, then closes all connections and joins the thread. Idle
+  /// connections stay open for a moment, for a request already on its way. Not
+  /// to be called on the server thread.
   virtual void stop(int GraceMs) = 0;
 };
 
