--- a/src/base/ring.h
+++ b/src/base/ring.h
@@ -41,6 +41,21 @@
     return true;
   }
 
+  /// Moves \p Item to the end, waiting at most \p Wait for room. Returns false,
+  /// with \p Item unchanged, if there is none or the ring is closed.
+  [[nodiscard]] bool offer(T &Item, std::chrono::milliseconds Wait) {
+    {
+      std::unique_lock Lock(m_mutex);
+      m_notFull.wait_for(Lock, Wait,
+                         [&] { return m_closed || !m_items.full(); });
+      if (m_closed || m_items.full())
+        return false;
+      m_items.push_back(std::move(Item));
+    }
+    m_notEmpty.notify_one();
+    return true;
+  }
+
   /// Removes the oldest item, waiting at most \p Wait. Items that were pushed
   /// before close() are still returned.
   std::optional<T> pop(std::chrono::milliseconds Wait) {
