Number agent reports, name the meant incarnation, keep mayHaveRun

A report that was made before a reservation but arrives after its reply lacks the hold. Without a number it would look like the proof that the task has ended. A command that is delayed past a restart of its agent is refused by the new incarnation. Requeue tells whether the attempt may have run, so that a later notRun is true.

--- a/src/model/job.h
+++ b/src/model/job.h
@@ -97,6 +97,7 @@
   Millis m_notBeforeMs = 0; ///< Backoff: log time of the next attempt.
   int m_failures = 0;       ///< Attempts that count against maxAttempts.
   int m_preemptions = 0;
+  bool m_mayHaveRun = false; ///< In an earlier attempt.
   bool m_cancelRequested = false;
   Json m_checkpoint;        ///< Latest checkpoint to resume from.
   std::string m_lastReason; ///< Why the last attempt ended.
@@ -118,6 +119,7 @@
         base::optional("notBeforeMs", &Job::m_notBeforeMs),
         base::optional("failures", &Job::m_failures),
         base::optional("preemptions", &Job::m_preemptions),
+        base::optional("mayHaveRun", &Job::m_mayHaveRun),
         base::optional("cancelRequested", &Job::m_cancelRequested),
         base::optional("checkpoint", &Job::m_checkpoint),
         base::optional("lastReason", &Job::m_lastReason),
--- a/src/model/message.h
+++ b/src/model/message.h
@@ -131,6 +131,8 @@
   bool m_draining = false;
   bool m_workerReachable = true;
   std::uint64_t m_configVersion = 0;
+  /// Counts the reports of an incarnation from 1; 0 is not numbered.
+  std::uint64_t m_sequence = 0;
 
   static constexpr auto fields() {
     return std::tuple{
@@ -139,7 +141,8 @@
         base::optional("usage", &AgentReport::m_usage),
         base::optional("draining", &AgentReport::m_draining),
         base::optional("workerReachable", &AgentReport::m_workerReachable),
-        base::optional("configVersion", &AgentReport::m_configVersion)};
+        base::optional("configVersion", &AgentReport::m_configVersion),
+        base::optional("sequence", &AgentReport::m_sequence)};
   }
 };
 
@@ -166,7 +169,11 @@
 /// What the leader asks of an agent.
 enum class CommandKind { Reserve, Start, Stop, Checkpoint, Throttle, Release };
 
-/// Body of Command. Every command may be repeated without further effect.
+/// Body of Command. Every command may be repeated without further effect. Stop
+/// of an attempt that the agent does not hold leaves a Stopped hold, so that a
+/// late Reserve or Start of that attempt is refused until Release. After
+/// Release an agent refuses Reserve and Start of that job up to the released
+/// fence.
 struct Command {
   CommandKind m_kind = CommandKind::Reserve;
   std::string m_job;
@@ -181,6 +188,9 @@
   Millis m_startTimeoutMs = 0;
   Json m_checkpoint; ///< To resume from.
   std::string m_reason;
+  /// Agent incarnation that is meant; another one refuses the command, because
+  /// it does not know which attempts its predecessor has stopped.
+  std::string m_incarnation;
 
   static constexpr auto fields() {
     return std::tuple{
@@ -195,6 +205,7 @@
         base::optional("orphanLimitMs", &Command::m_orphanLimitMs),
         base::optional("startTimeoutMs", &Command::m_startTimeoutMs),
         base::optional("checkpoint", &Command::m_checkpoint),
+        base::optional("incarnation", &Command::m_incarnation),
         base::optional("reason", &Command::m_reason)};
   }
 };
@@ -209,16 +220,21 @@
   bool m_accepted = false;
   std::optional<base::ErrorKind> m_error;
   std::string m_message;
+  std::string m_incarnation;    ///< Of the agent.
+  std::uint64_t m_sequence = 0; ///< Of the agent's last report before it.
 
   static constexpr auto fields() {
-    return std::tuple{base::required("kind", &CommandReply::m_kind),
-                      base::required("worker", &CommandReply::m_worker),
-                      base::required("job", &CommandReply::m_job),
-                      base::required("attempt", &CommandReply::m_attempt),
-                      base::required("member", &CommandReply::m_member),
-                      base::required("accepted", &CommandReply::m_accepted),
-                      base::optional("error", &CommandReply::m_error),
-                      base::optional("message", &CommandReply::m_message)};
+    return std::tuple{
+        base::required("kind", &CommandReply::m_kind),
+        base::required("worker", &CommandReply::m_worker),
+        base::required("job", &CommandReply::m_job),
+        base::required("attempt", &CommandReply::m_attempt),
+        base::required("member", &CommandReply::m_member),
+        base::required("accepted", &CommandReply::m_accepted),
+        base::optional("error", &CommandReply::m_error),
+        base::optional("message", &CommandReply::m_message),
+        base::optional("incarnation", &CommandReply::m_incarnation),
+        base::optional("sequence", &CommandReply::m_sequence)};
   }
 };
 
--- a/src/model/record.h
+++ b/src/model/record.h
@@ -161,6 +161,7 @@
   bool m_preempted = false;
   Millis m_backoffMs = 0;
   Json m_checkpoint;
+  bool m_mayHaveRun = true; ///< False if every agent proved that it did not.
 
   static constexpr auto fields() {
     return std::tuple{
@@ -169,6 +170,7 @@
         base::optional("reason", &Requeue::m_reason),
         base::optional("countsAsFailure", &Requeue::m_countsAsFailure),
         base::optional("preempted", &Requeue::m_preempted),
+        base::optional("mayHaveRun", &Requeue::m_mayHaveRun),
         base::optional("backoffMs", &Requeue::m_backoffMs),
         base::optional("checkpoint", &Requeue::m_checkpoint)};
   }
--- a/src/state/state.cc
+++ b/src/state/state.cc
@@ -331,6 +331,7 @@
   J.m_lastReason = Body->m_reason;
   J.m_failures += Body->m_countsAsFailure ? 1 : 0;
   J.m_preemptions += Body->m_preempted ? 1 : 0;
+  J.m_mayHaveRun = J.m_mayHaveRun || Body->m_mayHaveRun;
   J.m_notBeforeMs = C.m_entry.m_timeMs + Body->m_backoffMs;
   if (!Body->m_checkpoint.is_null())
     J.m_checkpoint = Body->m_checkpoint;
--- a/tests/state/state_test.cc
+++ b/tests/state/state_test.cc
@@ -258,3 +258,21 @@
   ASSERT_TRUE(Loaded.has_value());
   EXPECT_EQ(Loaded->m_nextOffset + 1, L.m_state.m_nextOffset);
 }
+
+// Guards G4: without this mark a job that ran in an earlier attempt could be
+// reported as not run after a later attempt that never started.
+TEST(Fold, RequeueKeepsThatTheJobMayHaveRun) {
+  Log L = configuredLog();
+  L.append(RecordKind::JobSubmitted, model::Submission{"j1", spec("k1")});
+  const auto Attempt = [&](int Number, bool MayHaveRun) {
+    L.append(RecordKind::JobPlaced,
+             model::Placement{"j1", Number, {{"w1", 0, 0}}, ""}, 1);
+    model::Requeue R{"j1", Number};
+    R.m_mayHaveRun = MayHaveRun;
+    L.append(RecordKind::JobRequeued, R, 1);
+    return L.m_state.m_jobs.at("j1").m_mayHaveRun;
+  };
+  EXPECT_FALSE(Attempt(1, false));
+  EXPECT_TRUE(Attempt(2, true));
+  EXPECT_TRUE(Attempt(3, false));
+}
