Return a task's metadata from the worker, tell when a gang member is done

A restarted agent needs fence, places, peers and orphan limit of the tasks that it adopts, and the worker is the only place that outlives it. A member that has succeeded must not look like a lost one to the gang head.

--- a/src/model/message.h
+++ b/src/model/message.h
@@ -269,6 +269,7 @@
   bool m_ready = false;   ///< The member's task is paused at the start barrier.
   bool m_release = false; ///< Head to members: all are ready, run.
   bool m_stopped = false;
+  bool m_done = false; ///< The member's task has succeeded.
   std::string m_reason;
 
   static constexpr auto fields() {
@@ -278,6 +279,7 @@
                       base::optional("ready", &GangNote::m_ready),
                       base::optional("release", &GangNote::m_release),
                       base::optional("stopped", &GangNote::m_stopped),
+                      base::optional("done", &GangNote::m_done),
                       base::optional("reason", &GangNote::m_reason)};
   }
 };
--- a/src/model/task.h
+++ b/src/model/task.h
@@ -27,6 +27,7 @@
   Json m_payload = Json::object();
   bool m_paused = false; ///< Runs only after TaskAction::Release.
   Millis m_leaseMs = 0;  ///< The task lapses unless renewed within this time.
+  Json m_metadata;       ///< The agent's own, returned by `GET /tasks`.
 
   static constexpr auto fields() {
     return std::tuple{
@@ -34,7 +35,8 @@
         base::optional("accelerators", &TaskStart::m_accelerators),
         base::optional("payload", &TaskStart::m_payload),
         base::optional("paused", &TaskStart::m_paused),
-        base::required("leaseMs", &TaskStart::m_leaseMs)};
+        base::required("leaseMs", &TaskStart::m_leaseMs),
+        base::optional("metadata", &TaskStart::m_metadata)};
   }
 };
 
@@ -48,6 +50,7 @@
   std::string m_reason; ///< Of Failed, Stopped and Lapsed.
   Json m_answer;        ///< Of Succeeded.
   Json m_checkpoint;    ///< Latest one; null before the first.
+  Json m_metadata;      ///< Of the start; only in the answer of `GET /tasks`.
 
   static constexpr auto fields() {
     return std::tuple{base::required("task", &TaskInfo::m_task),
@@ -57,7 +60,8 @@
                       base::optional("accelerators", &TaskInfo::m_accelerators),
                       base::optional("reason", &TaskInfo::m_reason),
                       base::optional("answer", &TaskInfo::m_answer),
-                      base::optional("checkpoint", &TaskInfo::m_checkpoint)};
+                      base::optional("checkpoint", &TaskInfo::m_checkpoint),
+                      base::optional("metadata", &TaskInfo::m_metadata)};
   }
 };
 
