--- a/src/agent/agent.cc
+++ b/src/agent/agent.cc
@@ -1,7 +1,49 @@
 #include "agent/agent.h"
 
+#include "agent/process.h"
+
+#include <glog/logging.h>
+
+#include <csignal>
+#include <ctime>
+
+#include <malloc.h>
+
 namespace pomelokeel::agent {
+namespace {
+
+/// Between looks at the progress of a stop.
+constexpr long PollNanos = 20'000'000;
+/// glibc would give each of the many nng threads its own heap, which costs
+/// memory that the process may not use.
+constexpr int MallocArenas = 2;
+
+} // namespace
 
-int run(const settings::AgentSettings &) { return 1; }
+int run(const settings::AgentSettings &Settings) {
+  mallopt(M_ARENA_MAX, MallocArenas);
+  // Blocked here and in all threads that start later, so that sigtimedwait
+  // below receives them.
+  sigset_t Signals;
+  sigemptyset(&Signals);
+  sigaddset(&Signals, SIGTERM);
+  sigaddset(&Signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
+  auto Started = Process::start(Settings);
+  if (!Started) {
+    LOG(ERROR) << "event=startFailed error=\""
+               << base::toString(Started.error()) << "\"";
+    return base::errorAnswer(Started.error().m_kind).m_exitCode;
+  }
+  LOG(INFO) << "event=started process=" << Settings.m_name
+            << " mesh=" << (*Started)->meshAddress()
+            << " http=" << (*Started)->httpAddress();
+  while (!(*Started)->finished()) {
+    const timespec Wait{0, PollNanos};
+    if (sigtimedwait(&Signals, nullptr, &Wait) > 0)
+      (*Started)->requestStop();
+  }
+  return 0;
+}
 
 } // namespace pomelokeel::agent
--- /dev/null
+++ b/src/agent/attach.cc
@@ -0,0 +1,133 @@
+#include "agent/attach.h"
+
+#include <algorithm>
+
+namespace pomelokeel::agent {
+namespace {
+
+constexpr std::size_t MaxUnanswered = 64;
+/// An entry that has not heard from the leader for longer is not connected to
+/// it: the default agent timeout of entries.
+constexpr Millis LeaderAgeLimitMs = 3000;
+constexpr Millis FindEveryMs = 1000;
+
+} // namespace
+
+Attachment::Attachment(std::string DataCentre, std::string Region,
+                       AttachTiming Timing, std::uint64_t Seed)
+    : m_dataCentre(std::move(DataCentre)), m_region(std::move(Region)),
+      m_timing(Timing), m_random(Seed) {}
+
+void Attachment::setMembers(std::vector<model::Member> Members) {
+  if (Members.empty())
+    return;
+  m_members = std::move(Members);
+  std::erase_if(m_penalties, [&](const auto &Item) {
+    return std::none_of(
+        m_members.begin(), m_members.end(),
+        [&](const model::Member &M) { return M.m_name == Item.first; });
+  });
+}
+
+int Attachment::distance(const model::Member &M) const {
+  if (M.m_dataCentre == m_dataCentre)
+    return 0;
+  return M.m_region == m_region ? 1 : 2;
+}
+
+const model::Member *Attachment::choose(Millis Now) const {
+  std::vector<const model::Member *> Nearest;
+  for (const model::Member &M : m_members) {
+    const auto P = m_penalties.find(M.m_name);
+    if (P != m_penalties.end() && Now < P->second.m_until)
+      continue;
+    if (!Nearest.empty() && distance(M) > distance(*Nearest.front()))
+      continue;
+    if (!Nearest.empty() && distance(M) < distance(*Nearest.front()))
+      Nearest.clear();
+    Nearest.push_back(&M);
+  }
+  if (Nearest.empty())
+    return nullptr;
+  return Nearest[m_random() % Nearest.size()];
+}
+
+void Attachment::punish(const std::string &Name, Millis Now) {
+  Penalty &P = m_penalties[Name];
+  P.m_backoff = std::clamp(2 * P.m_backoff, m_timing.m_backoffMinMs,
+                           m_timing.m_backoffMaxMs);
+  const auto Jitter = static_cast<Millis>(
+      m_random() % static_cast<std::uint64_t>(P.m_backoff + 1));
+  P.m_until = Now + P.m_backoff + Jitter;
+}
+
+void Attachment::onSent(std::uint64_t RequestId, Millis Now) {
+  m_sent.emplace_back(RequestId, Now);
+  if (m_sent.size() > MaxUnanswered)
+    m_sent.pop_front();
+}
+
+// The entry may have heard the leader at any time up to the age it tells, and
+// the report at any time after it was sent, so the earlier of both counts.
+std::optional<Millis> Attachment::onAnswer(const std::string &From,
+                                           std::uint64_t RequestId,
+                                           const model::AttachAnswer &A,
+                                           Millis Now) {
+  if (!A.m_members.empty())
+    setMembers(A.m_members);
+  if (!m_entry || m_entry->m_name != From)
+    return std::nullopt;
+  if (!A.m_accepted) {
+    m_refused = true;
+    return std::nullopt;
+  }
+  const auto Sent =
+      std::find_if(m_sent.begin(), m_sent.end(),
+                   [&](const auto &Item) { return Item.first == RequestId; });
+  if (Sent == m_sent.end())
+    return std::nullopt;
+  const Millis SentAt = Sent->second;
+  m_sent.erase(m_sent.begin(), std::next(Sent));
+  m_answeredAt = Now;
+  m_penalties.erase(From);
+  if (A.m_leaderAgeMs < 0 || A.m_leaderAgeMs > LeaderAgeLimitMs)
+    return std::nullopt;
+  return SentAt - A.m_leaderAgeMs;
+}
+
+AttachStep Attachment::advance(Millis Now) {
+  AttachStep Step;
+  const bool Silent = m_entry && Now - m_answeredAt >= m_timing.m_linkTimeoutMs;
+  if (m_entry && (Silent || m_refused)) {
+    punish(m_entry->m_name, Now);
+    Step.m_left = std::move(m_entry);
+    m_entry.reset();
+    m_nextFind = std::min(m_nextFind, Now);
+  }
+  const bool Look = m_entry && Now >= m_nextLook && distance(*m_entry) > 0;
+  if (m_entry && !Look)
+    return Step;
+  const model::Member *Next = choose(Now);
+  if (Look) {
+    m_nextLook = Now + m_timing.m_nearerMs;
+    if (Next == nullptr || distance(*Next) >= distance(*m_entry))
+      return Step;
+    Step.m_left = std::move(m_entry);
+  }
+  if (Next != nullptr) {
+    m_entry = *Next;
+    m_refused = false;
+    m_answeredAt = Now;
+    m_nextLook = Now + m_timing.m_nearerMs;
+    m_sent.clear();
+    Step.m_attached = m_entry;
+  }
+  if (Next == nullptr || Step.m_left) {
+    Step.m_needMembers = Now >= m_nextFind;
+    if (Step.m_needMembers)
+      m_nextFind = Now + FindEveryMs;
+  }
+  return Step;
+}
+
+} // namespace pomelokeel::agent
--- /dev/null
+++ b/src/agent/core.cc
@@ -0,0 +1,312 @@
+#include "agent/core.h"
+
+#include "base/id.h"
+
+#include <algorithm>
+
+namespace pomelokeel::agent {
+namespace {
+
+using model::Message;
+using model::MessageKind;
+
+/// Time for the last calls to the worker before the process exits.
+constexpr Millis ExitCallsMs = 1000;
+constexpr std::size_t MaxRedialled = 1024;
+constexpr Millis BeatsPerGangLease = 6;
+
+TaskLimits limitsOf(const settings::AgentSettings &S,
+                    const model::Worker &Self) {
+  TaskLimits L;
+  L.m_worker = S.m_name;
+  L.m_incarnation = Self.m_incarnation;
+  L.m_slots = S.m_slots;
+  L.m_accelerators = S.m_accelerators;
+  L.m_reserveTtlMs = S.m_reserveTtlMs;
+  L.m_taskLeaseMs = S.m_taskLeaseMs;
+  L.m_gang = {S.m_gangLeaseMs,
+              std::max<Millis>(S.m_gangLeaseMs / BeatsPerGangLease, 1)};
+  return L;
+}
+
+AttachTiming timingOf(const settings::AgentSettings &S) {
+  AttachTiming T;
+  // A report every heartbeat must have had the time to be answered.
+  T.m_linkTimeoutMs = std::max(S.m_linkTimeoutMs, S.m_heartbeatMs + 1);
+  return T;
+}
+
+template <typename Body> std::optional<Body> readBody(const Message &M) {
+  Body Out;
+  if (!base::decode(M.m_body, "", Out))
+    return std::nullopt;
+  return Out;
+}
+
+} // namespace
+
+Core::Core(const settings::AgentSettings &Settings, model::Worker Self,
+           CorePorts Ports, Millis Now)
+    : m_settings(Settings), m_self(std::move(Self)), m_ports(Ports),
+      m_table(limitsOf(Settings, m_self), Now),
+      m_attachment(Settings.m_dataCentre, Settings.m_region, timingOf(Settings),
+                   base::stableHash(m_self.m_incarnation)) {
+  publish();
+}
+
+void Core::handle(CoreEvent Event, Millis Now) {
+  if (const auto *In = std::get_if<mesh::Incoming>(&Event))
+    return onMessage(In->m_message, Now);
+  if (const auto *Answer = std::get_if<WorkerAnswer>(&Event)) {
+    m_openCalls -= m_openCalls > 0 ? 1 : 0;
+    const bool Silent = Answer->m_error == base::ErrorKind::Timeout ||
+                        Answer->m_error == base::ErrorKind::Unreachable;
+    if (Silent)
+      setReachable(false);
+    return m_table.onAnswer(*Answer, Now);
+  }
+  if (const auto *Page = std::get_if<WorkerPage>(&Event))
+    return onPage(*Page, Now);
+  if (std::holds_alternative<WorkerSilent>(Event))
+    return setReachable(false);
+  if (auto *Found = std::get_if<EntriesFound>(&Event))
+    m_attachment.setMembers(std::move(Found->m_members));
+}
+
+void Core::setReachable(bool Reachable) {
+  if (m_reachable == Reachable)
+    return;
+  m_reachable = Reachable;
+  m_changed = true;
+  m_table.setWorkerReachable(Reachable);
+  m_ports.m_events.record(Reachable ? "workerReachable" : "workerUnreachable",
+                          {"", "", m_settings.m_name});
+}
+
+void Core::onPage(const WorkerPage &Page, Millis Now) {
+  setReachable(true);
+  m_usage = Page.m_page.m_usage;
+  if (Page.m_complete)
+    m_table.onList(Page.m_page, Page.m_sentAt, Now);
+  else
+    m_table.onChanges(Page.m_page, Now);
+}
+
+void Core::onMessage(const Message &M, Millis Now) {
+  switch (M.m_kind) {
+  case MessageKind::Command:
+    return onCommand(M, Now);
+  case MessageKind::Attached:
+  case MessageKind::ReportAck:
+  case MessageKind::ConfigNotice:
+    return onAttachAnswer(M, Now);
+  case MessageKind::GangBeat:
+  case MessageKind::GangReply:
+  case MessageKind::GangStop:
+    return onGangNote(M, Now);
+  case MessageKind::Ping:
+  case MessageKind::Pong:
+    return;
+  default:
+    ++m_ports.m_counters.get("agent_unexpected_messages");
+  }
+}
+
+void Core::onCommand(const Message &M, Millis Now) {
+  const auto C = readBody<model::Command>(M);
+  if (!C) {
+    ++m_ports.m_counters.get("agent_damaged_commands");
+    return;
+  }
+  model::CommandReply Reply = m_table.command(*C, M.m_epoch, Now);
+  Reply.m_sequence = m_sequence;
+  ++m_ports.m_counters.get(Reply.m_accepted ? "agent_commands_accepted"
+                                            : "agent_commands_refused");
+  Message Out = model::makeMessage(MessageKind::CommandReply, M.m_from, Reply);
+  Out.m_epoch = m_table.epoch();
+  Out.m_requestId = M.m_requestId;
+  m_ports.m_mesh.send(M.m_replyAddress, std::move(Out));
+}
+
+// An entry that knows a lower configuration version than this agent has not
+// caught up, so its answer counts as a refusal.
+void Core::onAttachAnswer(const Message &M, Millis Now) {
+  auto A = readBody<model::AttachAnswer>(M);
+  if (!A)
+    return;
+  m_table.observeEpoch(M.m_epoch);
+  const bool Behind = A->m_configVersion < m_configVersion;
+  if (Behind)
+    A->m_accepted = false;
+  if (const auto Contact =
+          m_attachment.onAnswer(M.m_from, M.m_requestId, *A, Now))
+    m_table.onLeaderContact(*Contact);
+  if (Behind)
+    return;
+  m_configVersion = A->m_configVersion;
+  const model::Member *Entry = m_attachment.entry();
+  if (Entry == nullptr || Entry->m_name != M.m_from)
+    return;
+  m_acknowledged = std::max(m_acknowledged, M.m_requestId);
+  if (m_drainWanted == A->m_draining)
+    return;
+  m_drainWanted = A->m_draining;
+  m_changed = true;
+  m_table.setDraining(m_drainWanted);
+  m_ports.m_events.record(m_drainWanted ? "drainBegins" : "drainEnds",
+                          {"", "", m_settings.m_name});
+}
+
+void Core::onGangNote(const Message &M, Millis Now) {
+  const auto Note = readBody<model::GangNote>(M);
+  if (Note)
+    m_table.onGang(M.m_kind, M.m_replyAddress, M.m_requestId, *Note, Now);
+}
+
+// A gang stops after a lease of silence. When half of it has passed, the link
+// is dialled anew in case its connection has gone silent.
+void Core::sendNote(GangMessage Note, Millis Now) {
+  if (Note.m_address.empty())
+    return;
+  const Millis Silence = m_ports.m_mesh.silence(Note.m_address);
+  Millis &Redialled = m_redialledAt[Note.m_address];
+  if (Silence > m_settings.m_gangLeaseMs / 2 &&
+      Now - Redialled > m_settings.m_gangLeaseMs / 2) {
+    m_ports.m_mesh.drop(Note.m_address);
+    Redialled = Now;
+  }
+  if (m_redialledAt.size() > MaxRedialled)
+    m_redialledAt.clear();
+  Message M = model::makeMessage(Note.m_kind, "", Note.m_note);
+  M.m_requestId = Note.m_requestId;
+  m_ports.m_mesh.send(Note.m_address, std::move(M));
+}
+
+// Returns whether the hold list has changed.
+bool Core::carryOut(Millis Now) {
+  Effects E = m_table.advance(Now);
+  for (WorkerCall &Call : E.m_calls) {
+    WorkerAnswer Refused;
+    Refused.m_kind = Call.m_kind;
+    Refused.m_task = Call.m_task;
+    Refused.m_sentAt = Now;
+    Refused.m_error = base::ErrorKind::Overloaded;
+    if (m_ports.m_worker.call(std::move(Call)))
+      ++m_openCalls;
+    else
+      m_table.onAnswer(Refused, Now);
+  }
+  for (GangMessage &Note : E.m_notes)
+    sendNote(std::move(Note), Now);
+  for (const TaskEvent &Event : E.m_events)
+    m_ports.m_events.record(Event.m_name, {Event.m_job, "", m_settings.m_name},
+                            Event.m_detail);
+  return E.m_changed;
+}
+
+void Core::advance(Millis Now) {
+  if (carryOut(Now))
+    m_changed = true;
+  if (m_changed)
+    m_changedAt = m_sequence + 1;
+  if (m_table.listed())
+    attach(Now);
+  const bool Due = m_changed || Now >= m_nextReport;
+  if (Due && m_table.listed() && m_attachment.entry() != nullptr)
+    report(MessageKind::Report, Now);
+  if (Due)
+    publish();
+  advanceStop(Now);
+}
+
+void Core::attach(Millis Now) {
+  AttachStep Step = m_attachment.advance(Now);
+  if (Step.m_left) {
+    m_ports.m_mesh.drop(Step.m_left->m_meshAddress);
+    m_ports.m_events.record("entryLeft", {"", "", m_settings.m_name},
+                            "entry=" + Step.m_left->m_name);
+  }
+  if (Step.m_needMembers)
+    m_ports.m_finder.find();
+  if (!Step.m_attached)
+    return;
+  const model::Member &Entry = *Step.m_attached;
+  m_ports.m_mesh.keep(Entry.m_meshAddress);
+  m_ports.m_mesh.setRegion(Entry.m_meshAddress, Entry.m_region);
+  m_ports.m_events.record("attaching", {"", "", m_settings.m_name},
+                          "entry=" + Entry.m_name);
+  report(MessageKind::Attach, Now);
+}
+
+void Core::report(MessageKind Kind, Millis Now) {
+  model::AgentReport R;
+  R.m_worker = m_self;
+  R.m_holds = m_table.holds();
+  R.m_usage = m_usage;
+  R.m_draining = m_drainWanted || m_stopDeadline != Forever;
+  R.m_workerReachable = m_reachable;
+  R.m_configVersion = m_configVersion;
+  R.m_sequence = ++m_sequence;
+  const model::Member &Entry = *m_attachment.entry();
+  Message M = model::makeMessage(Kind, Entry.m_name, R);
+  M.m_epoch = m_table.epoch();
+  M.m_requestId = m_sequence;
+  m_attachment.onSent(m_sequence, Now);
+  m_ports.m_mesh.send(Entry.m_meshAddress, std::move(M));
+  m_nextReport = Now + m_settings.m_heartbeatMs;
+  m_changed = false;
+}
+
+void Core::beginStop(Millis Now) {
+  if (m_stopDeadline != Forever)
+    return;
+  m_stopDeadline = Now + m_settings.m_stopGraceMs;
+  m_changed = true;
+  m_table.beginStop();
+  m_ports.m_events.record("stopping", {"", "", m_settings.m_name});
+}
+
+// Waits until no task is left and the last change was reported, at most for the
+// grace period. Then tasks that run are left to their lease.
+void Core::advanceStop(Millis Now) {
+  if (m_stopDeadline == Forever || m_finished)
+    return;
+  const bool Done =
+      m_table.idle() && !m_changed && m_acknowledged >= m_changedAt;
+  if (m_exitDeadline == Forever && (Done || Now >= m_stopDeadline)) {
+    m_exitDeadline = Now + ExitCallsMs;
+    m_table.prepareExit(Now);
+    m_changed = carryOut(Now) || m_changed;
+    if (m_changed && m_attachment.entry() != nullptr)
+      report(MessageKind::Report, Now);
+  }
+  const bool Exiting = m_exitDeadline != Forever;
+  m_finished = Exiting && (m_openCalls == 0 || Now >= m_exitDeadline);
+}
+
+void Core::publish() {
+  AgentStatus S;
+  S.m_name = m_settings.m_name;
+  S.m_incarnation = m_self.m_incarnation;
+  S.m_meshAddress = m_self.m_agentAddress;
+  const model::Member *Entry = m_attachment.entry();
+  S.m_entry = Entry == nullptr ? "" : Entry->m_name;
+  S.m_configVersion = m_configVersion;
+  S.m_epoch = m_table.epoch();
+  S.m_draining = m_drainWanted || m_stopDeadline != Forever;
+  S.m_workerReachable = m_reachable;
+  S.m_holds = m_table.holds();
+  for (model::Hold &H : S.m_holds) {
+    H.m_answer = {};
+    H.m_checkpoint = {};
+  }
+  const std::lock_guard Lock(m_statusMutex);
+  m_status = std::move(S);
+}
+
+AgentStatus Core::status() const {
+  const std::lock_guard Lock(m_statusMutex);
+  return m_status;
+}
+
+} // namespace pomelokeel::agent
--- /dev/null
+++ b/src/agent/core.h
@@ -0,0 +1,112 @@
+#pragma once
+
+#include "agent/attach.h"
+#include "agent/tasks.h"
+#include "agent/worker_client.h"
+#include "base/counters.h"
+#include "base/events.h"
+#include "mesh/mesh.h"
+#include "settings/settings.h"
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace pomelokeel::agent {
+
+/// Answer of `GET /v1/status`.
+struct AgentStatus {
+  std::string m_name;
+  std::string m_incarnation;
+  std::string m_meshAddress;
+  std::string m_entry; ///< Name of the entry attached to, or "".
+  std::uint64_t m_configVersion = 0;
+  std::uint64_t m_epoch = 0;
+  bool m_draining = false;
+  bool m_workerReachable = false;
+  std::vector<model::Hold> m_holds; ///< Without answers and checkpoints.
+
+  static constexpr auto fields() {
+    return std::tuple{
+        base::required("name", &AgentStatus::m_name),
+        base::required("incarnation", &AgentStatus::m_incarnation),
+        base::required("meshAddress", &AgentStatus::m_meshAddress),
+        base::required("entry", &AgentStatus::m_entry),
+        base::required("configVersion", &AgentStatus::m_configVersion),
+        base::required("epoch", &AgentStatus::m_epoch),
+        base::required("draining", &AgentStatus::m_draining),
+        base::required("workerReachable", &AgentStatus::m_workerReachable),
+        base::required("holds", &AgentStatus::m_holds)};
+  }
+};
+
+/// Where the core sends to. All outlive it.
+struct CorePorts {
+  mesh::Mesh &m_mesh;
+  WorkerClient &m_worker;
+  EntryFinder &m_finder;
+  base::Counters &m_counters;
+  base::EventLog &m_events;
+};
+
+/// Owns the state of an agent; used by the core thread only, except status(),
+/// configVersion() and finished().
+class Core {
+public:
+  Core(const settings::AgentSettings &Settings, model::Worker Self,
+       CorePorts Ports, Millis Now);
+
+  void handle(CoreEvent Event, Millis Now);
+
+  /// Does what is due.
+  void advance(Millis Now);
+
+  /// Starts the graceful stop. Later calls of advance() bring it to an end.
+  void beginStop(Millis Now);
+
+  /// The graceful stop is complete.
+  bool finished() const { return m_finished; }
+
+  AgentStatus status() const;
+  std::uint64_t configVersion() const { return m_configVersion; }
+
+private:
+  void onMessage(const model::Message &M, Millis Now);
+  void onCommand(const model::Message &M, Millis Now);
+  void onAttachAnswer(const model::Message &M, Millis Now);
+  void onGangNote(const model::Message &M, Millis Now);
+  void onPage(const WorkerPage &Page, Millis Now);
+  void setReachable(bool Reachable);
+  void attach(Millis Now);
+  void report(model::MessageKind Kind, Millis Now);
+  bool carryOut(Millis Now);
+  void sendNote(GangMessage Note, Millis Now);
+  void advanceStop(Millis Now);
+  void publish();
+
+  const settings::AgentSettings m_settings;
+  const model::Worker m_self;
+  CorePorts m_ports;
+  TaskTable m_table;
+  Attachment m_attachment;
+  model::Usage m_usage;
+  bool m_reachable = false;
+  bool m_drainWanted = false;
+  bool m_changed = false;
+  Millis m_nextReport = 0;
+  std::uint64_t m_sequence = 0;  ///< Of the last report.
+  std::uint64_t m_changedAt = 0; ///< First report with the last change.
+  std::uint64_t m_acknowledged = 0;
+  std::map<std::string, Millis> m_redialledAt; ///< Gang peers by address.
+  Millis m_stopDeadline = Forever;
+  Millis m_exitDeadline = Forever;
+  std::size_t m_openCalls = 0;
+  std::atomic<bool> m_finished = false;
+  std::atomic<std::uint64_t> m_configVersion = 0;
+  mutable std::mutex m_statusMutex;
+  AgentStatus m_status;
+};
+
+} // namespace pomelokeel::agent
