--- a/src/report/report.cc
+++ /dev/null
@@ -1,1 +0,0 @@
-#include "report/report.h"
--- a/src/report/report.h
+++ /dev/null
@@ -1,4 +0,0 @@
-#pragma once
-
-/// Reports for operators.
-namespace pomelokeel::report {} // namespace pomelokeel::report
