Add operator commands, reports and the scenario runner

ctl publishes, checks, lists and compares records, shows status, jobs and explanations, drains endpoints and merges the time line over all processes.

--- /dev/null
+++ b/src/ctl/client.cc
@@ -0,0 +1,71 @@
+#include "ctl/client.h"
+
+#include "http/http.h"
+
+#include <utility>
+
+namespace pomelokeel::ctl {
+namespace {
+
+using base::Error;
+using base::ErrorKind;
+using base::Json;
+using base::Result;
+
+Result<Json> readResponse(const http::Response &R) {
+  Json Body = Json::parse(R.m_body, nullptr, false);
+  if (Body.is_discarded())
+    return Error{ErrorKind::Internal, "the answer is not valid JSON"};
+  if (R.m_status < 300)
+    return Body;
+  const Json &Detail = Body.contains("error") ? Body["error"] : Body;
+  const auto Kind = base::errorKindFromName(Detail.value("kind", ""));
+  return Error{Kind.value_or(ErrorKind::Internal), Detail.value("message", "")};
+}
+
+} // namespace
+
+Client::Client(std::vector<std::string> Addresses, int TimeoutMs)
+    : m_addresses(std::move(Addresses)), m_timeoutMs(TimeoutMs) {}
+
+Result<Json> Client::get(const std::string &Target) const {
+  Result<Json> Last = Error{ErrorKind::Unreachable, "no entry address given"};
+  for (const std::string &Address : m_addresses) {
+    Last = getFrom(Address, Target);
+    if (Last || (Last.error().m_kind != ErrorKind::Unreachable &&
+                 Last.error().m_kind != ErrorKind::Timeout &&
+                 Last.error().m_kind != ErrorKind::NotReady))
+      return Last;
+  }
+  return Last;
+}
+
+Result<Json> Client::getFrom(const std::string &Address,
+                             const std::string &Target) const {
+  const auto Connection = http::Client::create(Address);
+  const auto Outcome = Connection->call({"GET", Target, ""}, m_timeoutMs);
+  if (const auto *Failed = std::get_if<http::CallError>(&Outcome))
+    return Error{Failed->m_error.m_kind,
+                 Address + ": " + Failed->m_error.m_message};
+  return readResponse(std::get<http::Response>(Outcome));
+}
+
+Result<Json> Client::send(const std::string &Method, const std::string &Target,
+                          const Json &Body) const {
+  Result<Json> Last = Error{ErrorKind::Unreachable, "no entry address given"};
+  for (const std::string &Address : m_addresses) {
+    const auto Connection = http::Client::create(Address);
+    const auto Outcome = Connection->call(
+        {Method, Target, Body.is_null() ? "" : Body.dump()}, m_timeoutMs);
+    const auto *Failed = std::get_if<http::CallError>(&Outcome);
+    if (!Failed)
+      return readResponse(std::get<http::Response>(Outcome));
+    Last = Error{Failed->m_error.m_kind,
+                 Address + ": " + Failed->m_error.m_message};
+    if (Failed->m_sent == http::Sent::Maybe)
+      return Last;
+  }
+  return Last;
+}
+
+} // namespace pomelokeel::ctl
--- a/src/ctl/ctl.cc
+++ b/src/ctl/ctl.cc
@@ -1,7 +1,359 @@
 #include "ctl/ctl.h"
 
+#include "ctl/client.h"
+#include "ctl/timeline.h"
+#include "http/http.h"
+#include "report/render.h"
+
+#include <CLI/CLI.hpp>
+#include <fmt/format.h>
+
+#include <cstdio>
+#include <fstream>
+#include <memory>
+#include <sstream>
+#include <string>
+#include <vector>
+
 namespace pomelokeel::ctl {
+namespace {
+
+using base::Error;
+using base::ErrorKind;
+using base::Json;
+using base::Result;
+
+constexpr int DefaultTimeoutMs = 10000;
+constexpr int WaitMarginMs = 5000;
+
+/// Values of the options of all subcommands.
+struct Options {
+  std::vector<std::string> m_entries;
+  int m_timeoutMs = DefaultTimeoutMs;
+  bool m_json = false;
+  std::string m_file;
+  std::string m_kind;
+  std::string m_name;
+  std::string m_job;
+  std::string m_account;
+  std::string m_phase;
+  int m_limit = 100;
+  int m_waitMs = 0;
+  std::uint64_t m_oldVersion = 0;
+  std::uint64_t m_newVersion = 0;
+  bool m_undo = false;
+  std::string m_author;
+  TimelineOptions m_timeline;
+};
+
+Client clientOf(const Options &O) {
+  return {O.m_entries,
+          O.m_timeoutMs + (O.m_waitMs > 0 ? O.m_waitMs + WaitMarginMs : 0)};
+}
+
+int fail(const Error &E) {
+  const base::ErrorAnswer &Row = base::errorAnswer(E.m_kind);
+  fmt::print(stderr, "pomelokeel: {}\nadvice: {}\n", base::toString(E),
+             Row.m_advice);
+  return Row.m_exitCode;
+}
+
+// Prints an answer as JSON or through its renderer.
+template <typename T>
+int show(const Options &O, const Result<Json> &Answer,
+         std::string (*Render)(const T &)) {
+  if (!Answer)
+    return fail(Answer.error());
+  if (O.m_json) {
+    fmt::print("{}\n", Answer->dump(2));
+    return 0;
+  }
+  const auto Typed = Client::decoded<T>(Answer);
+  if (!Typed)
+    return fail(Typed.error());
+  fmt::print("{}", Render(*Typed));
+  return 0;
+}
+
+Result<Json> readFile(const std::string &File) {
+  std::ifstream In(File);
+  std::stringstream Text;
+  Text << In.rdbuf();
+  if (!In)
+    return Error{ErrorKind::NotFound, File + " cannot be read"};
+  Json J = Json::parse(Text.str(), nullptr, false);
+  if (J.is_discarded())
+    return Error{ErrorKind::BadRequest, File + " is not valid JSON"};
+  return J;
+}
+
+std::string historyTarget(const Options &O) {
+  return "/v1/config/" + http::percentEncode(O.m_kind) + "/" +
+         http::percentEncode(O.m_name);
+}
+
+int publish(const Options &O) {
+  const auto Record = readFile(O.m_file);
+  if (!Record)
+    return fail(Record.error());
+  return show(O, clientOf(O).send("POST", "/v1/config", *Record),
+              report::renderPublished);
+}
+
+int check(const Options &O) {
+  const auto Record = readFile(O.m_file);
+  if (!Record)
+    return fail(Record.error());
+  const auto Answer = clientOf(O).send("POST", "/v1/config/check", *Record);
+  const int Code = show(O, Answer, report::renderCheck);
+  if (Code != 0)
+    return Code;
+  const auto Typed = Client::decoded<report::ConfigCheck>(Answer);
+  return Typed && Typed->m_error ? base::errorAnswer(*Typed->m_error).m_exitCode
+                                 : 0;
+}
+
+int list(const Options &O) {
+  return show(O, clientOf(O).get("/v1/config"), report::renderConfig);
+}
+
+int history(const Options &O) {
+  return show(O, clientOf(O).get(historyTarget(O)), report::renderConfig);
+}
+
+const model::ConfigRecord *findVersion(const report::ConfigPage &P,
+                                       std::uint64_t Version) {
+  for (const model::ConfigRecord &R : P.m_records) {
+    if (R.m_version == Version)
+      return &R;
+  }
+  return nullptr;
+}
+
+int diff(const Options &O) {
+  const auto Page = clientOf(O).read<report::ConfigPage>(historyTarget(O));
+  if (!Page)
+    return fail(Page.error());
+  const auto *Old = findVersion(*Page, O.m_oldVersion);
+  const auto *New = findVersion(*Page, O.m_newVersion);
+  if (!Old || !New)
+    return fail({ErrorKind::NotFound,
+                 fmt::format("{} {} has no version {}", O.m_kind, O.m_name,
+                             Old ? O.m_newVersion : O.m_oldVersion)});
+  fmt::print("{}", report::renderDiff(*Old, *New));
+  return 0;
+}
+
+int drain(const Options &O) {
+  const Client C = clientOf(O);
+  const auto Page = C.read<report::ConfigPage>("/v1/config/drain/" +
+                                               http::percentEncode(O.m_name));
+  if (!Page && Page.error().m_kind != ErrorKind::NotFound)
+    return fail(Page.error());
+  const std::uint64_t Version =
+      Page && !Page->m_records.empty() ? Page->m_records.back().m_version : 0;
+  const model::ConfigRecord Record{
+      model::ConfigKind::Drain, O.m_name, Version + 1, Version, 2, O.m_author,
+      {{"draining", !O.m_undo}}};
+  return show(O, C.send("POST", "/v1/config", base::encode(Record)),
+              report::renderPublished);
+}
+
+int submit(const Options &O) {
+  const auto Spec = readFile(O.m_file);
+  if (!Spec)
+    return fail(Spec.error());
+  const auto Answer = clientOf(O).send(
+      "POST", "/v1/jobs?waitMs=" + std::to_string(O.m_waitMs), *Spec);
+  if (!Answer)
+    return fail(Answer.error());
+  fmt::print("{}\n", Answer->dump(2));
+  return 0;
+}
+
+int job(const Options &O) {
+  return show(O,
+              clientOf(O).get("/v1/jobs/" + http::percentEncode(O.m_job) +
+                              "?waitMs=" + std::to_string(O.m_waitMs)),
+              report::renderJob);
+}
+
+int jobs(const Options &O) {
+  return show(
+      O,
+      clientOf(O).get("/v1/jobs?account=" + http::percentEncode(O.m_account) +
+                      "&phase=" + O.m_phase +
+                      "&limit=" + std::to_string(O.m_limit)),
+      report::renderJobs);
+}
+
+int cancel(const Options &O) {
+  return show(O,
+              clientOf(O).send("DELETE",
+                               "/v1/jobs/" + http::percentEncode(O.m_job) +
+                                   "?author=" + http::percentEncode(O.m_author),
+                               nullptr),
+              report::renderJob);
+}
+
+// Reads from the leader if another entry says that only the leader knows all.
+Result<Json> askLeader(const Client &C, const std::string &Target) {
+  auto Answer = C.get(Target);
+  if (!Answer)
+    return Answer;
+  const std::string Leader = Answer->value("askLeader", "");
+  if (Leader.empty())
+    return Answer;
+  auto Complete = C.getFrom(Leader, Target);
+  return Complete ? Complete : Answer;
+}
+
+int status(const Options &O) {
+  return show(O, askLeader(clientOf(O), "/v1/status"), report::renderStatus);
+}
+
+int explain(const Options &O) {
+  return show(
+      O,
+      askLeader(clientOf(O),
+                "/v1/jobs/" + http::percentEncode(O.m_job) + "/explain"),
+      report::renderExplanation);
+}
+
+int timeline(const Options &O) {
+  const auto Text = readTimeline(clientOf(O), O.m_timeline);
+  if (!Text)
+    return fail(Text.error());
+  if (O.m_file.empty()) {
+    fmt::print("{}", *Text);
+    return 0;
+  }
+  std::ofstream Out(O.m_file);
+  Out << *Text;
+  if (!Out.flush())
+    return fail({ErrorKind::Internal, O.m_file + " cannot be written"});
+  return 0;
+}
+
+using Handler = int (*)(const Options &);
+
+void addFile(CLI::App &C, Options &O) {
+  C.add_option("file", O.m_file, "JSON file")->required();
+}
+
+void addName(CLI::App &C, Options &O) {
+  C.add_option("kind", O.m_kind, "account, jobClass, placementRule or drain")
+      ->required();
+  C.add_option("name", O.m_name, "Name of the record")->required();
+}
+
+void addJob(CLI::App &C, Options &O) {
+  C.add_option("job", O.m_job, "Job id")->required();
+}
+
+void addNothing(CLI::App &, Options &) {}
+
+void addVersions(CLI::App &C, Options &O) {
+  addName(C, O);
+  C.add_option("old", O.m_oldVersion, "Version")->required();
+  C.add_option("new", O.m_newVersion, "Version")->required();
+}
+
+void addDrain(CLI::App &C, Options &O) {
+  C.add_option("worker", O.m_name, "Worker whose endpoint is leaving")
+      ->required();
+  C.add_flag("--undo", O.m_undo, "Give the endpoint work again");
+  C.add_option("--author", O.m_author, "Who publishes");
+}
+
+void addSubmit(CLI::App &C, Options &O) {
+  addFile(C, O);
+  C.add_option("--wait", O.m_waitMs, "Wait for the outcome, in ms");
+}
+
+void addJobWait(CLI::App &C, Options &O) {
+  addJob(C, O);
+  C.add_option("--wait", O.m_waitMs, "Wait for the outcome, in ms");
+}
+
+void addCancel(CLI::App &C, Options &O) {
+  addJob(C, O);
+  C.add_option("--author", O.m_author, "Who cancels");
+}
+
+void addJobs(CLI::App &C, Options &O) {
+  C.add_option("--account", O.m_account, "Only of this client account");
+  C.add_option("--phase", O.m_phase, "waiting, placed, running or finished");
+  C.add_option("--limit", O.m_limit, "At most this many");
+}
+
+void addTimeline(CLI::App &C, Options &O) {
+  C.add_option("--job", O.m_timeline.m_filter.m_job, "Only of this job");
+  C.add_option("--account", O.m_timeline.m_filter.m_account,
+               "Only of this client account");
+  C.add_option("--worker", O.m_timeline.m_filter.m_worker,
+               "Only of this worker");
+  C.add_option("--from", O.m_timeline.m_filter.m_from,
+               "Not before, in ms since 1970");
+  C.add_option("--to", O.m_timeline.m_filter.m_to,
+               "Not after, in ms since 1970");
+  C.add_option("--format", O.m_timeline.m_format, "text, json or html");
+  C.add_option("--out", O.m_file, "Write to a file");
+}
+
+/// One row per subcommand.
+struct Row {
+  const char *m_name;
+  const char *m_help;
+  void (*m_options)(CLI::App &, Options &);
+  Handler m_run;
+};
+
+constexpr std::array Rows = {
+    Row{"publish", "Publish a configuration record", addFile, publish},
+    Row{"check", "Tell what publishing a record would change", addFile, check},
+    Row{"list", "List the records in force", addNothing, list},
+    Row{"history", "Show the versions of a record", addName, history},
+    Row{"diff", "Compare two versions of a record", addVersions, diff},
+    Row{"drain", "Let an endpoint leave", addDrain, drain},
+    Row{"submit", "Submit a job", addSubmit, submit},
+    Row{"job", "Show a job and its outcome", addJobWait, job},
+    Row{"jobs", "List jobs, newest first", addJobs, jobs},
+    Row{"cancel", "Cancel a job", addCancel, cancel},
+    Row{"status", "Show guarantees, workers, jobs, log and alarms", addNothing,
+        status},
+    Row{"explain", "Tell why a job waits, runs there or ended", addJob,
+        explain},
+    Row{"timeline", "Merge the events of all processes", addTimeline, timeline},
+};
+
+constexpr const char *Examples =
+    "Examples:\n"
+    "  pomelokeel ctl --entry 127.0.0.1:8080 publish account.json\n"
+    "  pomelokeel ctl --entry 127.0.0.1:8080 status\n"
+    "  pomelokeel ctl --entry 127.0.0.1:8080 timeline --job ID --format html "
+    "--out job.html\n"
+    "Exit codes: 0 success, 1 internal error, 2 bad input, 3 not found,\n"
+    "4 conflict, 5 over a limit, 6 job ended otherwise, 7 stale, 8 not "
+    "available";
+
+} // namespace
 
-void addCommands(CLI::App &, int &) {}
+void addCommands(CLI::App &App, int &ExitCode) {
+  auto O = std::make_shared<Options>();
+  App.require_subcommand(1);
+  App.footer(Examples);
+  App.add_option("--entry", O->m_entries, "host:port of an entry or balancer")
+      ->required()
+      ->envname("POMELOKEEL_ENTRY")
+      ->delimiter(',');
+  App.add_option("--timeout", O->m_timeoutMs, "Time limit of a call, in ms");
+  App.add_flag("--json", O->m_json, "Print JSON");
+  for (const Row &R : Rows) {
+    CLI::App *Command = App.add_subcommand(R.m_name, R.m_help);
+    R.m_options(*Command, *O);
+    Command->callback([O, &R, &ExitCode] { ExitCode = R.m_run(*O); });
+  }
+}
 
 } // namespace pomelokeel::ctl
--- a/src/ctl/ctl.h
+++ b/src/ctl/ctl.h
@@ -8,7 +8,7 @@
 namespace pomelokeel::ctl {
 
 /// Adds the subcommands of `pomelokeel ctl` to \p App. \p ExitCode receives the
-/// exit code of the one that was called.
+/// exit code of the one that was called; the table of error kinds gives it.
 void addCommands(CLI::App &App, int &ExitCode);
 
 } // namespace pomelokeel::ctl
--- /dev/null
+++ b/src/ctl/timeline.cc
@@ -0,0 +1,47 @@
+#include "ctl/timeline.h"
+
+#include "report/status.h"
+
+namespace pomelokeel::ctl {
+namespace {
+
+using base::Error;
+using base::ErrorKind;
+
+// Adds the events of one process to T.
+void addProcess(report::Timeline &T, const Client &C, const std::string &Name,
+                const std::string &Address) {
+  const auto Page =
+      Client::decoded<base::EventPage>(C.getFrom(Address, "/v1/events"));
+  if (Page)
+    report::addPage(T, Address, *Page);
+  else
+    report::addUnreachable(T, Name, Address, base::toString(Page.error()));
+}
+
+} // namespace
+
+base::Result<std::string> readTimeline(const Client &C,
+                                       const TimelineOptions &Options) {
+  const auto Format = base::fromName<report::TimelineFormat>(Options.m_format);
+  if (!Format)
+    return Error{ErrorKind::BadRequest,
+                 "\"" + Options.m_format + "\" is not text, json or html"};
+  const auto Members = C.read<report::MemberPage>("/v1/members");
+  if (!Members)
+    return Members.error();
+  const auto Status = C.read<report::Status>("/v1/status");
+  if (!Status)
+    return Status.error();
+  report::Timeline T;
+  for (const model::Member &M : Members->m_members)
+    addProcess(T, C, M.m_name, M.m_httpAddress);
+  for (const report::WorkerStatus &W : Status->m_workers) {
+    if (!W.m_agentHttp.empty())
+      addProcess(T, C, W.m_worker, W.m_agentHttp);
+  }
+  report::finish(T, Options.m_filter);
+  return report::render(T, *Format);
+}
+
+} // namespace pomelokeel::ctl
--- /dev/null
+++ b/src/report/render.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "report/status.h"
+
+#include <string>
+
+namespace pomelokeel::report {
+
+// Each renders an answer of an entry as text for a person. Ages are relative
+// to the time of the answer.
+std::string renderStatus(const Status &S);
+std::string renderExplanation(const Explanation &E);
+std::string renderJob(const JobStatus &J);
+std::string renderJobs(const JobPage &P);
+std::string renderConfig(const ConfigPage &P);
+std::string renderCheck(const ConfigCheck &C);
+std::string renderPublished(const Published &P);
+
+/// Differences between two versions of a record's body, one line each:
+/// `path: old -> new`.
+std::string renderDiff(const model::ConfigRecord &Old,
+                       const model::ConfigRecord &New);
+
+} // namespace pomelokeel::report
--- /dev/null
+++ b/tests/scenario/fleet.cc
@@ -0,0 +1,215 @@
+#include "scenario/fleet.h"
+
+#include "http/http.h"
+
+#include <signal.h>
+
+#include <chrono>
+#include <fstream>
+#include <thread>
+#include <utility>
+
+namespace pomelokeel::scenario {
+namespace {
+
+using base::Error;
+using base::ErrorKind;
+using base::Json;
+using base::Result;
+using base::Status;
+
+constexpr base::Millis StartTimeout = 15000;
+
+std::string newAddress() {
+  return "127.0.0.1:" + std::to_string(reservePort());
+}
+
+// Options of a step that are settings of the process: numbers stay numbers.
+void addOptions(Json &Settings, const Step &S) {
+  for (const auto &[Key, Value] : S.m_options) {
+    if (Key == "dc" || Key == "region" || Key == "rack")
+      continue;
+    Settings[Key] = Json::parse(Value, nullptr, false);
+  }
+}
+
+Error errorOf(const http::Response &R) {
+  const Json J = Json::parse(R.m_body, nullptr, false);
+  if (J.is_object() && J.contains("error")) {
+    const auto Kind = base::errorKindFromName(J["error"].value("kind", ""));
+    return {Kind.value_or(ErrorKind::Internal),
+            J["error"].value("message", "")};
+  }
+  return {ErrorKind::Internal,
+          "status " + std::to_string(R.m_status) + " " + R.m_body};
+}
+
+} // namespace
+
+Fleet::Fleet(Programs P) : m_programs(std::move(P)) {}
+
+Status Fleet::addLog(const Step &S) {
+  const std::string Address = newAddress();
+  std::vector<std::string> Command = {m_programs.m_standin, "log", "--listen",
+                                      Address};
+  for (const auto &[Key, Value] : S.m_options) {
+    Command.push_back("--" + Key);
+    Command.push_back(Value);
+  }
+  return add("log", std::move(Command), Address);
+}
+
+Status Fleet::addEntry(const Step &S) {
+  const std::string Name = S.argument(0);
+  const std::string Address = newAddress();
+  Json J = {{"name", Name},
+            {"dataCentre", S.option("dc", "milano-a")},
+            {"region", S.option("region", "nord-ovest")},
+            {"httpListen", Address},
+            {"meshListen", newAddress()},
+            {"logService", httpAddress("log")}};
+  addOptions(J, S);
+  {
+    const std::lock_guard Lock(m_mutex);
+    m_entries.push_back(Name);
+  }
+  return add(
+      Name,
+      {m_programs.m_pomelokeel, "entry", "--settings", writeSettings(Name, J)},
+      Address);
+}
+
+Status Fleet::addWorker(const Step &S) {
+  const std::string Name = S.argument(0);
+  const std::string WorkerAddress = newAddress();
+  if (auto Added =
+          add(Name + ".worker",
+              {m_programs.m_standin, "worker", "--listen", WorkerAddress},
+              WorkerAddress);
+      !Added)
+    return Added;
+  const std::string Address = newAddress();
+  Json J = {{"name", Name},
+            {"dataCentre", S.option("dc", "milano-a")},
+            {"region", S.option("region", "nord-ovest")},
+            {"rack", S.option("rack", "rack-1")},
+            {"httpListen", Address},
+            {"meshListen", newAddress()},
+            {"worker", WorkerAddress},
+            {"entries", entryAddresses()},
+            {"cores", 32},
+            {"memoryMb", 65536},
+            {"accelerators", 8}};
+  addOptions(J, S);
+  {
+    const std::lock_guard Lock(m_mutex);
+    m_workers.push_back(Name);
+  }
+  return add(
+      Name,
+      {m_programs.m_pomelokeel, "agent", "--settings", writeSettings(Name, J)},
+      Address);
+}
+
+Status Fleet::add(const std::string &Name, std::vector<std::string> Command,
+                  const std::string &Address) {
+  {
+    const std::lock_guard Lock(m_mutex);
+    m_processes[Name] = {std::move(Command), Address, std::nullopt};
+  }
+  return start(Name);
+}
+
+// Waits until the process accepts HTTP; what it answers does not matter.
+Status Fleet::start(const std::string &Name) {
+  {
+    const std::lock_guard Lock(m_mutex);
+    const auto It = m_processes.find(Name);
+    if (It == m_processes.end())
+      return Error{ErrorKind::NotFound, "no process " + Name};
+    It->second.m_child.reset();
+    It->second.m_child.emplace(It->second.m_command,
+                               m_programs.m_directory + "/" + Name + ".log");
+  }
+  const base::Millis Deadline = base::monotonicNow() + StartTimeout;
+  while (base::monotonicNow() < Deadline) {
+    const auto Answer = call(Name, "GET", "/metrics", nullptr, 1000);
+    if (Answer || Answer.error().m_kind != ErrorKind::Unreachable)
+      return base::success();
+    std::this_thread::sleep_for(std::chrono::milliseconds(10));
+  }
+  return Error{ErrorKind::Timeout, Name + " did not start"};
+}
+
+Status Fleet::signal(const std::string &Name, int Signal) {
+  const std::lock_guard Lock(m_mutex);
+  const auto It = m_processes.find(Name);
+  if (It == m_processes.end() || !It->second.m_child)
+    return Error{ErrorKind::NotFound, "no process " + Name};
+  It->second.m_child->signal(Signal);
+  if (Signal == SIGKILL)
+    It->second.m_child->wait(StartTimeout);
+  return base::success();
+}
+
+Status Fleet::terminate(const std::string &Name, base::Millis TimeoutMs) {
+  if (auto Sent = signal(Name, SIGTERM); !Sent)
+    return Sent;
+  Child *Process = nullptr;
+  {
+    const std::lock_guard Lock(m_mutex);
+    Process = &*m_processes.at(Name).m_child;
+  }
+  const auto Code = Process->wait(TimeoutMs);
+  if (!Code)
+    return Error{ErrorKind::Timeout, Name + " did not end after SIGTERM"};
+  if (*Code != 0)
+    return Error{ErrorKind::Internal,
+                 Name + " ended with code " + std::to_string(*Code)};
+  return base::success();
+}
+
+Result<Json> Fleet::call(const std::string &Name, const std::string &Method,
+                         const std::string &Target, const Json &Body,
+                         int TimeoutMs) const {
+  const auto Client = http::Client::create(httpAddress(Name));
+  const auto Outcome = Client->call(
+      {Method, Target, Body.is_null() ? "" : Body.dump()}, TimeoutMs);
+  if (const auto *Failed = std::get_if<http::CallError>(&Outcome))
+    return Failed->m_error;
+  const auto &R = std::get<http::Response>(Outcome);
+  if (R.m_status >= 300)
+    return errorOf(R);
+  return Json::parse(R.m_body, nullptr, false);
+}
+
+std::string Fleet::httpAddress(const std::string &Name) const {
+  const std::lock_guard Lock(m_mutex);
+  const auto It = m_processes.find(Name);
+  return It == m_processes.end() ? "" : It->second.m_httpAddress;
+}
+
+std::vector<std::string> Fleet::entries() const {
+  const std::lock_guard Lock(m_mutex);
+  return m_entries;
+}
+
+std::vector<std::string> Fleet::workers() const {
+  const std::lock_guard Lock(m_mutex);
+  return m_workers;
+}
+
+std::vector<std::string> Fleet::entryAddresses() const {
+  std::vector<std::string> Out;
+  for (const std::string &Name : entries())
+    Out.push_back(httpAddress(Name));
+  return Out;
+}
+
+std::string Fleet::writeSettings(const std::string &Name, const Json &J) const {
+  const std::string Path = m_programs.m_directory + "/" + Name + ".json";
+  std::ofstream(Path) << J.dump(2) << '\n';
+  return Path;
+}
+
+} // namespace pomelokeel::scenario
--- /dev/null
+++ b/tests/scenario/fleet.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "base/error.h"
+#include "base/fields.h"
+#include "scenario/process.h"
+#include "scenario/step.h"
+
+#include <map>
+#include <mutex>
+#include <string>
+#include <vector>
+
+namespace pomelokeel::scenario {
+
+/// The programs under test.
+struct Programs {
+  std::string m_pomelokeel;
+  std::string m_standin;
+  std::string m_directory; ///< For settings and logs.
+};
+
+/// Starts and stops the processes of a scenario. A worker NAME consists of the
+/// agent NAME and the stand-in NAME.worker.
+class Fleet {
+public:
+  explicit Fleet(Programs P);
+
+  base::Status addLog(const Step &S);
+  base::Status addEntry(const Step &S);
+  base::Status addWorker(const Step &S);
+
+  /// Starts a process again with its first settings.
+  base::Status start(const std::string &Name);
+
+  /// Sends a signal to a process.
+  base::Status signal(const std::string &Name, int Signal);
+
+  /// Sends SIGTERM and expects exit code 0 within the time.
+  base::Status terminate(const std::string &Name, base::Millis TimeoutMs);
+
+  /// Calls a stand-in or process over HTTP. Errors: unreachable, timeout, or
+  /// the kind that the answer names.
+  base::Result<base::Json> call(const std::string &Name,
+                                const std::string &Method,
+                                const std::string &Target,
+                                const base::Json &Body = nullptr,
+                                int TimeoutMs = 3000) const;
+
+  std::string httpAddress(const std::string &Name) const;
+  std::vector<std::string> entries() const;
+  std::vector<std::string> workers() const;
+  const std::string &directory() const { return m_programs.m_directory; }
+
+private:
+  struct Process {
+    std::vector<std::string> m_command;
+    std::string m_httpAddress;
+    std::optional<Child> m_child;
+  };
+
+  base::Status add(const std::string &Name, std::vector<std::string> Command,
+                   const std::string &Address);
+  std::string writeSettings(const std::string &Name, const base::Json &J) const;
+  std::vector<std::string> entryAddresses() const;
+
+  Programs m_programs;
+  mutable std::mutex m_mutex;
+  std::map<std::string, Process> m_processes;
+  std::vector<std::string> m_entries;
+  std::vector<std::string> m_workers;
+};
+
+} // namespace pomelokeel::scenario
--- /dev/null
+++ b/tests/scenario/process.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "base/clock.h"
+
+#include <sys/types.h>
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace pomelokeel::scenario {
+
+/// A child process. Killed by its process id when the object goes.
+class Child {
+public:
+  /// Starts a program with output and errors appended to \p LogFile.
+  Child(const std::vector<std::string> &Command, const std::string &LogFile);
+  Child(Child &&Other) noexcept;
+  Child &operator=(Child &&Other) noexcept;
+  Child(const Child &) = delete;
+  Child &operator=(const Child &) = delete;
+  ~Child();
+
+  void signal(int Signal) const;
+  bool running();
+
+  /// Waits for the end and returns the exit code, or 128 + signal.
+  std::optional<int> wait(base::Millis TimeoutMs);
+
+private:
+  bool poll();
+
+  pid_t m_pid = -1;
+  std::optional<int> m_exitCode;
+};
+
+/// Reserves TCP ports on 127.0.0.1 for the lifetime of this process, outside of
+/// the range from which the system takes ports of outgoing connections. Runs in
+/// parallel never share one.
+int reservePort();
+
+} // namespace pomelokeel::scenario
--- /dev/null
+++ b/tests/scenario/runner.cc
@@ -0,0 +1,472 @@
+#include "scenario/runner.h"
+
+#include "http/http.h"
+
+#include <fmt/format.h>
+#include <signal.h>
+
+#include <chrono>
+#include <future>
+#include <utility>
+
+namespace pomelokeel::scenario {
+namespace {
+
+using base::Error;
+using base::ErrorKind;
+using base::Json;
+using base::Result;
+using base::Status;
+
+constexpr Millis DefaultWithin = 15000;
+constexpr Millis CallerTimeout = 90000;
+constexpr std::chrono::milliseconds PollInterval{20};
+constexpr std::chrono::milliseconds WatchInterval{100};
+
+Error failure(const Step &S, const std::string &What) {
+  return {ErrorKind::Internal,
+          fmt::format("line {}: {}: {}", S.m_line, S.m_command, What)};
+}
+
+Status located(const Step &S, Status Outcome) {
+  if (Outcome)
+    return Outcome;
+  return failure(S, base::toString(Outcome.error()));
+}
+
+// Payload for the stand-in worker: it echoes the payload as the answer.
+Json payloadOf(const Step &S, const std::string &Name) {
+  Json Payload = {{"caller", Name}, {"runMs", S.number("runMs", 200)}};
+  if (S.option("fail") == "true")
+    Payload["fail"] = true;
+  return Payload;
+}
+
+Json specOf(const Step &S, const std::string &Name) {
+  return {{"key", Name},
+          {"account", S.option("account", "acct")},
+          {"class", S.option("class", "batch")},
+          {"members", S.number("members", 1)},
+          {"accelerators", S.number("accelerators", 0)},
+          {"runMs", S.number("declaredMs", S.number("runMs", 200))},
+          {"deadlineMs", S.number("deadlineMs", 0)},
+          {"payload", payloadOf(S, Name)}};
+}
+
+} // namespace
+
+Runner::Runner(Programs P) : m_fleet(std::move(P)) {
+  m_watcher = std::thread([this] { watchVersions(); });
+}
+
+Runner::~Runner() {
+  m_stopping = true;
+  m_watcher.join();
+  for (const auto &[Name, C] : m_callers)
+    C->stop();
+}
+
+const std::map<std::string, Runner::Command> &Runner::commands() {
+  static const std::map<std::string, Command> Table = {
+      {"log", &Runner::runLog},
+      {"entry", &Runner::runEntry},
+      {"worker", &Runner::runWorker},
+      {"publish", &Runner::runPublish},
+      {"race", &Runner::runRace},
+      {"submit", &Runner::runSubmit},
+      {"cancel", &Runner::runCancel},
+      {"kill", &Runner::runKill},
+      {"freeze", &Runner::runFreeze},
+      {"resume", &Runner::runResume},
+      {"terminate", &Runner::runTerminate},
+      {"start", &Runner::runStart},
+      {"fault", &Runner::runFault},
+      {"await", &Runner::runAwait},
+      {"await-phase", &Runner::runAwaitPhase},
+      {"await-leader", &Runner::runAwaitLeader},
+      {"await-version", &Runner::runAwaitVersion},
+      {"await-status", &Runner::runAwaitStatus},
+      {"hold", &Runner::runHold},
+      {"mark", &Runner::runMark},
+      {"figure", &Runner::runFigure},
+      {"check", &Runner::runCheck}};
+  return Table;
+}
+
+Status Runner::run(const std::vector<Step> &Steps) {
+  for (const Step &S : Steps) {
+    const auto It = commands().find(S.m_command);
+    if (It == commands().end())
+      return failure(S, "is not a known command");
+    fmt::print("line {}: {}\n", S.m_line, S.m_command);
+    std::fflush(stdout);
+    if (auto Outcome = (this->*It->second)(S); !Outcome)
+      return Outcome;
+  }
+  return base::success();
+}
+
+Status Runner::runLog(const Step &S) { return located(S, m_fleet.addLog(S)); }
+
+Status Runner::runEntry(const Step &S) {
+  return located(S, m_fleet.addEntry(S));
+}
+
+Status Runner::runWorker(const Step &S) {
+  return located(S, m_fleet.addWorker(S));
+}
+
+template <typename F>
+Status Runner::until(const Step &S, const std::string &What, F Condition) {
+  const Millis Deadline =
+      base::monotonicNow() + S.number("within", DefaultWithin);
+  while (!Condition()) {
+    if (base::monotonicNow() >= Deadline)
+      return failure(S, What);
+    std::this_thread::sleep_for(PollInterval);
+  }
+  return base::success();
+}
+
+Result<Json> Runner::callAny(const std::string &Method,
+                             const std::string &Target, const Json &Body) {
+  Result<Json> Last = Error{ErrorKind::Unreachable, "no entry"};
+  for (const std::string &Entry : m_fleet.entries()) {
+    Last = m_fleet.call(Entry, Method, Target, Body, 1500);
+    if (Last)
+      return Last;
+  }
+  return Last;
+}
+
+// Publishes the next version of a record; the current one is asked first.
+Result<Json> Runner::publish(const Step &S, const std::string &Entry,
+                             const std::string &Body) {
+  const std::string Kind = S.argument(0);
+  const std::string Name = S.argument(1);
+  std::uint64_t Version = 0;
+  const auto History =
+      m_fleet.call(Entry, "GET", "/v1/config/" + Kind + "/" + Name);
+  if (History && !(*History)["records"].empty())
+    Version = (*History)["records"].back()["version"].get<std::uint64_t>();
+  return m_fleet.call(Entry, "POST", "/v1/config",
+                      {{"kind", Kind},
+                       {"name", Name},
+                       {"version", Version + 1},
+                       {"previousVersion", Version},
+                       {"schema", S.number("schema", 2)},
+                       {"author", "scenario"},
+                       {"body", Json::parse(Body, nullptr, false)}});
+}
+
+// Repeats while an entry is not ready yet, or as long as the wrong answer
+// comes.
+Status Runner::runPublish(const Step &S) {
+  const std::string Expected = S.option("expect", "accepted");
+  std::string Last;
+  const auto Published = until(S, "", [&] {
+    const std::string Entry = S.option("via", m_fleet.entries().front());
+    const auto Answer = publish(S, resolve(Entry), S.argument(2));
+    Last =
+        Answer ? "accepted" : std::string(base::nameOf(Answer.error().m_kind));
+    return Last == Expected || (Last != "notReady" && Last != "unreachable" &&
+                                Last != "logUnavailable" && Last != "timeout");
+  });
+  if (!Published || Last != Expected)
+    return failure(S, "expected " + Expected + ", got " + Last);
+  if (S.argument(0) == "jobClass")
+    m_classIsIdempotent[S.argument(1)] =
+        S.argument(2).find("\"idempotent\":false") == std::string::npos;
+  if (S.argument(0) == "drain" &&
+      S.argument(2).find("true") != std::string::npos)
+    m_drains.push_back({S.argument(1), base::monotonicNow()});
+  return base::success();
+}
+
+// Two operators publish different bodies for the same previous version.
+Status Runner::runRace(const Step &S) {
+  const auto Entries = m_fleet.entries();
+  auto First = std::async(std::launch::async, [&] {
+    return publish(S, Entries.front(), S.argument(2));
+  });
+  const auto Second = publish(S, Entries.back(), S.argument(3));
+  const auto FirstAnswer = First.get();
+  const int Winners = (FirstAnswer ? 1 : 0) + (Second ? 1 : 0);
+  if (Winners == 2)
+    return base::success(); // they did not overlap: versions 1 and 2
+  const Error &Lost = FirstAnswer ? Second.error() : FirstAnswer.error();
+  if (Winners == 1 && Lost.m_kind == ErrorKind::VersionConflict)
+    return base::success();
+  return failure(S, fmt::format("{} winners, loser got {}", Winners,
+                                base::toString(Lost)));
+}
+
+Status Runner::runSubmit(const Step &S) {
+  const long Count = S.number("count", 1);
+  for (long I = 0; I < Count; ++I) {
+    const std::string Name =
+        Count == 1 ? S.argument(0) : S.argument(0) + std::to_string(I + 1);
+    const std::string Class = S.option("class", "batch");
+    const auto It = m_classIsIdempotent.find(Class);
+    CallerPlan Plan;
+    Plan.m_name = Name;
+    Plan.m_entry = S.option("via").empty() ? "" : resolve(S.option("via"));
+    Plan.m_spec = specOf(S, Name);
+    Plan.m_idempotent = It == m_classIsIdempotent.end() || It->second;
+    Plan.m_retry = S.option("retry", "true") == "true";
+    Plan.m_timeoutMs = CallerTimeout;
+    m_callers[Name] = std::make_unique<Caller>(m_fleet, std::move(Plan));
+  }
+  return base::success();
+}
+
+std::vector<Caller *> Runner::callersNamed(const std::string &Pattern) {
+  std::vector<Caller *> Out;
+  const bool Prefix = !Pattern.empty() && Pattern.back() == '*';
+  const std::string Stem =
+      Prefix ? Pattern.substr(0, Pattern.size() - 1) : Pattern;
+  for (const auto &[Name, C] : m_callers) {
+    if (Prefix ? Name.starts_with(Stem) : Name == Stem)
+      Out.push_back(C.get());
+  }
+  return Out;
+}
+
+Status Runner::runCancel(const Step &S) {
+  for (Caller *C : callersNamed(S.argument(0))) {
+    const auto Known = until(S, C->view().m_name + " was not accepted",
+                             [&] { return !C->view().m_job.empty(); });
+    if (!Known)
+      return Known;
+    const auto Answer = callAny("DELETE", "/v1/jobs/" + C->view().m_job);
+    if (!Answer)
+      return failure(S, base::toString(Answer.error()));
+  }
+  return base::success();
+}
+
+// "leader" names the entry that leads now; after a freeze it still names that
+// one until "resume leader".
+std::string Runner::resolve(const std::string &Name) {
+  if (Name == "standby") {
+    const std::string Leading = leader().value_or("");
+    for (const std::string &Entry : m_fleet.entries()) {
+      if (Entry != Leading)
+        return Entry;
+    }
+  }
+  if (Name != "leader")
+    return Name;
+  return leader().value_or(m_fleet.entries().front());
+}
+
+std::optional<std::string> Runner::leader(const std::string &Except) {
+  for (const std::string &Entry : m_fleet.entries()) {
+    if (Entry == Except)
+      continue;
+    const auto Answer = m_fleet.call(Entry, "GET", "/v1/status", nullptr, 500);
+    if (Answer && Answer->value("role", "") == "leader")
+      return Entry;
+  }
+  return std::nullopt;
+}
+
+Status Runner::runKill(const Step &S) {
+  m_frozenLeader = resolve(S.argument(0));
+  m_mark = base::monotonicNow();
+  return located(S, m_fleet.signal(m_frozenLeader, SIGKILL));
+}
+
+Status Runner::runFreeze(const Step &S) {
+  m_frozenLeader = resolve(S.argument(0));
+  m_mark = base::monotonicNow();
+  return located(S, m_fleet.signal(m_frozenLeader, SIGSTOP));
+}
+
+Status Runner::runResume(const Step &S) {
+  const std::string Name =
+      S.argument(0) == "leader" ? m_frozenLeader : S.argument(0);
+  return located(S, m_fleet.signal(Name, SIGCONT));
+}
+
+Status Runner::runTerminate(const Step &S) {
+  m_frozenLeader = resolve(S.argument(0));
+  return located(
+      S, m_fleet.terminate(m_frozenLeader, S.number("within", DefaultWithin)));
+}
+
+// "last" names the process that was killed, frozen or terminated last.
+Status Runner::runStart(const Step &S) {
+  const std::string Name =
+      S.argument(0) == "last" ? m_frozenLeader : S.argument(0);
+  return located(S, m_fleet.start(Name));
+}
+
+Status Runner::runFault(const Step &S) {
+  const auto Answer = m_fleet.call(S.argument(0), "POST", "/faults",
+                                   Json::parse(S.argument(1), nullptr, false));
+  if (!Answer)
+    return failure(S, base::toString(Answer.error()));
+  return base::success();
+}
+
+Status Runner::runAwait(const Step &S) {
+  const auto Wanted = base::fromName<model::Outcome>(S.argument(1));
+  const bool Any = S.argument(1) == "any";
+  if (!Wanted && !Any)
+    return failure(S, "unknown outcome " + S.argument(1));
+  for (Caller *C : callersNamed(S.argument(0))) {
+    const auto Told = until(S, C->view().m_name + " has no outcome",
+                            [&] { return !C->view().m_told.empty(); });
+    if (!Told)
+      return Told;
+    const auto Outcome = C->view().m_told.back().m_outcome;
+    if (!Any && Outcome != *Wanted)
+      return failure(S, fmt::format("{} was told {}", C->view().m_name,
+                                    base::nameOf(Outcome)));
+  }
+  return base::success();
+}
+
+Status Runner::runAwaitPhase(const Step &S) {
+  for (Caller *C : callersNamed(S.argument(0))) {
+    std::string Last;
+    const auto Reached =
+        until(S, C->view().m_name + " is in another phase", [&] {
+          if (C->view().m_job.empty())
+            return false;
+          const auto Answer = callAny("GET", "/v1/jobs/" + C->view().m_job);
+          Last = Answer ? Answer->value("phase", "") : "";
+          return Last == S.argument(1);
+        });
+    if (!Reached)
+      return failure(S, C->view().m_name + " is in phase \"" + Last + "\"");
+  }
+  return base::success();
+}
+
+Status Runner::runAwaitLeader(const Step &S) {
+  const std::string Except = S.option("not") == "last" ? m_frozenLeader : "";
+  return until(S, "no leader", [&] { return leader(Except).has_value(); });
+}
+
+// Every running entry reports the configuration version; agents too.
+Status Runner::runAwaitVersion(const Step &S) {
+  const long Wanted = S.number("version", 0);
+  auto Names = m_fleet.entries();
+  for (const std::string &Worker : m_fleet.workers())
+    Names.push_back(Worker);
+  for (const std::string &Name : Names) {
+    long Seen = -1;
+    const auto Reached = until(S, "", [&] {
+      const auto Answer = m_fleet.call(Name, "GET", "/v1/status", nullptr, 500);
+      Seen = Answer ? Answer->value("configVersion", -1L) : -1;
+      return Seen >= Wanted;
+    });
+    if (!Reached)
+      return failure(S, fmt::format("{} is at version {}", Name, Seen));
+  }
+  return base::success();
+}
+
+// await-status NAME /json/pointer VALUE
+Status Runner::runAwaitStatus(const Step &S) {
+  std::string Seen;
+  const auto Reached = until(S, "", [&] {
+    const auto Answer =
+        m_fleet.call(resolve(S.argument(0)), "GET", "/v1/status", nullptr, 500);
+    if (!Answer)
+      return false;
+    const Json::json_pointer Pointer(S.argument(1));
+    Seen = Answer->contains(Pointer) ? (*Answer)[Pointer].dump() : "absent";
+    return Seen == S.argument(2);
+  });
+  if (!Reached)
+    return failure(S, S.argument(1) + " is " + Seen);
+  return base::success();
+}
+
+// Lets a fault last for a time, for example longer than a lease.
+Status Runner::runHold(const Step &S) {
+  std::this_thread::sleep_for(
+      std::chrono::milliseconds(std::stol(S.argument(0))));
+  return base::success();
+}
+
+Status Runner::runMark(const Step &) {
+  m_mark = base::monotonicNow();
+  return base::success();
+}
+
+Status Runner::runFigure(const Step &S) {
+  fmt::print("figure {} {} ms\n", S.argument(0), base::monotonicNow() - m_mark);
+  return base::success();
+}
+
+// Every worker stand-in tells when which task ran.
+void Runner::collectRuns(History &H) {
+  for (const std::string &Worker : m_fleet.workers()) {
+    const auto Answer = m_fleet.call(Worker + ".worker", "GET", "/history");
+    if (!Answer)
+      continue;
+    for (const Json &Entry : (*Answer)["runs"]) {
+      Run R;
+      R.m_worker = Worker;
+      R.m_task = Entry["task"].get<std::string>();
+      R.m_beginMs = Entry["beginMs"].get<Millis>();
+      if (Entry.contains("endMs"))
+        R.m_endMs = Entry["endMs"].get<Millis>();
+      R.m_accelerators = Entry["accelerators"].get<std::vector<int>>();
+      H.m_runs.push_back(std::move(R));
+    }
+  }
+}
+
+// Callers that never learned their job's id: the fold knows it by the key.
+void Runner::completeCallers(History &H) {
+  for (const auto &[Name, C] : m_callers) {
+    CallerView View = C->view();
+    const auto Answer = callAny("GET", "/v1/keys/acct/" + Name);
+    if (Answer && View.m_job.empty())
+      View.m_job = Answer->value("job", "");
+    H.m_callers.push_back(std::move(View));
+  }
+}
+
+Status Runner::runCheck(const Step &S) {
+  History H;
+  completeCallers(H);
+  collectRuns(H);
+  H.m_drains = m_drains;
+  {
+    const std::lock_guard Lock(m_mutex);
+    H.m_versions = m_versions;
+  }
+  const auto Violations = check(H);
+  fmt::print("history: {} callers, {} runs, {} versions seen\n",
+             H.m_callers.size(), H.m_runs.size(), H.m_versions.size());
+  for (const std::string &Line : Violations)
+    fmt::print("violation: {}\n", Line);
+  if (!Violations.empty())
+    return failure(S, fmt::format("{} violations", Violations.size()));
+  return base::success();
+}
+
+void Runner::watchVersions() {
+  while (!m_stopping) {
+    auto Names = m_fleet.entries();
+    for (const std::string &Worker : m_fleet.workers())
+      Names.push_back(Worker);
+    for (const std::string &Name : Names) {
+      const auto Answer = m_fleet.call(Name, "GET", "/v1/status", nullptr, 300);
+      if (!Answer || !Answer->contains("configVersion"))
+        continue;
+      const std::lock_guard Lock(m_mutex);
+      m_versions.push_back({Name, base::monotonicNow(),
+                            (*Answer)["configVersion"].get<std::uint64_t>()});
+    }
+    std::this_thread::sleep_for(WatchInterval);
+  }
+}
+
+} // namespace pomelokeel::scenario
