--- a/src/logclient/logclient.h
+++ b/src/logclient/logclient.h
@@ -31,9 +31,15 @@
 struct AppendOutcome {
   AppendFate m_fate = AppendFate::Unconfirmed;
   std::uint64_t m_first = 0; ///< Offset of the first value; only for Done.
-  base::Error m_error; ///< Of the other fates: logUnavailable, logUnconfirmed.
+  /// Of the other fates: logUnconfirmed for Unconfirmed; overloaded (over the
+  /// log's append limit), tooLarge or logUnavailable for NoEffect.
+  base::Error m_error;
 };
 
+/// Limits of one append.
+constexpr std::size_t MaxAppendValues = 256;
+constexpr std::size_t MaxAppendBytes = 512 * 1024; ///< Of the JSON body.
+
 /// A page of values read from a stream.
 struct ReadPage {
   struct Value {
@@ -57,15 +63,28 @@
   explicit LogClient(LogSettings Settings);
   ~LogClient();
 
+  /// Appends \p Values in order, all or none. Is never repeated.
   AppendOutcome append(const std::string &Stream,
                        const std::vector<Json> &Values);
 
+  /// As append(), with \p Body as the encoded request body.
+  AppendOutcome appendEncoded(const std::string &Stream, std::string Body);
+
   /// Reads at most \p Max values from \p From on, waiting up to \p WaitMs for
-  /// the first. Errors: logTruncated (From was dropped by retention; first and
-  /// next in the message), logUnavailable.
+  /// the first. A \p From beyond the end gives an empty page. Errors:
+  /// logTruncated (From was dropped by retention), logUnavailable. After an
+  /// error the next call uses a new connection.
   base::Result<ReadPage> read(const std::string &Stream, std::uint64_t From,
                               int Max, int WaitMs);
 
+  /// The offsets that \p Stream holds, without its values.
+  struct Range {
+    std::uint64_t m_first = 0;
+    std::uint64_t m_next = 0;
+  };
+  /// Error: logUnavailable.
+  base::Result<Range> range(const std::string &Stream);
+
   /// Ends a call in progress on another thread, and all later ones.
   void cancel();
 
@@ -78,7 +97,9 @@
 };
 
 /// Appends records on a thread of its own. Records waiting at the same time go
-/// into one append (group commit).
+/// into one append (group commit), in the order of submission for each stream.
+/// An append without an answer is reported Unconfirmed and not repeated. One
+/// over the log's append limit is repeated for at most the timeout.
 class Writer {
 public:
   using Done = std::function<void(const AppendOutcome &)>;
@@ -87,8 +108,10 @@
   ~Writer();
 
   /// Queues values for one append to \p Stream. \p OnDone is called on the
-  /// writer's thread. Returns false, without effect, if the queue is full or
-  /// stopping.
+  /// writer's thread, exactly once. While the log is known to be unavailable
+  /// that is at once, with NoEffect. Values over the limits of one append get
+  /// NoEffect with tooLarge. Returns false, without effect, if the queue is
+  /// full or stopping.
   [[nodiscard]] bool submit(std::string Stream, std::vector<Json> Values,
                             Done OnDone);
 
@@ -96,7 +119,8 @@
   /// probe or an append succeeds again.
   bool available() const;
 
-  /// Appends what is queued, waiting at most \p GraceMs, then stops.
+  /// Appends what is queued, waiting at most \p GraceMs, then stops. What is
+  /// left in the queue gets NoEffect. Not to be called from a Done.
   void stop(int GraceMs);
 
 private:
@@ -112,8 +136,11 @@
 struct Batch { ///< Records to apply, without gaps. May be empty: a successful
                ///< read at the log's end.
   std::vector<model::LogEntry> m_entries;
-  std::uint64_t m_end =
-      0; ///< Offset of the next append at the time of the read.
+  /// Offset of the next append at the time of the read.
+  std::uint64_t m_end = 0;
+  /// First offset after this batch. Above the last entry's + 1 if values that
+  /// are not valid records follow it.
+  std::uint64_t m_next = 0;
 };
 struct ReadFailed { ///< The log could not be read; repeated while that lasts.
   base::Error m_error; ///< logUnavailable or behindRetention.
--- a/tests/standin/standin.cc
+++ b/tests/standin/standin.cc
@@ -1,1 +1,84 @@
-#include "model/job.h"
+#include "standin/standin.h"
+
+#include <algorithm>
+#include <charconv>
+#include <chrono>
+#include <stdexcept>
+
+namespace pomelokeel::standin {
+
+void Standin::start(const std::string &Listen) {
+  http::ServerLimits Limits;
+  Limits.m_maxConnections = 1000;
+  Limits.m_maxBodyBytes = 4 * 1024 * 1024;
+  Limits.m_idleTimeoutMs = 600 * 1000;
+  Limits.m_responseTimeoutMs = 3600 * 1000;
+  auto Started =
+      http::Server::start(Listen, Limits, [this](auto R, auto Answer) {
+        const std::lock_guard Lock(m_mutex);
+        handle(R, std::move(Answer));
+      });
+  if (!Started)
+    throw std::runtime_error(base::toString(Started.error()));
+  m_server = std::move(Started.value());
+  m_thread = std::thread([this] { run(); });
+}
+
+void Standin::stop() {
+  {
+    const std::lock_guard Lock(m_mutex);
+    m_stop = true;
+    m_changed.notify_all();
+  }
+  if (m_thread.joinable())
+    m_thread.join();
+  if (m_server)
+    m_server->stop(0);
+}
+
+void Standin::answerLater(http::Responder Answer, http::Response R,
+                          Millis DelayMs) {
+  if (DelayMs <= 0)
+    return Answer(std::move(R));
+  m_delayed.emplace(
+      base::monotonicNow() + DelayMs,
+      [Answer = std::move(Answer), R = std::move(R)] { Answer(R); });
+  wake();
+}
+
+void Standin::wake() {
+  m_wake = true;
+  m_changed.notify_all();
+}
+
+void Standin::run() {
+  std::unique_lock Lock(m_mutex);
+  while (!m_stop) {
+    const Millis Now = base::monotonicNow();
+    m_wake = false;
+    Millis Due = tick(Now);
+    while (!m_delayed.empty() && m_delayed.begin()->first <= Now) {
+      m_delayed.begin()->second();
+      m_delayed.erase(m_delayed.begin());
+    }
+    if (!m_delayed.empty())
+      Due = std::min(Due, m_delayed.begin()->first);
+    const Millis Wait = std::clamp<Millis>(Due - Now, 0, 1000);
+    m_changed.wait_for(Lock, std::chrono::milliseconds(Wait),
+                       [&] { return m_wake || m_stop; });
+  }
+}
+
+http::Response jsonResponse(const Json &Body) {
+  return {200, Body.dump(-1, ' ', false, Json::error_handler_t::replace)};
+}
+
+std::uint64_t numberOf(const http::Request &R, const char *Name,
+                       std::uint64_t Default) {
+  const std::string Text = http::queryOf(R.m_target, Name);
+  std::uint64_t Value = Default;
+  std::from_chars(Text.data(), Text.data() + Text.size(), Value);
+  return Value;
+}
+
+} // namespace pomelokeel::standin
