--- a/src/ctl/client.cc
+++ b/src/ctl/client.cc
@@ -45,8 +45,7 @@
   const auto Connection = http::Client::create(Address);
   const auto Outcome = Connection->call({"GET", Target, ""}, m_timeoutMs);
   if (const auto *Failed = std::get_if<http::CallError>(&Outcome))
-    return Error{Failed->m_error.m_kind,
-                 Address + ": " + Failed->m_error.m_message};
+    return Failed->m_error;
   return readResponse(std::get<http::Response>(Outcome));
 }
 
@@ -60,8 +59,7 @@
     const auto *Failed = std::get_if<http::CallError>(&Outcome);
     if (!Failed)
       return readResponse(std::get<http::Response>(Outcome));
-    Last = Error{Failed->m_error.m_kind,
-                 Address + ": " + Failed->m_error.m_message};
+    Last = Failed->m_error;
     if (Failed->m_sent == http::Sent::Maybe)
       return Last;
   }
--- a/src/main.cc
+++ b/src/main.cc
@@ -13,6 +13,8 @@
 
 using namespace pomelokeel;
 
+constexpr int BadArguments = 2; // exit code, as for bad settings
+
 // Loads settings and runs the process, or reports the error.
 template <typename Load, typename Run>
 int runProcess(const std::string &File, Load LoadSettings, Run RunSettings) {
@@ -50,6 +52,10 @@
   CLI::App *Ctl = App.add_subcommand("ctl", "Publish records, read reports");
   ctl::addCommands(*Ctl, ExitCode);
 
-  CLI11_PARSE(App, Argc, Argv);
+  try {
+    App.parse(Argc, Argv);
+  } catch (const CLI::ParseError &E) {
+    return App.exit(E) == 0 ? 0 : BadArguments;
+  }
   return ExitCode;
 }
