--- a/tests/scenario/runner.cc
+++ b/tests/scenario/runner.cc
@@ -1,6 +1,7 @@
 #include "scenario/runner.h"
 
 #include "http/http.h"
+#include "standin/worker.h"
 
 #include <fmt/format.h>
 #include <signal.h>
@@ -272,33 +273,34 @@
 }
 
 Status Runner::runKill(const Step &S) {
-  m_frozenLeader = resolve(S.argument(0));
+  m_lastTarget = resolve(S.argument(0));
+  keepRunsOf(m_lastTarget);
   m_mark = base::monotonicNow();
-  return located(S, m_fleet.signal(m_frozenLeader, SIGKILL));
+  return located(S, m_fleet.signal(m_lastTarget, SIGKILL));
 }
 
 Status Runner::runFreeze(const Step &S) {
-  m_frozenLeader = resolve(S.argument(0));
+  m_lastTarget = resolve(S.argument(0));
   m_mark = base::monotonicNow();
-  return located(S, m_fleet.signal(m_frozenLeader, SIGSTOP));
+  return located(S, m_fleet.signal(m_lastTarget, SIGSTOP));
 }
 
 Status Runner::runResume(const Step &S) {
   const std::string Name =
-      S.argument(0) == "leader" ? m_frozenLeader : S.argument(0);
+      S.argument(0) == "leader" ? m_lastTarget : S.argument(0);
   return located(S, m_fleet.signal(Name, SIGCONT));
 }
 
 Status Runner::runTerminate(const Step &S) {
-  m_frozenLeader = resolve(S.argument(0));
+  m_lastTarget = resolve(S.argument(0));
   return located(
-      S, m_fleet.terminate(m_frozenLeader, S.number("within", DefaultWithin)));
+      S, m_fleet.terminate(m_lastTarget, S.number("within", DefaultWithin)));
 }
 
 // "last" names the process that was killed, frozen or terminated last.
 Status Runner::runStart(const Step &S) {
   const std::string Name =
-      S.argument(0) == "last" ? m_frozenLeader : S.argument(0);
+      S.argument(0) == "last" ? m_lastTarget : S.argument(0);
   return located(S, m_fleet.start(Name));
 }
 
@@ -346,7 +348,7 @@
 }
 
 Status Runner::runAwaitLeader(const Step &S) {
-  const std::string Except = S.option("not") == "last" ? m_frozenLeader : "";
+  const std::string Except = S.option("not") == "last" ? m_lastTarget : "";
   return until(S, "no leader", [&] { return leader(Except).has_value(); });
 }
 
@@ -405,20 +407,41 @@
 
 // Every worker stand-in tells when which task ran.
 void Runner::collectRuns(History &H) {
+  H.m_runs = m_lostRuns;
   for (const std::string &Worker : m_fleet.workers()) {
-    const auto Answer = m_fleet.call(Worker + ".worker", "GET", "/history");
-    if (!Answer)
+    const auto Runs = runsOnWorker(Worker);
+    H.m_runs.insert(H.m_runs.end(), Runs.begin(), Runs.end());
+  }
+}
+
+std::vector<Run> Runner::runsOnWorker(const std::string &Worker) {
+  std::vector<Run> Runs;
+  const auto Answer = m_fleet.call(Worker + ".worker", "GET", "/history");
+  standin::History Recorded;
+  if (!Answer || !base::decode(*Answer, "", Recorded))
+    return Runs;
+  for (const standin::HistoryEvent &E : Recorded.m_events) {
+    if (E.m_event == "start") {
+      Runs.push_back({Worker, E.m_task, E.m_atMs, {}, E.m_accelerators});
       continue;
-    for (const Json &Entry : (*Answer)["runs"]) {
-      Run R;
-      R.m_worker = Worker;
-      R.m_task = Entry["task"].get<std::string>();
-      R.m_beginMs = Entry["beginMs"].get<Millis>();
-      if (Entry.contains("endMs"))
-        R.m_endMs = Entry["endMs"].get<Millis>();
-      R.m_accelerators = Entry["accelerators"].get<std::vector<int>>();
-      H.m_runs.push_back(std::move(R));
     }
+    for (Run &R : Runs) {
+      if (R.m_task == E.m_task)
+        R.m_endMs = E.m_atMs;
+    }
+  }
+  return Runs;
+}
+
+// A worker that is killed loses its history with its tasks.
+void Runner::keepRunsOf(const std::string &Process) {
+  const std::string Suffix = ".worker";
+  if (!Process.ends_with(Suffix))
+    return;
+  const std::string Worker = Process.substr(0, Process.size() - Suffix.size());
+  for (Run R : runsOnWorker(Worker)) {
+    R.m_endMs = R.m_endMs.value_or(base::monotonicNow());
+    m_lostRuns.push_back(std::move(R));
   }
 }
 
--- a/tests/scenario/runner.h
+++ b/tests/scenario/runner.h
@@ -66,6 +66,8 @@
   base::Result<base::Json> publish(const Step &S, const std::string &Entry,
                                    const std::string &Body);
   void collectRuns(History &H);
+  std::vector<Run> runsOnWorker(const std::string &Worker);
+  void keepRunsOf(const std::string &Process);
   void completeCallers(History &H);
   void watchVersions();
 
@@ -73,7 +75,8 @@
   std::map<std::string, std::unique_ptr<Caller>> m_callers;
   std::map<std::string, bool> m_classIsIdempotent;
   std::vector<DrainSeen> m_drains;
-  std::string m_frozenLeader; ///< What "leader" named last, for resume.
+  std::vector<Run> m_lostRuns; ///< Of workers that were killed.
+  std::string m_lastTarget; ///< Process that was killed, frozen or terminated.
   Millis m_mark = 0;
   std::mutex m_mutex;
   std::vector<VersionSeen> m_versions;
