--- /dev/null
+++ b/src/sched/fleet.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "sched/sched.h"
+
+#include <cstdint>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace pomelokeel::sched::detail {
+
+/// One bit per accelerator of a worker, the first one lowest.
+using Mask = std::uint64_t;
+
+/// Accelerators of a worker beyond this number are not used.
+constexpr int MaxAccelerators = 64;
+
+/// Size of a block rounded up to a power of two.
+int alignmentOf(int Size);
+
+/// Bits of \p Count accelerators from \p First.
+Mask maskOf(int First, int Count);
+
+/// Free resources of a worker during a pass.
+struct Node {
+  Mask m_all = 0;  ///< Every accelerator.
+  Mask m_free = 0; ///< Held by no job.
+  int m_accelerators = 0;
+  int m_slots = 0;
+  int m_cores = 0;
+  int m_memoryMb = 0;
+  int m_jobs = 0; ///< Members that run here.
+  int m_rack = 0;
+  int m_dataCentre = 0;
+  int m_region = 0;
+  bool m_placeable = true;
+  bool m_healthy = true;
+  bool m_onProbation = false;
+};
+
+/// What one member needs.
+struct Need {
+  int m_accelerators = 0;
+  int m_cores = 0;
+  int m_memoryMb = 0;
+};
+
+/// A member's place by worker index.
+struct Place {
+  int m_worker = 0;
+  int m_first = 0;
+  int m_accelerators = 0;
+
+  Mask mask() const { return maskOf(m_first, m_accelerators); }
+};
+
+/// The accelerators of one job, for the guarantees.
+struct Holding {
+  int m_account = -1; ///< -1 for an account that is not in the configuration.
+  bool m_preemptible = true;
+  Need m_need;
+  std::vector<Place> m_places;
+};
+
+/// Workers of one rack, data centre or region, in fleet order.
+using Group = std::vector<int>;
+
+/// Workers, racks and running jobs by index.
+class Fleet {
+public:
+  Fleet(const std::vector<model::Account> &Accounts,
+        const std::vector<WorkerView> &Workers,
+        const std::vector<RunningView> &Running);
+
+  /// Index of a worker or account, -1 if there is none.
+  int workerIndex(std::string_view Name) const;
+  int accountIndex(std::string_view Name) const;
+
+  /// Takes or gives back the resources of \p H. `add` returns its index.
+  int add(Holding H);
+  void take(const Holding &H);
+  void release(const Holding &H);
+
+  std::vector<Node> m_nodes;
+  std::vector<Group> m_racks;
+  std::vector<Group> m_dataCentres;
+  std::vector<Group> m_regions;
+  std::vector<Holding> m_holdings; ///< Running jobs first, in input order.
+  std::size_t m_accounts = 0;
+
+private:
+  void addWorkers(const std::vector<WorkerView> &Workers);
+
+  std::unordered_map<std::string_view, int> m_workerByName;
+  std::unordered_map<std::string_view, int> m_accountByName;
+};
+
+/// Members of \p N that fit on \p W now, at most \p Limit.
+int membersThatFit(const Node &W, const Need &N, int Limit);
+
+/// First accelerators of the aligned blocks of \p Size inside \p Free, as bits.
+Mask blockStarts(Mask Free, int Size);
+
+} // namespace pomelokeel::sched::detail
