--- a/src/entry/election.h
+++ b/src/entry/election.h
@@ -4,6 +4,7 @@
 #include "state/state.h"
 
 #include <cstddef>
+#include <map>
 #include <string>
 
 namespace pomelokeel::entry {
@@ -19,6 +20,10 @@
   /// read.
   void heardLeader(std::uint64_t Epoch, base::Millis NowMs);
 
+  /// A heartbeat of the entry \p Name arrived. Entries that are silent do not
+  /// count for the rank; if this is never called, all members count.
+  void heardMember(const std::string &Name, base::Millis NowMs);
+
   /// The claim that this process appended had its answer, or failed.
   void claimSettled(base::Millis NowMs);
 
@@ -36,7 +41,13 @@
   std::string m_name;
   std::string m_incarnation;
   base::Millis m_leaderTimeoutMs;
-  base::Millis m_lastHeardMs = -1;
+  std::size_t rank(const state::State &S) const;
+  void observe(const state::State &S, base::Millis NowMs);
+
+  base::Millis m_lastHeardMs = -1; ///< Of the leader, or the start of waiting.
+  base::Millis m_lastCallMs = -1;
+  std::uint64_t m_epoch = 0; ///< Highest epoch that was heard of.
+  std::map<std::string, base::Millis> m_membersMs;
   bool m_claiming = false;
 };
 
--- a/src/entry/leader.h
+++ b/src/entry/leader.h
@@ -9,6 +9,7 @@
 #include "state/state.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -60,7 +61,14 @@
 /// work is sent only after its record was read back from the log.
 class Leader {
 public:
+  using Planner = std::function<sched::Plan(const sched::Snapshot &)>;
+
   Leader(LeaderTiming Timing, base::Counters &Counters, base::EventLog &Events);
+
+  /// A leader with its own planner, for tests of decisions that sched::plan
+  /// makes seldom.
+  Leader(LeaderTiming Timing, base::Counters &Counters, base::EventLog &Events,
+         Planner Plan);
   ~Leader();
 
   /// Starts a new epoch. Attempts that run are taken over from \p S: agents are
--- /dev/null
+++ b/src/entry/leader_impl.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "entry/leader.h"
+#include "entry/reclaim.h"
+#include "entry/verdict.h"
+#include "entry/view.h"
+
+#include <map>
+#include <set>
+#include <string>
+
+namespace pomelokeel::entry {
+
+/// The leader's memory. Everything in it follows from the state and from what
+/// agents report, so that the next leader can build it again.
+struct Leader::Impl {
+  Impl(LeaderTiming Timing, base::Counters &Counters, base::EventLog &Events,
+       Planner Plan);
+
+  bool active(const state::State &S) const;
+  void refreshConfig(const state::State &S);
+
+  // Attempts: leader_attempts.cc.
+  void addAttempt(const model::Job &J, bool TakenOver, Millis NowMs);
+  void eraseAttempt(const std::string &Job);
+  void moveAttempt(const state::State &S, const std::string &Job, Millis NowMs,
+                   Actions &Out);
+  void moveReclaim(const state::State &S, Attempt &A, Millis NowMs,
+                   Actions &Out);
+  void finishAttempt(const state::State &S, const model::Job &J, Attempt &A,
+                     Millis NowMs, Actions &Out);
+  bool blameWorkers(const state::State &S, const Attempt &A, Millis NowMs,
+                    Actions &Out);
+  void avoidWorkers(const Attempt &A);
+  void releaseAttempt(const state::State &S, const Attempt &A, Actions &Out);
+  void releaseStrays(const state::State &S, const model::AgentReport &R,
+                     LiveWorker &Live, Actions &Out);
+  void command(const state::State &S, const Attempt &A, const DueCommand &Due,
+               Actions &Out);
+
+  // Records and waiting jobs: leader_records.cc.
+  template <typename Body>
+  bool emit(model::RecordKind Kind, const std::string &Key, int Attempt,
+            const Body &B, Millis NowMs, Actions &Out) {
+    return emitRecord(Kind, Key, Attempt, base::encode(B), NowMs, Out);
+  }
+  bool emitRecord(model::RecordKind Kind, const std::string &Key, int Attempt,
+                  base::Json Body, Millis NowMs, Actions &Out);
+  void settle(const model::LogEntry &Entry);
+  void repeatRecords(Millis NowMs, Actions &Out);
+  bool finishWaiting(const model::Job &J, const model::JobResult &Result,
+                     Millis NowMs, Actions &Out);
+  void finishCancelled(const state::State &S, Millis NowMs, Actions &Out);
+  void finishLate(const state::State &S, Millis NowMs, Actions &Out);
+  void changeStanding(const std::string &Worker, model::WorkerStanding Standing,
+                      const std::string &Reason, Millis UntilMs, Millis NowMs,
+                      Actions &Out);
+  void checkWorkers(const state::State &S, Millis NowMs, Actions &Out);
+  ViewInput viewInput(const state::State &S, Millis NowMs) const;
+  void planPass(const state::State &S, Millis NowMs, Actions &Out);
+  void place(const state::State &S, const sched::PlaceJob &P, Millis NowMs,
+             Actions &Out);
+  void reclaim(const state::State &S, const sched::ReclaimJob &R, Millis NowMs);
+
+  void event(const std::string &Name, const model::Job *J,
+             const std::string &Detail, const std::string &Worker = "");
+  void count(const std::string &Name) { ++m_counters.get(Name); }
+
+  LeaderTiming m_timing;
+  AttemptTiming m_attemptTiming;
+  base::Counters &m_counters;
+  base::EventLog &m_events;
+  Planner m_plan;
+
+  std::uint64_t m_epoch = 0; ///< 0 while not leading.
+  Millis m_startMs = 0;
+  Millis m_logOffsetMs = 0; ///< Log time minus monotonic time.
+  bool m_logAvailable = false;
+  bool m_planDue = true;
+  Millis m_lastPlanMs = 0;
+  ConfigView m_config;
+  std::map<std::string, LiveWorker> m_live;
+  std::map<std::string, Attempt> m_attempts; ///< By job.
+  std::map<std::string, std::set<std::string>> m_byWorker;
+  std::map<std::string, Reclaim> m_reclaims; ///< By job that gives up.
+  std::map<std::string, PendingRecord> m_pending;
+  PendingPlaces m_pendingPlaces;
+  std::map<std::uint64_t, std::string> m_waiting;       ///< By offset.
+  std::map<std::string, std::set<std::string>> m_avoid; ///< By job.
+  sched::FailureTracker m_failures;
+  sched::RunTimeEstimates m_estimates;
+  sched::Plan m_lastPlan;
+
+  Millis logTime(Millis NowMs) const { return NowMs + m_logOffsetMs; }
+};
+
+} // namespace pomelokeel::entry
--- /dev/null
+++ b/src/entry/leader_records.cc
@@ -0,0 +1,215 @@
+#include "entry/leader_impl.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace pomelokeel::entry {
+namespace {
+
+using base::ErrorKind;
+using model::JobPhase;
+using model::Outcome;
+using model::RecordKind;
+using model::WorkerStanding;
+
+// The fold ignores a second copy of a record, by attempt.
+constexpr Millis RecordRepeatMs = 2000;
+// Bounds what a wave of cancellations adds to one tick.
+constexpr std::size_t MaxCancelledPerTick = 64;
+// See OrphanMarginMs in attempts.cc: until then an agent may keep its tasks.
+constexpr Millis LostMarginMs = 5000;
+
+std::string workerKey(const std::string &Worker) { return "worker/" + Worker; }
+
+} // namespace
+
+bool Leader::Impl::emitRecord(RecordKind Kind, const std::string &Key,
+                              int Attempt, base::Json Body, Millis NowMs,
+                              Actions &Out) {
+  if (!m_logAvailable || m_pending.contains(Key))
+    return false;
+  PendingRecord P;
+  P.m_record.m_kind = Kind;
+  P.m_record.m_body = std::move(Body);
+  P.m_attempt = Attempt;
+  P.m_sentMs = NowMs;
+  Out.m_records.push_back(P.m_record);
+  m_pending.emplace(Key, std::move(P));
+  count("leader_records{kind=\"" + std::string(base::nameOf(Kind)) + "\"}");
+  return true;
+}
+
+void Leader::Impl::settle(const model::LogEntry &Entry) {
+  const model::Record &R = Entry.m_record;
+  if (R.m_epoch != m_epoch || !model::isLeaderKind(R.m_kind))
+    return;
+  const bool Standing = R.m_kind == RecordKind::WorkerStandingChanged;
+  const auto Name = R.m_body.find(Standing ? "worker" : "job");
+  if (Name == R.m_body.end() || !Name->is_string())
+    return;
+  const std::string Subject = Name->get<std::string>();
+  const auto It = m_pending.find(Standing ? workerKey(Subject) : Subject);
+  if (It == m_pending.end() || It->second.m_record.m_kind != R.m_kind)
+    return;
+  if (!Standing && R.m_body.value("attempt", 0) != It->second.m_attempt)
+    return;
+  m_pending.erase(It);
+  m_pendingPlaces.erase(Subject);
+}
+
+void Leader::Impl::repeatRecords(Millis NowMs, Actions &Out) {
+  if (!m_logAvailable)
+    return;
+  for (auto &[Key, P] : m_pending) {
+    if (NowMs - P.m_sentMs < RecordRepeatMs)
+      continue;
+    P.m_sentMs = NowMs;
+    Out.m_records.push_back(P.m_record);
+    count("leader_records_repeated");
+  }
+}
+
+bool Leader::Impl::finishWaiting(const model::Job &J,
+                                 const model::JobResult &Result, Millis NowMs,
+                                 Actions &Out) {
+  if (!emit(RecordKind::JobFinished, J.m_id, J.m_attempt,
+            model::Finish{J.m_id, J.m_attempt, Result}, NowMs, Out))
+    return false;
+  event("jobFinished", &J,
+        "outcome=" + std::string(base::nameOf(Result.m_outcome)) +
+            " message=\"" + Result.m_message + '"');
+  return true;
+}
+
+void Leader::Impl::finishCancelled(const state::State &S, Millis NowMs,
+                                   Actions &Out) {
+  std::size_t Finished = 0;
+  for (const auto &[Offset, Id] : m_waiting) {
+    const auto J = S.m_jobs.find(Id);
+    if (J == S.m_jobs.end() || !J->second.m_cancelRequested)
+      continue;
+    const auto Result =
+        resultOfWaiting(J->second, ErrorKind::Cancelled,
+                        "cancelled while it waited", Outcome::Cancelled);
+    Finished += finishWaiting(J->second, Result, NowMs, Out) ? 1 : 0;
+    if (Finished >= MaxCancelledPerTick)
+      return;
+  }
+}
+
+void Leader::Impl::finishLate(const state::State &S, Millis NowMs,
+                              Actions &Out) {
+  for (const auto &[Offset, Id] : m_waiting) {
+    const auto J = S.m_jobs.find(Id);
+    if (J == S.m_jobs.end() || J->second.m_spec.m_deadlineMs <= 0)
+      continue;
+    const Millis DeadlineMs =
+        J->second.m_submittedMs + J->second.m_spec.m_deadlineMs;
+    if (logTime(NowMs) < DeadlineMs)
+      continue;
+    finishWaiting(J->second,
+                  resultOfWaiting(J->second, ErrorKind::DeadlinePassed,
+                                  "not started within its deadline",
+                                  Outcome::Failed),
+                  NowMs, Out);
+  }
+}
+
+void Leader::Impl::changeStanding(const std::string &Worker,
+                                  WorkerStanding Standing,
+                                  const std::string &Reason, Millis UntilMs,
+                                  Millis NowMs, Actions &Out) {
+  const model::StandingChange Change{Worker, Standing, Reason, UntilMs};
+  if (!emit(RecordKind::WorkerStandingChanged, workerKey(Worker), 0, Change,
+            NowMs, Out))
+    return;
+  event("workerStandingChanged", nullptr,
+        "standing=" + std::string(base::nameOf(Standing)) + " reason=\"" +
+            Reason + '"',
+        Worker);
+}
+
+void Leader::Impl::checkWorkers(const state::State &S, Millis NowMs,
+                                Actions &Out) {
+  Millis LimitMs = m_timing.m_agentTimeoutMs;
+  for (const auto &[Name, Orphan] : m_config.m_orphanLimits)
+    LimitMs = std::max(LimitMs, Orphan);
+  for (const auto &[Name, W] : S.m_workers) {
+    LiveWorker &Live = m_live[Name];
+    if (Live.m_heardMs == 0)
+      Live.m_heardMs = NowMs;
+    const bool Silent = NowMs - Live.m_heardMs >= LimitMs + LostMarginMs;
+    const auto Jobs = m_byWorker.find(Name);
+    const bool Holds = Jobs != m_byWorker.end() && !Jobs->second.empty();
+    if (Silent && !Holds && W.m_standing != WorkerStanding::Lost)
+      changeStanding(Name, WorkerStanding::Lost, "silent", 0, NowMs, Out);
+  }
+}
+
+ViewInput Leader::Impl::viewInput(const state::State &S, Millis NowMs) const {
+  return {S,
+          m_config,
+          m_live,
+          m_attempts,
+          m_reclaims,
+          m_pending,
+          m_pendingPlaces,
+          m_waiting,
+          m_avoid,
+          m_estimates,
+          m_timing.m_agentTimeoutMs,
+          NowMs,
+          logTime(NowMs)};
+}
+
+void Leader::Impl::planPass(const state::State &S, Millis NowMs, Actions &Out) {
+  m_planDue = false;
+  m_lastPlanMs = NowMs;
+  m_lastPlan = m_plan(buildSnapshot(viewInput(S, NowMs)));
+  for (const sched::PlaceJob &P : m_lastPlan.m_place)
+    place(S, P, NowMs, Out);
+  for (const sched::ReclaimJob &R : m_lastPlan.m_reclaim)
+    reclaim(S, R, NowMs);
+  for (const sched::RejectJob &R : m_lastPlan.m_reject) {
+    const auto J = S.m_jobs.find(R.m_job);
+    if (J != S.m_jobs.end() && J->second.m_phase == JobPhase::Waiting)
+      finishWaiting(
+          J->second,
+          resultOfWaiting(J->second, R.m_kind, R.m_message, Outcome::Failed),
+          NowMs, Out);
+  }
+}
+
+void Leader::Impl::place(const state::State &S, const sched::PlaceJob &P,
+                         Millis NowMs, Actions &Out) {
+  const auto J = S.m_jobs.find(P.m_job);
+  if (J == S.m_jobs.end() || J->second.m_phase != JobPhase::Waiting)
+    return;
+  const int Attempt = J->second.m_attempt + 1;
+  const model::Placement Body{P.m_job, Attempt, P.m_places, P.m_reason};
+  if (!emit(RecordKind::JobPlaced, P.m_job, Attempt, Body, NowMs, Out))
+    return;
+  m_pendingPlaces[P.m_job] = P.m_places;
+  std::string Workers;
+  for (const model::MemberPlace &M : P.m_places)
+    Workers += (Workers.empty() ? "" : ",") + M.m_worker;
+  event("jobPlaced", &J->second,
+        "attempt=" + std::to_string(Attempt) + " workers=" + Workers +
+            " reason=\"" + P.m_reason + '"');
+}
+
+void Leader::Impl::reclaim(const state::State &S, const sched::ReclaimJob &R,
+                           Millis NowMs) {
+  const auto A = m_attempts.find(R.m_job);
+  const auto J = S.m_jobs.find(R.m_job);
+  if (A == m_attempts.end() || J == S.m_jobs.end() ||
+      m_reclaims.contains(R.m_job) || !mayReclaim(A->second))
+    return;
+  m_reclaims.emplace(R.m_job,
+                     makeReclaim(A->second, R.m_forJob, R.m_reason, NowMs));
+  count("leader_reclaims");
+  event("jobReclaimed", &J->second,
+        "forJob=" + R.m_forJob + " reason=\"" + R.m_reason + '"');
+}
+
+} // namespace pomelokeel::entry
