--- /dev/null
+++ b/src/entry/ports.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/fields.h"
+#include "model/message.h"
+
+#include <cstddef>
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace pomelokeel::entry {
+
+/// What an append belongs to, so that its answer finds its way.
+enum class AppendOwner {
+  Submission, ///< Id is the job.
+  Request,    ///< Id is the record.
+  Worker,     ///< Id is the worker.
+  Member,     ///< This entry's own announcement or departure.
+  Claim,
+  Renewal,
+  Leader,
+  Snapshot,
+};
+
+struct AppendTag {
+  AppendOwner m_owner = AppendOwner::Leader;
+  std::string m_id;
+};
+
+/// What the core uses of the other threads. No call blocks.
+struct Ports {
+  /// Queues an append. Its answer arrives as an AppendSettled input. Returns
+  /// false, without effect, if the queue is full.
+  std::function<bool(AppendTag, const std::string &Stream,
+                     std::vector<base::Json>)>
+      m_append;
+  /// Whether the last append had an answer.
+  std::function<bool()> m_logWritable;
+  /// Sends a message to the process at a mesh address.
+  std::function<bool(const std::string &Address, model::Message)> m_send;
+  std::function<void(const std::string &Address)> m_keep;
+  std::function<void(const std::string &Address)> m_drop;
+  /// Time since the last message from an address, or -1 if none came.
+  std::function<base::Millis(const std::string &Address)> m_silence;
+  std::function<void(const std::string &Address, const std::string &Region)>
+      m_setRegion;
+  /// Events of the log that were read but not yet taken by the core.
+  std::function<std::size_t()> m_logBacklog;
+};
+
+} // namespace pomelokeel::entry
