--- a/src/entry/answers.cc
+++ b/src/entry/answers.cc
@@ -78,9 +78,8 @@
 // Adds the accelerators and the number of one job to the rows.
 void addJob(report::Status &Out, const model::Job &J) {
   ++(Out.m_jobs.*PhaseCounts[static_cast<std::size_t>(J.m_phase)]);
-  auto *Account =
-      findRow(Out.m_accounts, &report::AccountStatus::m_account,
-              J.m_spec.m_account);
+  auto *Account = findRow(Out.m_accounts, &report::AccountStatus::m_account,
+                          J.m_spec.m_account);
   if (Account && J.m_phase != model::JobPhase::Finished)
     ++Account->m_unfinishedJobs;
   if (!holdsPlaces(J))
@@ -88,8 +87,8 @@
   for (const model::MemberPlace &P : J.m_places) {
     if (Account)
       Account->m_inUse += P.m_accelerators;
-    if (auto *Worker = findRow(Out.m_workers, &report::WorkerStatus::m_worker,
-                               P.m_worker))
+    if (auto *Worker =
+            findRow(Out.m_workers, &report::WorkerStatus::m_worker, P.m_worker))
       Worker->m_inUse += P.m_accelerators;
   }
 }
@@ -102,8 +101,7 @@
     Out.m_waitReasons[W.m_job] = W.m_reason;
   }
   for (const sched::Shortfall &F : R.m_shortfalls)
-    Out.m_shortfalls.push_back(
-        {F.m_account, F.m_blockSize, F.m_missingBlocks});
+    Out.m_shortfalls.push_back({F.m_account, F.m_blockSize, F.m_missingBlocks});
   for (const sched::BlockAssignment &B : R.m_blocks) {
     if (Out.m_blocks.size() >= MaxLeaderRows)
       break;
--- a/src/entry/api.cc
+++ b/src/entry/api.cc
@@ -46,8 +46,8 @@
       Out += Text[I];
       continue;
     }
-    Out += static_cast<char>(hexDigit(Text[I + 1]) * 16 +
-                             hexDigit(Text[I + 2]));
+    Out +=
+        static_cast<char>(hexDigit(Text[I + 1]) * 16 + hexDigit(Text[I + 2]));
     I += 2;
   }
   return Out;
--- a/src/entry/core.cc
+++ b/src/entry/core.cc
@@ -14,10 +14,6 @@
 // Interval between attempts to announce this entry.
 constexpr Millis AnnounceRetryMs = 1000;
 
-// A read of the log and an event on its way to the core when the process was
-// frozen, besides those that wait in a ring.
-constexpr std::size_t ReadsInProgress = 2;
-
 RelayTiming relayTiming(const settings::EntrySettings &S) {
   RelayTiming T;
   T.m_agentTimeoutMs = S.m_agentTimeoutMs;
@@ -39,9 +35,8 @@
            Ports Out, base::HybridClock &Clock, base::Counters &Counters,
            base::EventLog &Events)
     : m_settings(Settings), m_self(std::move(Self)), m_out(std::move(Out)),
-      m_counters(Counters), m_events(Events),
-      m_records(Settings.m_name, Clock), m_relay(relayTiming(Settings)),
-      m_submissions(submissionLimits(Settings)),
+      m_counters(Counters), m_events(Events), m_records(Settings.m_name, Clock),
+      m_relay(relayTiming(Settings)), m_submissions(submissionLimits(Settings)),
       m_requests(static_cast<std::size_t>(Settings.m_queueLength)),
       m_leadership(
           Settings, m_self.m_incarnation, m_records, m_out,
@@ -139,7 +134,8 @@
     m_events.record("configInForce", {"", Account, ""}, Detail);
   else
     m_events.record("configRefused", {"", Account, ""},
-                    Detail + fmt::format(" error={}", base::nameOf(*A.m_error)));
+                    Detail +
+                        fmt::format(" error={}", base::nameOf(*A.m_error)));
 }
 
 // Each job event is recorded by the process that wrote the record, not by all
@@ -155,18 +151,17 @@
   const model::Job &J = It->second;
   const base::EventSubject Subject{J.m_id, J.m_spec.m_account, ""};
   if (R.m_kind == RecordKind::JobSubmitted)
-    m_events.record("jobSubmitted", Subject,
-                    fmt::format("key={} class={}", J.m_spec.m_key,
-                                J.m_spec.m_class));
+    m_events.record(
+        "jobSubmitted", Subject,
+        fmt::format("key={} class={}", J.m_spec.m_key, J.m_spec.m_class));
   if (R.m_kind == RecordKind::JobCancelRequested)
     m_events.record("cancelRequested", Subject);
   if (J.m_result)
-    m_events.record("outcome", Subject,
-                    fmt::format("outcome={} reason={}",
-                                base::nameOf(J.m_result->m_outcome),
-                                J.m_result->m_reason
-                                    ? base::nameOf(*J.m_result->m_reason)
-                                    : "none"));
+    m_events.record(
+        "outcome", Subject,
+        fmt::format("outcome={} reason={}", base::nameOf(J.m_result->m_outcome),
+                    J.m_result->m_reason ? base::nameOf(*J.m_result->m_reason)
+                                         : "none"));
 }
 
 bool Core::append(AppendTag Tag, const model::Record &R) {
@@ -209,16 +204,16 @@
   if (It != state().m_members.end() && It->second == m_self)
     return;
   m_announceMs = NowMs;
-  m_announcing = append(
-      {AppendOwner::Member, ""},
-      m_records.make(RecordKind::EntryAnnounced, base::encode(m_self)));
+  m_announcing =
+      append({AppendOwner::Member, ""},
+             m_records.make(RecordKind::EntryAnnounced, base::encode(m_self)));
 }
 
 void Core::tick(Millis NowMs) {
-  // A gap shorter than half the leader timeout cannot have cost the epoch.
-  if (m_tickMs >= 0 && NowMs - m_tickMs > m_settings.m_leaderTimeoutMs / 2) {
+  // After a shorter gap no other entry can have claimed the epoch.
+  if (m_tickMs >= 0 && NowMs - m_tickMs > m_settings.m_leaderTimeoutMs) {
     m_events.record("resumed", {}, fmt::format("gapMs={}", NowMs - m_tickMs));
-    m_replica.resumed(m_out.m_logBacklog() + ReadsInProgress);
+    m_replica.resumed(m_out.m_logBacklog());
   }
   m_tickMs = NowMs;
   announceSelf(NowMs);
--- a/src/entry/core.h
+++ b/src/entry/core.h
@@ -53,12 +53,14 @@
   /// Takes no new jobs from now on. Callers that wait are answered with what is
   /// known at \p DeadlineMs at the latest.
   void beginStop(Millis DeadlineMs);
+  bool stopping() const { return m_stopping; }
 
   /// True once all callers were answered.
   bool drained() const;
 
   /// Appends this entry's departure. Returns false if there is none to append.
   bool leave();
+  bool leaving() const { return m_left; }
 
   /// True once the departure's append had its answer.
   bool departed() const { return m_departed; }
@@ -162,7 +164,6 @@
   Millis m_leaderPongMs = -1;        ///< When the leader last answered a ping.
   std::uint64_t m_nextRequest = 1;
 
-  bool m_stateLoaded = false;
   Millis m_tickMs = -1;
   bool m_announcing = false;
   Millis m_announceMs = 0;
--- /dev/null
+++ b/src/entry/core_messages.cc
@@ -0,0 +1,347 @@
+#include "entry/core.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace pomelokeel::entry {
+namespace {
+
+using model::MessageKind;
+
+// Silence after which the leader removes an entry from the state. An entry that
+// still runs announces itself again.
+constexpr Millis MemberLostMs = 600000;
+
+// Age up to which the leader counts an entry's last digest as still true while
+// the entry answers pings. A change is sent at once.
+constexpr Millis DigestHoldsMs = 6000;
+
+template <typename Body> std::optional<Body> readBody(const model::Message &M) {
+  Body Out;
+  if (!base::decode(M.m_body, "", Out))
+    return std::nullopt;
+  return Out;
+}
+
+} // namespace
+
+void Core::onMessage(const model::Message &M, Millis NowMs) {
+  switch (M.m_kind) {
+  case MessageKind::Ping:
+  case MessageKind::Pong:
+    onHeartbeat(M, NowMs);
+    break;
+  case MessageKind::Attach:
+  case MessageKind::Report:
+    onAgentReport(M, NowMs);
+    break;
+  case MessageKind::Command:
+    onCommand(M);
+    break;
+  case MessageKind::CommandReply:
+    onCommandReply(M, NowMs);
+    break;
+  case MessageKind::Digest:
+    onDigest(M, NowMs);
+    break;
+  default:
+    ++m_counters.get("messages_unexpected");
+    break;
+  }
+}
+
+void Core::onHeartbeat(const model::Message &M, Millis NowMs) {
+  const auto Beat = readBody<model::Heartbeat>(M);
+  if (!Beat || Beat->m_role == "agent" || M.m_from == m_self.m_name)
+    return;
+  m_replica.heardPeer(Beat->m_appliedOffset, NowMs);
+  if (M.m_from != state().m_leader || Beat->m_role != "leader")
+    return;
+  m_leadership.heardLeader(state(), NowMs);
+  // Only a pong proves that the leader can hear this entry, and with it the
+  // agents whose orphan limit depends on that.
+  if (M.m_kind == MessageKind::Pong)
+    m_leaderPongMs = NowMs;
+}
+
+void Core::onAgentReport(const model::Message &M, Millis NowMs) {
+  const auto R = readBody<model::AgentReport>(M);
+  if (!R)
+    return;
+  if (M.m_from == R->m_worker.m_name)
+    onAttachedReport(M, *R, NowMs);
+  else
+    onRelayedReport(*R, NowMs);
+}
+
+void Core::onRelayedReport(const model::AgentReport &R, Millis NowMs) {
+  m_leadership.onReport(state(), R, NowMs);
+}
+
+void Core::onAttachedReport(const model::Message &M,
+                            const model::AgentReport &R, Millis NowMs) {
+  const std::string Refusal = m_stopping ? "this entry is shutting down"
+                                         : m_replica.attachRefusal(NowMs);
+  const bool Known = m_relay.find(R.m_worker.m_name) != nullptr;
+  // An agent that is attached already is relayed until it has moved.
+  if (Refusal.empty() || Known) {
+    const auto It = state().m_workers.find(R.m_worker.m_name);
+    if (It == state().m_workers.end() ||
+        It->second.m_standing == model::WorkerStanding::Lost)
+      m_relay.requestAnnouncement(R.m_worker.m_name);
+    const ReportSteps Steps = m_relay.onReport(R, NowMs);
+    if (Steps.m_attached) {
+      m_out.m_setRegion(R.m_worker.m_agentAddress, R.m_worker.m_region);
+      m_events.record("agentAttached", {"", "", R.m_worker.m_name},
+                      "incarnation=" + R.m_worker.m_incarnation);
+    }
+    if (Steps.m_announce)
+      announceWorker(R.m_worker);
+    if (Steps.m_passOn && passOn(R, NowMs))
+      m_relay.passedOn(R.m_worker.m_name, NowMs);
+  }
+  answerAgent(M, R, Refusal, NowMs);
+}
+
+void Core::announceWorker(const model::Worker &W) {
+  const auto It = state().m_workers.find(W.m_name);
+  if (It != state().m_workers.end() && It->second.m_worker == W &&
+      It->second.m_standing != model::WorkerStanding::Lost) {
+    m_relay.announced(W.m_name, true);
+    return;
+  }
+  if (!append(
+          {AppendOwner::Worker, W.m_name},
+          m_records.make(model::RecordKind::WorkerAnnounced, base::encode(W))))
+    m_relay.announced(W.m_name, false);
+}
+
+model::AttachAnswer Core::attachAnswer(const std::string &Worker,
+                                       Millis NowMs) const {
+  model::AttachAnswer Out;
+  Out.m_accepted = true;
+  Out.m_configVersion = state().m_configVersion;
+  Out.m_draining = state::isDraining(state(), Worker);
+  Out.m_leaderAgeMs = leaderAge(NowMs);
+  return Out;
+}
+
+void Core::answerAgent(const model::Message &M, const model::AgentReport &R,
+                       const std::string &Refusal, Millis NowMs) {
+  const std::string &Worker = R.m_worker.m_name;
+  model::AttachAnswer Out = attachAnswer(Worker, NowMs);
+  Out.m_accepted = Refusal.empty();
+  Out.m_reason = Refusal;
+  // The list of entries is large and seldom changes, reports are frequent.
+  const bool Attach = M.m_kind == MessageKind::Attach;
+  if (Attach || m_membersTold[Worker] != m_membersVersion) {
+    for (const auto &[Name, Member] : state().m_members)
+      Out.m_members.push_back(Member);
+    m_membersTold[Worker] = m_membersVersion;
+  }
+  model::Message Reply = model::makeMessage(
+      Attach ? MessageKind::Attached : MessageKind::ReportAck, M.m_from, Out);
+  Reply.m_epoch = state().m_epoch;
+  Reply.m_requestId = M.m_requestId;
+  if (!m_out.m_send(M.m_replyAddress, std::move(Reply)))
+    ++m_counters.get("messages_dropped");
+}
+
+// Tells attached agents of a new configuration without waiting for their next
+// report.
+void Core::notifyAgents(Millis NowMs) {
+  if (m_noticedConfig == state().m_configVersion)
+    return;
+  m_noticedConfig = state().m_configVersion;
+  for (const model::AgentReport *R : m_relay.reports()) {
+    const model::Worker &W = R->m_worker;
+    model::Message M = model::makeMessage(MessageKind::ConfigNotice, W.m_name,
+                                          attachAnswer(W.m_name, NowMs));
+    M.m_epoch = state().m_epoch;
+    if (!m_out.m_send(W.m_agentAddress, std::move(M)))
+      ++m_counters.get("messages_dropped");
+  }
+}
+
+bool Core::passOn(const model::AgentReport &R, Millis NowMs) {
+  if (m_leadership.leads()) {
+    m_leadership.onReport(state(), R, NowMs);
+    return true;
+  }
+  return sendToLeader(
+      model::makeMessage(MessageKind::Report, state().m_leader, R));
+}
+
+bool Core::sendToLeader(model::Message M) {
+  const Peer *Leader = leaderPeer();
+  if (!Leader)
+    return false;
+  M.m_epoch = state().m_epoch;
+  return m_out.m_send(Leader->m_address, std::move(M));
+}
+
+const Core::Peer *Core::leaderPeer() const {
+  const auto It = m_peers.find(state().m_leader);
+  return It == m_peers.end() ? nullptr : &It->second;
+}
+
+void Core::sendCommand(const AgentCommand &C) {
+  const auto Route = m_relay.route(C.m_worker);
+  const auto Peer =
+      Route && !Route->m_local ? m_peers.find(Route->m_entry) : m_peers.end();
+  if (!Route || (!Route->m_local && Peer == m_peers.end())) {
+    ++m_counters.get("commands_unroutable");
+    return;
+  }
+  model::Message M =
+      model::makeMessage(MessageKind::Command, C.m_worker, C.m_command);
+  M.m_epoch = state().m_epoch;
+  M.m_requestId = m_nextRequest++;
+  if (!m_out.m_send(Route->m_local ? Route->m_address : Peer->second.m_address,
+                    std::move(M)))
+    ++m_counters.get("messages_dropped");
+}
+
+// Relays a command of the leader to an agent that is attached here.
+void Core::onCommand(const model::Message &M) {
+  if (M.m_epoch < state().m_epoch) {
+    ++m_counters.get("commands_stale");
+    return;
+  }
+  const model::AgentReport *R = m_relay.find(M.m_to);
+  if (!R) {
+    ++m_counters.get("commands_unroutable");
+    return;
+  }
+  if (!m_out.m_send(R->m_worker.m_agentAddress, M))
+    ++m_counters.get("messages_dropped");
+}
+
+void Core::onCommandReply(const model::Message &M, Millis NowMs) {
+  const auto Reply = readBody<model::CommandReply>(M);
+  if (!Reply)
+    return;
+  m_relay.expectReport(Reply->m_worker);
+  if (m_leadership.leads()) {
+    m_leadership.onReply(state(), *Reply, NowMs);
+    return;
+  }
+  // A reply from another entry has reached the wrong leader and is dropped: the
+  // new one repeats its commands.
+  if (M.m_from == Reply->m_worker && !sendToLeader(M))
+    ++m_counters.get("messages_dropped");
+}
+
+void Core::onDigest(const model::Message &M, Millis NowMs) {
+  auto D = readBody<model::Digest>(M);
+  const auto It = m_peers.find(M.m_from);
+  if (!D || It == m_peers.end() || !m_leadership.leads())
+    return;
+  m_relay.onDigest(M.m_from, *D, NowMs);
+  m_leadership.onDigest(*D, NowMs);
+  It->second.m_digest = std::move(*D);
+  It->second.m_digestMs = NowMs;
+  It->second.m_digestFedMs = NowMs;
+}
+
+// An entry sends a digest at once when an agent falls silent, and else seldom.
+// In between, what its last digest listed as alive is alive as long as the
+// entry itself is.
+void Core::refreshDigests(Millis NowMs) {
+  for (auto &[Name, P] : m_peers) {
+    const Millis Silence = m_out.m_silence(P.m_address);
+    if (P.m_digestMs == 0 || NowMs - P.m_digestMs > DigestHoldsMs ||
+        NowMs - P.m_digestFedMs < m_settings.m_heartbeatMs || Silence < 0 ||
+        Silence > 2 * m_settings.m_heartbeatMs)
+      continue;
+    P.m_digestFedMs = NowMs;
+    model::Digest Alive;
+    for (const model::DigestEntry &E : P.m_digest.m_agents) {
+      if (E.m_silentMs < m_settings.m_agentTimeoutMs)
+        Alive.m_agents.push_back(E);
+    }
+    m_leadership.onDigest(Alive, NowMs);
+  }
+}
+
+void Core::updatePeers(Millis NowMs) {
+  if (!m_membersChanged)
+    return;
+  m_membersChanged = false;
+  ++m_membersVersion;
+  const auto &Members = state().m_members;
+  std::erase_if(m_peers, [&](const auto &Item) {
+    const auto It = Members.find(Item.first);
+    if (It != Members.end() &&
+        It->second.m_meshAddress == Item.second.m_address)
+      return false;
+    m_out.m_drop(Item.second.m_address);
+    m_relay.forgetEntry(Item.first);
+    return true;
+  });
+  for (const auto &[Name, M] : Members) {
+    if (Name == m_self.m_name || m_peers.contains(Name))
+      continue;
+    m_peers[Name] = {M.m_meshAddress, NowMs, {}, 0, 0};
+    m_out.m_setRegion(M.m_meshAddress, M.m_region);
+    m_out.m_keep(M.m_meshAddress);
+  }
+}
+
+// Removes entries that were killed and not replaced under their name, so that
+// the list and the links do not grow forever.
+void Core::dropLostMembers(Millis NowMs) {
+  for (auto &[Name, P] : m_peers) {
+    const Millis Silence = m_out.m_silence(P.m_address);
+    if (NowMs - P.m_sinceMs < MemberLostMs ||
+        (Silence >= 0 && Silence < MemberLostMs))
+      continue;
+    P.m_sinceMs = NowMs; // Not again before the record was read back.
+    const auto It = state().m_members.find(Name);
+    if (It == state().m_members.end())
+      continue;
+    m_events.record("entryLost", {}, "entry=" + Name);
+    if (!append({AppendOwner::Leader, ""},
+                m_records.make(model::RecordKind::EntryLeft,
+                               base::encode(model::Departure{
+                                   Name, It->second.m_incarnation}))))
+      ++m_counters.get("leader_records_dropped");
+  }
+}
+
+void Core::tickMesh(Millis NowMs) {
+  updatePeers(NowMs);
+  if (m_toldEpoch != state().m_epoch) {
+    m_toldEpoch = state().m_epoch;
+    m_leaderPongMs = -1;
+    m_relay.leaderChanged();
+    for (auto &[Name, P] : m_peers)
+      P.m_digestMs = 0;
+  }
+  notifyAgents(NowMs);
+  for (const std::string &Worker : m_relay.dropSilent(NowMs)) {
+    m_membersTold.erase(Worker);
+    m_events.record("agentDetached", {"", "", Worker}, "reason=silent");
+  }
+  if (auto D = m_relay.digestDue(NowMs)) {
+    if (m_leadership.leads())
+      m_leadership.onDigest(*D, NowMs);
+    else
+      sendToLeader(
+          model::makeMessage(MessageKind::Digest, state().m_leader, *D));
+  }
+  if (!m_leadership.leads())
+    return;
+  refreshDigests(NowMs);
+  dropLostMembers(NowMs);
+}
+
+Millis Core::leaderAge(Millis NowMs) const {
+  if (m_leadership.leads())
+    return 0;
+  return m_leaderPongMs < 0 ? -1 : NowMs - m_leaderPongMs;
+}
+
+} // namespace pomelokeel::entry
--- a/src/entry/leadership.cc
+++ b/src/entry/leadership.cc
@@ -33,8 +33,8 @@
 
 model::Record RecordMaker::make(model::RecordKind Kind, base::Json Body,
                                 std::uint64_t Epoch) const {
-  return {base::randomId(), Kind,           m_process,
-          Epoch,            m_clock.tick(), std::move(Body)};
+  return {base::randomId(), Kind,           m_process, Epoch,
+          m_clock.tick(),   std::move(Body)};
 }
 
 Leadership::Leadership(const settings::EntrySettings &Settings,
@@ -169,8 +169,8 @@
 void Leadership::renew(const state::State &S, Millis NowMs) {
   if (m_renewing || NowMs - m_lastRecordMs < m_settings.m_leaderTimeoutMs / 2)
     return;
-  const auto Record = m_records.make(model::RecordKind::LeaderRenewed,
-                                     claimBody(), S.m_epoch);
+  const auto Record =
+      m_records.make(model::RecordKind::LeaderRenewed, claimBody(), S.m_epoch);
   m_renewing = m_out.m_append({AppendOwner::Renewal, ""}, "records",
                               {base::encode(Record)});
   m_lastRecordMs = NowMs;
@@ -184,14 +184,14 @@
   m_plannedMs = Input.m_nowMs;
   m_dirty = false;
   run(S,
-      m_leader.tick(S, {Input.m_nowMs, Input.m_logTimeMs,
-                        Input.m_logAvailable}),
+      m_leader.tick(S,
+                    {Input.m_nowMs, Input.m_logTimeMs, Input.m_logAvailable}),
       Input.m_nowMs);
 }
 
 void Leadership::snapshotIfDue(const state::State &S, Millis NowMs) {
-  const std::uint64_t New = S.m_nextOffset - std::min(S.m_nextOffset,
-                                                      m_snapshotOffset);
+  const std::uint64_t New =
+      S.m_nextOffset - std::min(S.m_nextOffset, m_snapshotOffset);
   const Millis Age = NowMs - m_snapshotMs;
   const bool Due =
       New >= static_cast<std::uint64_t>(m_settings.m_snapshotEveryRecords) ||
--- a/src/entry/ports.h
+++ b/src/entry/ports.h
@@ -45,7 +45,8 @@
   std::function<base::Millis(const std::string &Address)> m_silence;
   std::function<void(const std::string &Address, const std::string &Region)>
       m_setRegion;
-  /// Events of the log that were read but not yet taken by the core.
+  /// Events of the log that were read, or are being read, and that the core has
+  /// not taken yet.
   std::function<std::size_t()> m_logBacklog;
 };
 
--- a/src/entry/relay.cc
+++ b/src/entry/relay.cc
@@ -37,8 +37,7 @@
   const auto [It, Inserted] = m_agents.try_emplace(R.m_worker.m_name);
   Agent &A = It->second;
   Steps.m_attached =
-      Inserted ||
-      A.m_report.m_worker.m_incarnation != R.m_worker.m_incarnation;
+      Inserted || A.m_report.m_worker.m_incarnation != R.m_worker.m_incarnation;
   // An announcement is due once per descriptor. If an older agent of the same
   // name still runs elsewhere, the two do not overwrite each other forever.
   if (A.m_report.m_worker != R.m_worker)
@@ -70,6 +69,12 @@
   It->second.m_passedPrint = It->second.m_print;
 }
 
+void Relay::expectReport(const std::string &Worker) {
+  const auto It = m_agents.find(Worker);
+  if (It != m_agents.end())
+    It->second.m_passedMs.reset();
+}
+
 void Relay::requestAnnouncement(const std::string &Worker) {
   const auto It = m_agents.find(Worker);
   if (It != m_agents.end())
@@ -98,8 +103,8 @@
 
 std::optional<model::Digest> Relay::digestDue(Millis NowMs) {
   for (auto &[Name, A] : m_agents)
-    m_changed = m_changed ||
-                A.m_silent != (NowMs - A.m_heardMs >= m_timing.m_agentTimeoutMs);
+    m_changed = m_changed || A.m_silent != (NowMs - A.m_heardMs >=
+                                            m_timing.m_agentTimeoutMs);
   const Millis Interval =
       m_changed ? m_timing.m_digestMs : m_timing.m_quietDigestMs;
   if (m_digestMs && NowMs - *m_digestMs < Interval)
@@ -145,9 +150,8 @@
 }
 
 void Relay::forgetEntry(const std::string &Entry) {
-  std::erase_if(m_remote, [&](const auto &Item) {
-    return Item.second.m_entry == Entry;
-  });
+  std::erase_if(m_remote,
+                [&](const auto &Item) { return Item.second.m_entry == Entry; });
 }
 
 std::optional<RelayRoute> Relay::route(const std::string &Worker) const {
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -51,6 +51,10 @@
   /// The report of \p Worker was sent to the leader.
   void passedOn(const std::string &Worker, Millis NowMs);
 
+  /// The agent of \p Worker answered a command: its next report is passed on,
+  /// changed or not, because the leader compares both.
+  void expectReport(const std::string &Worker);
+
   /// The log has no usable announcement of \p Worker: the next report asks for
   /// one.
   void requestAnnouncement(const std::string &Worker);
@@ -77,8 +81,7 @@
   std::size_t attached() const { return m_agents.size(); }
 
   /// At the leader: \p Entry listed its agents.
-  void onDigest(const std::string &Entry, const model::Digest &D,
-                Millis NowMs);
+  void onDigest(const std::string &Entry, const model::Digest &D, Millis NowMs);
 
   /// At the leader: forgets what \p Entry listed.
   void forgetEntry(const std::string &Entry);
--- a/src/entry/replica.h
+++ b/src/entry/replica.h
@@ -19,8 +19,8 @@
 class Replica {
 public:
   /// Called after each record was applied.
-  using OnApplied = std::function<void(const model::LogEntry &,
-                                       const state::Applied &)>;
+  using OnApplied =
+      std::function<void(const model::LogEntry &, const state::Applied &)>;
 
   const state::State &state() const { return m_state; }
 
--- a/src/entry/submissions.cc
+++ b/src/entry/submissions.cc
@@ -53,8 +53,8 @@
   return true;
 }
 
-std::optional<model::Submission>
-Submissions::submit(const model::JobSpec &Spec, Waiter W, Millis NowMs) {
+std::optional<model::Submission> Submissions::submit(const model::JobSpec &Spec,
+                                                     Waiter W, Millis NowMs) {
   const Key K{Spec.m_account, Spec.m_key};
   auto It = m_pending.find(K);
   if (It != m_pending.end()) {
@@ -116,7 +116,8 @@
 
 void Submissions::applied(const state::State &S,
                           const model::Submission &Record) {
-  const auto It = m_pending.find({Record.m_spec.m_account, Record.m_spec.m_key});
+  const auto It =
+      m_pending.find({Record.m_spec.m_account, Record.m_spec.m_key});
   if (It == m_pending.end())
     return;
   const auto *J =
@@ -279,8 +280,9 @@
 
 std::size_t Submissions::inFlight() const {
   return static_cast<std::size_t>(
-      std::count_if(m_pending.begin(), m_pending.end(),
-                    [](const auto &Item) { return Item.second.m_appends > 0; }));
+      std::count_if(m_pending.begin(), m_pending.end(), [](const auto &Item) {
+        return Item.second.m_appends > 0;
+      }));
 }
 
 PendingRecords::PendingRecords(std::size_t Limit) : m_limit(Limit) {}
