--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -204,6 +204,9 @@
     auto E = await(Done);
     Code Parsed;
     if (E == Code(net::error::eof)) {
+      // put_eof() takes no input at all for a complete message.
+      if (!P.is_header_done())
+        return E;
       // A response without a length ends with the connection.
       P.put_eof(Parsed);
       return Parsed || !P.is_done() ? E : std::nullopt;
