--- a/tests/standin/worker.cc
+++ b/tests/standin/worker.cc
@@ -64,7 +64,7 @@
   if (Path != "/tasks")
     return finish(Answer, act(R, Path));
   if (R.m_method != "POST")
-    return finish(Answer, page(0));
+    return finish(Answer, page(0, true));
   const http::Response Started = startTask(R);
   if (Started.m_status == 200 && m_faults.m_loseStartAnswers > 0) {
     --m_faults.m_loseStartAnswers;
@@ -95,6 +95,7 @@
   T.m_info.m_task = Start->m_task;
   T.m_info.m_accelerators = Start->m_accelerators;
   T.m_payload = Payload;
+  T.m_metadata = Start->m_metadata;
   T.m_targetMs = std::min(numberIn(Payload, "runMs", 0),
                           numberIn(Payload, "exitAfterMs", HUGE_VAL));
   if (Payload.is_object() && Payload.contains("checkpoint"))
@@ -267,7 +268,7 @@
       ++It;
       continue;
     }
-    finish(It->m_answer, page(It->m_after));
+    finish(It->m_answer, page(It->m_after, false));
     It = m_polls.erase(It);
   }
   return Due;
@@ -291,11 +292,14 @@
   }
 }
 
-http::Response WorkerStandin::page(std::uint64_t After) const {
+http::Response WorkerStandin::page(std::uint64_t After, bool Metadata) const {
   model::TaskPage Page{m_incarnation, m_last, {}, m_usage};
   for (const auto &[Id, T] : m_tasks) {
-    if (T.m_info.m_sequence > After)
-      Page.m_tasks.push_back(T.m_info);
+    if (T.m_info.m_sequence <= After)
+      continue;
+    Page.m_tasks.push_back(T.m_info);
+    if (Metadata)
+      Page.m_tasks.back().m_metadata = T.m_metadata;
   }
   std::sort(
       Page.m_tasks.begin(), Page.m_tasks.end(),
--- a/tests/standin/worker.h
+++ b/tests/standin/worker.h
@@ -80,6 +80,7 @@
   struct Task {
     model::TaskInfo m_info;
     Json m_payload;
+    Json m_metadata;
     double m_targetMs = 0; ///< Run time at which it ends.
     double m_ranMs = 0;
     double m_speed = 1;
@@ -98,7 +99,7 @@
   http::Response startTask(const http::Request &R);
   http::Response act(const http::Request &R, const std::string &Path);
   base::Status apply(Task &T, model::TaskAction Action, const Json &Body);
-  http::Response page(std::uint64_t After) const;
+  http::Response page(std::uint64_t After, bool Metadata) const;
   void finish(const http::Responder &Answer, http::Response R);
   bool misfits(const std::vector<int> &Accelerators) const;
   void run(Task &T);
