--- a/src/report/status.h
+++ b/src/report/status.h
@@ -79,6 +79,7 @@
   std::string m_dataCentre;
   std::string m_region;
   std::string m_rack;
+  std::string m_agentHttp; ///< Admin HTTP address of the agent.
   model::WorkerStanding m_standing = model::WorkerStanding::Healthy;
   std::string m_standingReason;
   int m_accelerators = 0;
@@ -92,6 +93,7 @@
         base::required("dataCentre", &WorkerStatus::m_dataCentre),
         base::required("region", &WorkerStatus::m_region),
         base::required("rack", &WorkerStatus::m_rack),
+        base::optional("agentHttp", &WorkerStatus::m_agentHttp),
         base::required("standing", &WorkerStatus::m_standing),
         base::optional("standingReason", &WorkerStatus::m_standingReason),
         base::required("accelerators", &WorkerStatus::m_accelerators),
