--- a/src/entry/answers.cc
+++ b/src/entry/answers.cc
@@ -52,6 +52,7 @@
     Row.m_dataCentre = W.m_worker.m_dataCentre;
     Row.m_region = W.m_worker.m_region;
     Row.m_rack = W.m_worker.m_rack;
+    Row.m_agentHttp = W.m_worker.m_agentHttp;
     Row.m_standing = W.m_standing;
     Row.m_standingReason = W.m_standingReason;
     Row.m_accelerators = W.m_worker.m_accelerators;
--- a/src/entry/core.cc
+++ b/src/entry/core.cc
@@ -239,7 +239,7 @@
 
 void Core::updateCounters() {
   m_counters.get("applied_offset") =
-      static_cast<std::int64_t>(state().m_nextOffset);
+      static_cast<std::int64_t>(m_replica.nextOffset());
   m_counters.get("config_version") =
       static_cast<std::int64_t>(state().m_configVersion);
   m_counters.get("epoch") = static_cast<std::int64_t>(state().m_epoch);
@@ -275,7 +275,7 @@
   model::Heartbeat H;
   H.m_role = m_leadership.leads() ? "leader" : "standby";
   H.m_region = m_self.m_region;
-  H.m_appliedOffset = state().m_nextOffset;
+  H.m_appliedOffset = m_replica.nextOffset();
   H.m_configVersion = state().m_configVersion;
   return H;
 }
--- a/src/entry/core_requests.cc
+++ b/src/entry/core_requests.cc
@@ -242,7 +242,7 @@
   Out.m_rulesAgeMs = m_replica.endReadAge(NowMs);
   Out.m_attachedAgents = static_cast<std::int64_t>(m_relay.attached());
   Out.m_log = {m_replica.readable(),        m_out.m_logWritable(),
-               m_replica.behindRetention(), state().m_nextOffset,
+               m_replica.behindRetention(), m_replica.nextOffset(),
                m_replica.endOffset(),       m_replica.endReadAge(NowMs),
                m_replica.peersOffset()};
   if (m_leadership.leads()) {
--- a/src/entry/replica.cc
+++ b/src/entry/replica.cc
@@ -20,6 +20,7 @@
     --m_stale;
   if (S.m_nextOffset < m_state.m_nextOffset)
     return false;
+  m_next = std::max(m_next, S.m_nextOffset);
   m_state = std::move(S);
   m_behindRetention = false;
   return true;
@@ -40,13 +41,14 @@
     m_timeAnchorMs = NowMs;
   }
   m_end = std::max(m_end, B.m_end);
-  if (m_state.m_nextOffset >= m_peersOffset)
+  m_next = std::max({m_next, m_state.m_nextOffset, B.m_next});
+  if (m_next >= m_peersOffset)
     m_behindSinceMs.reset();
   if (m_stale > 0) {
     --m_stale;
     return;
   }
-  if (m_state.m_nextOffset < B.m_end)
+  if (m_next < B.m_end)
     return;
   m_sawEnd = true;
   m_endReadMs = NowMs;
@@ -61,7 +63,7 @@
 
 void Replica::heardPeer(std::uint64_t NextOffset, Millis NowMs) {
   m_peersOffset = std::max(m_peersOffset, NextOffset);
-  if (m_state.m_nextOffset < m_peersOffset && !m_behindSinceMs)
+  if (m_next < m_peersOffset && !m_behindSinceMs)
     m_behindSinceMs = NowMs;
 }
 
--- a/src/entry/replica.h
+++ b/src/entry/replica.h
@@ -53,6 +53,9 @@
 
   bool readable() const { return m_readable; }
   bool behindRetention() const { return m_behindRetention; }
+  /// First offset that was not read. Above the state's if values that are not
+  /// valid records follow its last one.
+  std::uint64_t nextOffset() const { return m_next; }
   std::uint64_t endOffset() const { return m_end; }
   std::uint64_t peersOffset() const { return m_peersOffset; }
   Millis endReadAge(Millis NowMs) const;
@@ -66,6 +69,7 @@
   bool m_behindRetention = false;
   bool m_sawEnd = false;
   std::size_t m_stale = 0; ///< Events that may have been read before a freeze.
+  std::uint64_t m_next = 0;
   std::uint64_t m_end = 0;
   std::optional<Millis> m_endReadMs;
   std::uint64_t m_peersOffset = 0;
