--- a/src/entry/leader_records.cc
+++ b/src/entry/leader_records.cc
@@ -139,9 +139,15 @@
     if (Live.m_heardMs == 0)
       Live.m_heardMs = NowMs;
     const bool Silent = NowMs - Live.m_heardMs >= LimitMs + LostMarginMs;
+    const bool Lost = W.m_standing == WorkerStanding::Lost;
+    // Its agent may have been announced before the loss was recorded, so the
+    // announcement alone does not restore it.
+    if (Lost && Live.m_everHeard && !Silent)
+      changeStanding(Name, WorkerStanding::Healthy, "heard again", 0, NowMs,
+                     Out);
     const auto Jobs = m_byWorker.find(Name);
     const bool Holds = Jobs != m_byWorker.end() && !Jobs->second.empty();
-    if (Silent && !Holds && W.m_standing != WorkerStanding::Lost)
+    if (Silent && !Holds && !Lost)
       changeStanding(Name, WorkerStanding::Lost, "silent", 0, NowMs, Out);
   }
 }
--- a/tests/entry/leader_sim.h
+++ b/tests/entry/leader_sim.h
@@ -2,12 +2,11 @@
 
 #include "entry/leader.h"
 
-#include <deque>
+#include <algorithm>
 #include <functional>
 #include <map>
 #include <memory>
 #include <random>
-#include <set>
 
 /// A simulated fleet around the leader: a log in memory, entries that follow it
 /// at their own pace, agents that answer commands, and a network that loses,
@@ -272,7 +271,8 @@
   state::State m_state; ///< At the end of the log.
   std::vector<std::unique_ptr<Entry>> m_entries;
   std::map<std::string, Agent> m_agents;
-  std::map<std::string, std::set<int>> m_ranAttempts; ///< By job.
+  /// How often each member of a job ran, by job.
+  std::map<std::string, std::map<int, int>> m_runs;
   std::map<std::string, int> m_records; ///< Accepted ones, by kind.
   std::vector<std::string> m_violations;
   std::vector<std::string> m_commands; ///< `kind worker`, as sent.
@@ -531,7 +531,7 @@
   const bool Complete = std::cmp_equal(gangOf(T).size(), T.m_members);
   if (State == HoldState::Paused) {
     if (Complete) {
-      m_ranAttempts[T.m_hold.m_job].insert(T.m_hold.m_attempt);
+      ++m_runs[T.m_hold.m_job][T.m_hold.m_member];
       T.m_hold.m_everRan = true;
       A.become(T, HoldState::Running, m_nowMs);
     } else if (SinceMs >= StartTimeoutMs) {
