--- a/src/entry/leader_attempts.cc
+++ b/src/entry/leader_attempts.cc
@@ -11,17 +11,14 @@
 
 // A job that ends sooner is recorded as finished without a record of its start.
 constexpr Millis StartRecordDelayMs = 200;
+// A job stays away from a worker that failed it for its backoff and this long.
+constexpr Millis AvoidMs = 5000;
 
 bool isActive(HoldState S) {
   return S == HoldState::Reserved || S == HoldState::Paused ||
          S == HoldState::Running;
 }
 
-void insertAll(std::set<std::string> &Into,
-               const std::vector<std::string> &From) {
-  Into.insert(From.begin(), From.end());
-}
-
 } // namespace
 
 void Leader::Impl::addAttempt(const model::Job &J, bool TakenOver,
@@ -166,7 +163,7 @@
               " message=\"" + R.m_message + '"');
     return;
   }
-  avoidWorkers(A);
+  avoidWorkers(A, NowMs + V->m_requeue->m_backoffMs + AvoidMs);
   emit(RecordKind::JobRequeued, A.m_job, A.m_attempt, *V->m_requeue, NowMs,
        Out);
   event("jobRequeued", &J,
@@ -200,18 +197,14 @@
   return Blamed;
 }
 
-void Leader::Impl::avoidWorkers(const Attempt &A) {
-  std::set<std::string> &Avoid = m_avoid[A.m_job];
-  insertAll(Avoid, A.m_refusers);
+void Leader::Impl::avoidWorkers(const Attempt &A, Millis UntilMs) {
+  std::map<std::string, Millis> &Avoid = m_avoid[A.m_job];
+  for (const std::string &Worker : A.m_refusers)
+    Avoid[Worker] = UntilMs;
   for (const MemberTrack &M : A.m_members) {
     if (M.m_end == MemberEnd::Failed || M.m_end == MemberEnd::Gone)
-      Avoid.insert(M.m_worker);
+      Avoid[M.m_worker] = UntilMs;
   }
-  // A job that avoids every worker would wait for ever.
-  const auto Placeable = std::ranges::count_if(
-      m_live, [](const auto &Item) { return Item.second.m_everHeard; });
-  if (std::cmp_greater_equal(Avoid.size(), Placeable))
-    Avoid.clear();
 }
 
 void Leader::Impl::releaseAttempt(const state::State &S, const Attempt &A,
--- a/src/entry/leader_impl.h
+++ b/src/entry/leader_impl.h
@@ -31,7 +31,7 @@
                      Millis NowMs, Actions &Out);
   bool blameWorkers(const state::State &S, const Attempt &A, Millis NowMs,
                     Actions &Out);
-  void avoidWorkers(const Attempt &A);
+  void avoidWorkers(const Attempt &A, Millis UntilMs);
   void releaseAttempt(const state::State &S, const Attempt &A, Actions &Out);
   void releaseStrays(const state::State &S, const model::AgentReport &R,
                      LiveWorker &Live, Actions &Out);
@@ -85,8 +85,8 @@
   std::map<std::string, Reclaim> m_reclaims; ///< By job that gives up.
   std::map<std::string, PendingRecord> m_pending;
   PendingPlaces m_pendingPlaces;
-  std::map<std::uint64_t, std::string> m_waiting;       ///< By offset.
-  std::map<std::string, std::set<std::string>> m_avoid; ///< By job.
+  std::map<std::uint64_t, std::string> m_waiting; ///< By offset.
+  AvoidedWorkers m_avoid;
   sched::FailureTracker m_failures;
   sched::RunTimeEstimates m_estimates;
   sched::Plan m_lastPlan;
--- a/src/entry/view.cc
+++ b/src/entry/view.cc
@@ -118,8 +118,12 @@
   V.m_expectedRunMs = In.m_estimates.estimate(
       J.m_spec.m_class, J.m_spec.m_account, J.m_spec.m_runMs);
   const auto Avoid = In.m_avoid.find(J.m_id);
-  if (Avoid != In.m_avoid.end())
-    V.m_avoid.assign(Avoid->second.begin(), Avoid->second.end());
+  if (Avoid == In.m_avoid.end())
+    return V;
+  for (const auto &[Worker, UntilMs] : Avoid->second) {
+    if (In.m_nowMs < UntilMs)
+      V.m_avoid.push_back(Worker);
+  }
   return V;
 }
 
--- a/src/entry/view.h
+++ b/src/entry/view.h
@@ -51,6 +51,10 @@
 /// Places in records that have not been read back, by job.
 using PendingPlaces = std::map<std::string, std::vector<model::MemberPlace>>;
 
+/// Workers that a job does not return to, by job, with the monotonic time until
+/// which. It is bounded: a large gang may fit nowhere else.
+using AvoidedWorkers = std::map<std::string, std::map<std::string, Millis>>;
+
 /// Parts of the leader that the view is built from.
 struct ViewInput {
   const state::State &m_state;
@@ -62,7 +66,7 @@
   const std::map<std::string, PendingRecord> &m_pending;
   const PendingPlaces &m_pendingPlaces;
   const std::map<std::uint64_t, std::string> &m_waiting; ///< By offset.
-  const std::map<std::string, std::set<std::string>> &m_avoid;
+  const AvoidedWorkers &m_avoid;
   const sched::RunTimeEstimates &m_estimates;
   Millis m_agentTimeoutMs = 0;
   Millis m_nowMs = 0;
