--- a/src/logclient/follower.cc
+++ b/src/logclient/follower.cc
@@ -18,8 +18,8 @@
 
 // Together with the timeout of 2,000 ms this keeps the detection of a silent
 // connection under the 3 s within which a configuration must be in force.
-constexpr int PollWaitMs = 400;
-constexpr int FirstRetryMs = 100;
+constexpr int PollWaitMs = 300;
+constexpr int FirstRetryMs = 50;
 constexpr int LongestRetryMs = 1000;
 constexpr int PageValues = 256;
 // Chunks have up to 200 KB, and a page must fit into the timeout on a link of
--- a/tests/http/http_test.cc
+++ b/tests/http/http_test.cc
@@ -29,8 +29,9 @@
 constexpr int CallMs = 10000;
 constexpr int ShortMs = 100;
 
-// A server that echoes. /hold keeps the responder, /drop drops it, /throw
-// fails, /lost closes the connection, /big answers with 16 MB.
+// A server that echoes. /hold keeps the responder, /late first answers the kept
+// ones, /drop drops it, /throw fails, /lost closes the connection, /big answers
+// with 16 MB.
 class Fixture : public testing::Test {
 protected:
   void start(const ServerLimits &Limits = {}) {
@@ -49,6 +50,8 @@
       m_held.push_back(std::move(Answer));
       return;
     }
+    if (R.m_target == "/late")
+      answerHeld("late");
     if (R.m_target == "/drop")
       return;
     if (R.m_target == "/throw")
@@ -224,9 +227,8 @@
   const auto Outcome = C->call(get("/hold"), CallMs);
   EXPECT_EQ(kindOf(std::get<Response>(Outcome).m_body), "timeout");
   // A late answer must not be taken for that of the next request.
-  answerHeld("late");
-  const auto Next = C->call(get("/next"), CallMs);
-  EXPECT_EQ(std::get<Response>(Next).m_body, "GET /next ");
+  const auto Next = C->call(get("/late"), CallMs);
+  EXPECT_EQ(std::get<Response>(Next).m_body, "GET /late ");
 }
 
 TEST_F(HttpServer, ResponderOutlivesConnectionAndServer) {
--- a/tests/standin/log.cc
+++ b/tests/standin/log.cc
@@ -69,6 +69,11 @@
   return m_appends;
 }
 
+std::uint64_t LogStandin::connections() const {
+  const std::lock_guard Lock(m_mutex);
+  return m_lastConnection;
+}
+
 void LogStandin::handle(const http::Request &R, http::Responder Answer) {
   const std::string Path = http::pathOf(R.m_target);
   if (Path == "/faults")
--- a/tests/standin/log.h
+++ b/tests/standin/log.h
@@ -54,6 +54,8 @@
   int requests() const;
   /// Appends received so far, whatever became of them.
   int appends() const;
+  /// Number of the newest connection that sent a request.
+  std::uint64_t connections() const;
 
 private:
   struct Entry {
