--- a/src/agent/worker_client.cc
+++ b/src/agent/worker_client.cc
@@ -229,10 +229,10 @@
   const auto *Response = std::get_if<http::Response>(&Outcome);
   if (Response == nullptr || Response->m_status != 200)
     return false;
-  auto Members = base::parse<std::vector<model::Member>>(Response->m_body);
-  if (!Members || Members->empty())
+  auto Page = base::parse<model::MemberPage>(Response->m_body);
+  if (!Page || Page->m_members.empty())
     return false;
-  return m_out.push(EntriesFound{std::move(*Members)});
+  return m_out.push(EntriesFound{std::move(Page->m_members)});
 }
 
 } // namespace pomelokeel::agent
--- a/src/model/worker.h
+++ b/src/model/worker.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace pomelokeel::model {
 
@@ -66,6 +67,22 @@
   }
 };
 
+/// Answer of `GET /v1/members`.
+struct MemberPage {
+  std::vector<Member> m_members;
+  std::string m_leader;
+  std::uint64_t m_epoch = 0;
+  std::uint64_t m_configVersion = 0;
+
+  static constexpr auto fields() {
+    return std::tuple{
+        base::required("members", &MemberPage::m_members),
+        base::required("leader", &MemberPage::m_leader),
+        base::required("epoch", &MemberPage::m_epoch),
+        base::required("configVersion", &MemberPage::m_configVersion)};
+  }
+};
+
 } // namespace pomelokeel::model
 
 namespace pomelokeel::base {
--- a/src/report/status.h
+++ b/src/report/status.h
@@ -277,21 +277,7 @@
   }
 };
 
-/// Answer of `GET /v1/members`.
-struct MemberPage {
-  std::vector<model::Member> m_members;
-  std::string m_leader;
-  std::uint64_t m_epoch = 0;
-  std::uint64_t m_configVersion = 0;
-
-  static constexpr auto fields() {
-    return std::tuple{
-        base::required("members", &MemberPage::m_members),
-        base::required("leader", &MemberPage::m_leader),
-        base::required("epoch", &MemberPage::m_epoch),
-        base::required("configVersion", &MemberPage::m_configVersion)};
-  }
-};
+using model::MemberPage;
 
 /// Answer of `GET /v1/config` (versions in force) and
 /// `GET /v1/config/{kind}/{name}` (history, oldest first).
