--- a/src/entry/core.cc
+++ b/src/entry/core.cc
@@ -96,6 +96,11 @@
   case RecordKind::EntryLeft:
     m_membersChanged = true;
     break;
+  case RecordKind::WorkerAnnounced:
+    // The leader passes over reports of a worker that is not in the state.
+    if (const auto &Name = R.m_body["name"]; Name.is_string())
+      m_relay.expectReport(Name);
+    break;
   case RecordKind::ConfigPublished:
     onAppliedConfig(Entry, A);
     break;
--- a/src/entry/core_messages.cc
+++ b/src/entry/core_messages.cc
@@ -57,6 +57,7 @@
   if (!Beat || Beat->m_role == "agent" || M.m_from == m_self.m_name)
     return;
   m_replica.heardPeer(Beat->m_appliedOffset, NowMs);
+  m_leadership.heardMember(M.m_from, NowMs);
   if (M.m_from != state().m_leader || Beat->m_role != "leader")
     return;
   m_leadership.heardLeader(state(), NowMs);
--- a/src/entry/leadership.cc
+++ b/src/entry/leadership.cc
@@ -2,8 +2,6 @@
 
 #include "base/id.h"
 
-#include <fmt/format.h>
-
 #include <algorithm>
 #include <utility>
 
@@ -44,7 +42,6 @@
                        base::EventLog &Events)
     : m_settings(Settings), m_incarnation(Incarnation), m_records(Records),
       m_out(Out), m_send(std::move(Send)), m_counters(Counters),
-      m_events(Events),
       m_election(Settings.m_name, Incarnation, Settings.m_leaderTimeoutMs),
       m_leader(leaderTiming(Settings), Counters, Events) {}
 
@@ -137,7 +134,6 @@
   m_snapshotMs = Input.m_nowMs;
   m_renewing = false;
   m_leader.start(S, Input.m_nowMs);
-  m_events.record("leaderStarted", {}, fmt::format("epoch={}", S.m_epoch));
   return true;
 }
 
--- a/src/entry/leadership.h
+++ b/src/entry/leadership.h
@@ -51,8 +51,12 @@
   /// The leader of the current epoch sent a heartbeat.
   void heardLeader(const state::State &S, Millis NowMs);
 
-  /// A record was applied to \p S. \p Reports are those of attached agents, for
-  /// a leader that starts.
+  /// The entry \p Name sent a heartbeat.
+  void heardMember(const std::string &Name, Millis NowMs) {
+    m_election.heardMember(Name, NowMs);
+  }
+
+  /// A record was applied to \p S.
   void onApplied(const state::State &S, const model::LogEntry &Entry,
                  const state::Applied &Applied, Millis NowMs);
 
@@ -95,7 +99,6 @@
   const Ports &m_out;
   SendCommand m_send;
   base::Counters &m_counters;
-  base::EventLog &m_events;
   Election m_election;
   Leader m_leader;
   std::uint64_t m_ledEpoch = 0; ///< 0 while this process does not lead.
