--- a/src/entry/core.cc
+++ b/src/entry/core.cc
@@ -98,8 +98,8 @@
     break;
   case RecordKind::WorkerAnnounced:
     // The leader passes over reports of a worker that is not in the state.
-    if (const auto &Name = R.m_body["name"]; Name.is_string())
-      m_relay.expectReport(Name);
+    if (A.m_accepted)
+      m_relay.expectReport(R.m_body.value("name", ""));
     break;
   case RecordKind::ConfigPublished:
     onAppliedConfig(Entry, A);
