--- a/tests/entry/leader_sim.h
+++ b/tests/entry/leader_sim.h
@@ -34,11 +34,15 @@
 struct Entry {
   Entry(const std::string &Name, base::HybridClock &Clock)
       : m_name(Name), m_events(Name, 64, Clock),
-        m_leader({1500, GangLeaseMs, 200}, m_counters, m_events) {}
+        m_leader({1500, GangLeaseMs, 200}, m_counters, m_events,
+                 [this](const sched::Snapshot &S) { return m_plan(S); }) {}
 
   std::string m_name;
   base::Counters m_counters;
   base::EventLog m_events;
+  entry::Leader::Planner m_plan = [](const sched::Snapshot &S) {
+    return sched::plan(S);
+  };
   entry::Leader m_leader;
   state::State m_state;
   std::size_t m_position = 0;
--- a/tests/entry/leader_test.cc
+++ b/tests/entry/leader_test.cc
@@ -32,6 +32,220 @@
   EXPECT_EQ(F.m_violations, std::vector<std::string>{});
 }
 
+// Guards jobs against a worker that refuses: it is not a failure of the job,
+// and the next attempt goes elsewhere.
+TEST(Leader, RefusedReservationIsPlacedElsewhere) {
+  sim::Fleet F(2, 1, {});
+  F.m_agents["w1"].m_refuses = true;
+  for (int I = 0; I < 4; ++I)
+    F.submit("j" + std::to_string(I), "pay");
+  ASSERT_TRUE(F.runUntil([&] { return F.allFinished(); }, 10000));
+  for (const auto &[Id, J] : F.m_state.m_jobs) {
+    EXPECT_EQ(F.outcome(Id), Outcome::Completed);
+    EXPECT_EQ(J.m_failures, 0);
+    EXPECT_FALSE(J.m_mayHaveRun);
+  }
+}
+
+// Guards G5 and G4: a payment on a dead worker is neither retried nor reported
+// as not run.
+TEST(Leader, LostWorkerMakesAPaymentUnknown) {
+  sim::Fleet F(1, 1, {});
+  F.submit("j1", "pay", 1, 1, 5000);
+  ASSERT_TRUE(F.runUntil([&] { return F.m_runs.contains("j1"); }, 2000));
+  F.m_agents["w1"].restart(true, 3600000, F.m_nowMs);
+  F.runFor(sim::OrphanLimitMs);
+  EXPECT_FALSE(F.finished("j1"));
+  ASSERT_TRUE(F.runUntil([&] { return F.finished("j1"); }, 8000));
+  EXPECT_EQ(F.outcome("j1"), Outcome::Unknown);
+  EXPECT_EQ(F.job("j1").m_result->m_reason, base::ErrorKind::WorkerLost);
+  // Without holds the worker is marked as lost, until it is heard again.
+  const auto Standing = [&] { return F.m_state.m_workers["w1"].m_standing; };
+  EXPECT_TRUE(F.runUntil(
+      [&] { return Standing() == model::WorkerStanding::Lost; }, 60000));
+  F.m_agents["w1"].m_downUntilMs = 0;
+  F.submit("j2", "pay");
+  EXPECT_TRUE(F.runUntil([&] { return F.finished("j2"); }, 5000));
+}
+
+// Guards running work against a change of leader.
+TEST(Leader, NextLeaderContinuesARunningAttempt) {
+  sim::Fleet F(2, 1, {});
+  F.submit("j1", "pay", 2, 8, 3000);
+  ASSERT_TRUE(F.runUntil([&] { return F.m_runs.contains("j1"); }, 2000));
+  F.claim(1);
+  ASSERT_TRUE(F.runUntil([&] { return F.finished("j1"); }, 6000));
+  EXPECT_EQ(F.outcome("j1"), Outcome::Completed);
+  EXPECT_EQ(F.job("j1").m_attempt, 1);
+}
+
+TEST(Leader, CancellationTellsWhetherTheJobRan) {
+  sim::Fleet F(1, 1, {});
+  F.submit("j1", "batch", 1, 8, 5000);
+  ASSERT_TRUE(F.runUntil([&] { return F.m_runs.contains("j1"); }, 2000));
+  F.submit("j2", "batch", 1, 8);
+  F.m_agents["w1"].m_refuses = true;
+  F.cancel("j1");
+  ASSERT_TRUE(F.runUntil([&] { return F.finished("j1"); }, 2000));
+  EXPECT_EQ(F.outcome("j1"), Outcome::Cancelled);
+  ASSERT_TRUE(F.runUntil([&] { return F.job("j2").m_attempt > 0; }, 2000));
+  F.cancel("j2");
+  ASSERT_TRUE(F.runUntil([&] { return F.finished("j2"); }, 2000));
+  EXPECT_EQ(F.outcome("j2"), Outcome::NotRun);
+}
+
+// Guards urgent work against a wave of cancellations of placed and waiting
+// jobs.
+TEST(Leader, CancellationsDoNotDelayPlacement) {
+  sim::Fleet F(4, 1, {});
+  for (int I = 0; I < 300; ++I)
+    F.submit("c" + std::to_string(I), "batch", 1, 1, 60000);
+  F.runFor(1000);
+  for (int I = 0; I < 300; ++I)
+    F.cancel("c" + std::to_string(I));
+  F.submit("j1", "batch");
+  EXPECT_TRUE(F.runUntil([&] { return F.m_runs.contains("j1"); }, 1500));
+  EXPECT_TRUE(F.runUntil([&] { return F.allFinished(); }, 5000));
+}
+
+// Guards G6: no new work for a worker that is draining or silent.
+TEST(Leader, DrainingAndSilentWorkersGetNoWork) {
+  sim::Fleet F(3, 1, {});
+  F.append(
+      sim::RecordKind::ConfigPublished,
+      model::ConfigRecord{
+          model::ConfigKind::Drain, "w1", 1, 0, 2, "op", {{"draining", true}}});
+  F.m_agents["w2"].m_cutUntilMs = F.m_nowMs + 60000;
+  F.runFor(2000);
+  for (int I = 0; I < 6; ++I)
+    F.submit("j" + std::to_string(I), "batch");
+  ASSERT_TRUE(F.runUntil([&] { return F.allFinished(); }, 10000));
+  EXPECT_FALSE(sent(F, "reserve w1") || sent(F, "reserve w2"));
+}
+
+// Guards jobs against a worker that fails every task it is given.
+TEST(Leader, FailingWorkerIsQuarantinedAndJobsComplete) {
+  sim::Fleet F(2, 1, {});
+  F.m_agents["w1"].m_failTask = [] { return true; };
+  for (int I = 0; I < 10; ++I)
+    F.submit("j" + std::to_string(I), "batch", 1, 4, 300);
+  ASSERT_TRUE(F.runUntil([&] { return F.allFinished(); }, 20000));
+  EXPECT_EQ(F.m_state.m_workers["w1"].m_standing,
+            model::WorkerStanding::Quarantined);
+  for (const auto &[Id, J] : F.m_state.m_jobs)
+    EXPECT_EQ(F.outcome(Id), Outcome::Completed) << Id;
+}
+
+TEST(Leader, FailingJobUsesUpItsAttempts) {
+  sim::Fleet F(2, 1, {});
+  for (auto &[Name, A] : F.m_agents)
+    A.m_failTask = [] { return true; };
+  F.submit("j1", "batch");
+  ASSERT_TRUE(F.runUntil([&] { return F.finished("j1"); }, 20000));
+  EXPECT_EQ(F.outcome("j1"), Outcome::Failed);
+  EXPECT_EQ(F.job("j1").m_attempt, 3);
+  EXPECT_EQ(F.job("j1").m_result->m_reason, base::ErrorKind::AttemptsExhausted);
+  EXPECT_NE(F.job("j1").m_result->m_message.find("exit 1"), std::string::npos);
+}
+
+TEST(Leader, MissedDeadlineIsReportedAsNotRun) {
+  sim::Fleet F(1, 1, {});
+  F.submit("j1", "batch", 1, 8, 5000);
+  F.runFor(500);
+  F.submit("j2", "batch", 1, 8, 500, 1000);
+  ASSERT_TRUE(F.runUntil([&] { return F.finished("j2"); }, 2000));
+  EXPECT_EQ(F.outcome("j2"), Outcome::NotRun);
+  EXPECT_EQ(F.job("j2").m_result->m_reason, base::ErrorKind::DeadlinePassed);
+}
+
+// Guards section 4.7: without the log nothing is placed, running work goes on
+// and its result is recorded afterwards.
+TEST(Leader, LogOutageStopsPlacementAndKeepsResults) {
+  sim::Fleet F(1, 1, {});
+  F.submit("j1", "batch", 1, 1, 1000);
+  F.runFor(500);
+  F.submit("j2", "batch");
+  F.stopLog(5000);
+  F.runFor(4900);
+  EXPECT_EQ(F.m_records["jobPlaced"], 1);
+  ASSERT_TRUE(F.runUntil([&] { return F.allFinished(); }, 3000));
+  EXPECT_EQ(F.outcome("j1"), Outcome::Completed);
+  EXPECT_EQ(F.m_runs["j1"][0], 1);
+}
+
+namespace {
+
+// A job j1 that fills the worker, and a planner that takes it back for j2.
+struct ReclaimFleet : sim::Fleet {
+  explicit ReclaimFleet(const std::string &Class);
+};
+
+ReclaimFleet::ReclaimFleet(const std::string &Class) : Fleet(1, 1, {}) {
+  m_entries[0]->m_plan = [](sched::Snapshot S) {
+    const bool Waits = std::ranges::any_of(
+        S.m_waiting, [](const auto &J) { return J.m_id == "j2"; });
+    if (Waits)
+      std::erase_if(S.m_waiting, [](const auto &J) { return J.m_id == "j1"; });
+    sched::Plan P = sched::plan(S);
+    if (Waits)
+      P.m_reclaim.push_back({"j1", "j2", "test"});
+    return P;
+  };
+  submit("j1", Class, 1, 8, 4000);
+  runUntil([&] { return m_runs.contains("j1"); }, 2000);
+}
+
+} // namespace
+
+// Guards G1: resources are taken back by checkpoint, throttle and stop, and the
+// preempted job resumes later without a counted failure.
+TEST(Leader, ReclaimStopsInStepsAndRequeues) {
+  ReclaimFleet F("batch");
+  F.submit("j2", "batch", 1, 8);
+  ASSERT_TRUE(F.runUntil([&] { return F.m_runs.contains("j2"); }, 2000));
+  EXPECT_EQ(F.job("j1").m_preemptions, 1);
+  EXPECT_EQ(F.job("j1").m_failures, 0);
+  EXPECT_TRUE(F.job("j1").m_checkpoint.is_array());
+  const auto At = [&](const char *Command) {
+    return std::ranges::find(F.m_commands, Command) - F.m_commands.begin();
+  };
+  EXPECT_LT(At("checkpoint w1"), At("throttle w1"));
+  EXPECT_LT(At("throttle w1"), At("stop w1"));
+  ASSERT_TRUE(F.runUntil([&] { return F.allFinished(); }, 20000));
+  EXPECT_EQ(F.outcome("j1"), Outcome::Completed);
+}
+
+// Guards G1 against a worker that does not answer: each step ends at its
+// deadline and the stop goes on.
+TEST(Leader, ReclaimPassesDeadlinesOfASilentWorker) {
+  ReclaimFleet F("batch");
+  F.m_agents["w1"].m_cutUntilMs = F.m_nowMs + 60000;
+  F.submit("j2", "batch", 1, 8);
+  ASSERT_TRUE(F.runUntil([&] { return sent(F, "checkpoint w1"); }, 1000));
+  ASSERT_TRUE(F.runUntil([&] { return sent(F, "throttle w1"); }, 2500));
+  EXPECT_TRUE(F.runUntil([&] { return sent(F, "stop w1"); }, 1500));
+}
+
+TEST(Leader, ReclaimIsAbandonedWhenItsJobHasGone) {
+  ReclaimFleet F("batch");
+  F.m_agents["w1"].m_cutUntilMs = F.m_nowMs + 1500;
+  F.submit("j2", "batch", 1, 8);
+  F.runFor(500);
+  F.cancel("j2");
+  ASSERT_TRUE(F.runUntil([&] { return F.allFinished(); }, 8000));
+  EXPECT_EQ(F.outcome("j1"), Outcome::Completed);
+  EXPECT_FALSE(sent(F, "throttle w1"));
+}
+
+// Guards G5: a payment that may have started is never taken back.
+TEST(Leader, ReclaimSparesNonIdempotentJobs) {
+  ReclaimFleet F("pay");
+  F.submit("j2", "pay", 1, 8);
+  ASSERT_TRUE(F.runUntil([&] { return F.allFinished(); }, 10000));
+  EXPECT_EQ(F.outcome("j1"), Outcome::Completed);
+  EXPECT_FALSE(sent(F, "checkpoint w1") || sent(F, "stop w1"));
+}
+
 namespace {
 
 sim::Faults allFaults() {
@@ -54,8 +268,10 @@
   const bool Once = Random() % 2 == 0;
   const int Members = 1 + static_cast<int>(Random() % 3);
   const int Accelerators = 1 << (Random() % 4);
+  // Long jobs outlive the orphan limit.
+  const unsigned LongestMs = Random() % 4 == 0 ? 15000 : 3000;
   F.submit(Id, Once ? "pay" : "batch", Members, Accelerators,
-           100 + static_cast<base::Millis>(Random() % 3000),
+           100 + static_cast<base::Millis>(Random() % LongestMs),
            Random() % 4 == 0 ? 3000 : 0);
 }
 
