Test the pure parts of the agent

A simulation with loss, repetition, delay and freezes checks that gangs are all or nothing, that a task reported as not run never runs, and that stale commands start nothing.

--- a/src/agent/core.cc
+++ b/src/agent/core.cc
@@ -165,7 +165,7 @@
 
 // A gang stops after a lease of silence. When half of it has passed, the link
 // is dialled anew in case its connection has gone silent.
-void Core::sendNote(GangMessage Note, Millis Now) {
+void Core::sendNote(const GangMessage &Note, Millis Now) {
   if (Note.m_address.empty())
     return;
   const Millis Silence = m_ports.m_mesh.silence(Note.m_address);
@@ -196,8 +196,8 @@
     else
       m_table.onAnswer(Refused, Now);
   }
-  for (GangMessage &Note : E.m_notes)
-    sendNote(std::move(Note), Now);
+  for (const GangMessage &Note : E.m_notes)
+    sendNote(Note, Now);
   for (const TaskEvent &Event : E.m_events)
     m_ports.m_events.record(Event.m_name, {Event.m_job, "", m_settings.m_name},
                             Event.m_detail);
--- a/src/agent/core.h
+++ b/src/agent/core.h
@@ -82,7 +82,7 @@
   void attach(Millis Now);
   void report(model::MessageKind Kind, Millis Now);
   bool carryOut(Millis Now);
-  void sendNote(GangMessage Note, Millis Now);
+  void sendNote(const GangMessage &Note, Millis Now);
   void advanceStop(Millis Now);
   void publish();
 
--- a/src/agent/process.cc
+++ b/src/agent/process.cc
@@ -90,7 +90,9 @@
   Limits.m_maxBodyBytes = MaxAdminBodyBytes;
   auto Server = http::Server::start(
       m_settings.m_httpListen, Limits,
-      [this](http::Request R, http::Responder Answer) { answer(R, Answer); });
+      [this](const http::Request &R, const http::Responder &Answer) {
+        answer(R, Answer);
+      });
   if (!Server)
     return Server.error();
   m_server = std::move(*Server);
--- a/src/agent/tasks_timers.cc
+++ b/src/agent/tasks_timers.cc
@@ -19,6 +19,7 @@
 
 std::vector<int> acceleratorsOf(const model::MemberPlace &Place) {
   std::vector<int> Out;
+  Out.reserve(static_cast<std::size_t>(std::max(Place.m_accelerators, 0)));
   for (int I = 0; I < Place.m_accelerators; ++I)
     Out.push_back(Place.m_firstAccelerator + I);
   return Out;
--- a/tests/agent/agent_test.cc
+++ b/tests/agent/agent_test.cc
@@ -246,20 +246,24 @@
   EXPECT_TRUE(m_agent->status().m_draining);
 }
 
-TEST(AgentRun, ExitsWithZeroOnSigterm) {
+TEST(AgentRun, ExitsWithZeroOnSignals) {
   standin::WorkerStandin Worker;
   FakeEntry Entry("e1");
   // Blocked here too, so that the signal goes to the thread of run().
   sigset_t Signals;
   sigemptyset(&Signals);
   sigaddset(&Signals, SIGTERM);
+  sigaddset(&Signals, SIGINT);
   pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
-  int Code = -1;
-  std::thread Agent([&] { Code = run(settingsFor("w1", Worker, Entry)); });
-  ASSERT_TRUE(eventually([&] { return Entry.report("w1").has_value(); }));
-  pthread_kill(Agent.native_handle(), SIGTERM);
-  Agent.join();
-  EXPECT_EQ(Code, 0);
+  for (const int Signal : {SIGTERM, SIGINT}) {
+    const std::string Name = "w" + std::to_string(Signal);
+    int Code = -1;
+    std::thread Agent([&] { Code = run(settingsFor(Name, Worker, Entry)); });
+    EXPECT_TRUE(eventually([&] { return Entry.report(Name).has_value(); }));
+    pthread_kill(Agent.native_handle(), Signal);
+    Agent.join();
+    EXPECT_EQ(Code, 0);
+  }
 }
 
 namespace {
--- a/tests/agent/fake_entry.h
+++ b/tests/agent/fake_entry.h
@@ -32,7 +32,8 @@
     m_mesh = std::move(*Mesh);
     m_self = {Name, "i", m_mesh->address(), "", "dc1", "pacifico"};
     auto Server = http::Server::start(
-        "127.0.0.1:0", {}, [this](http::Request, http::Responder Answer) {
+        "127.0.0.1:0", {},
+        [this](const http::Request &, const http::Responder &Answer) {
           http::Response R;
           R.m_body = base::encode(std::vector{m_self}).dump();
           Answer(R);
--- /dev/null
+++ b/tests/agent/gang_test.cc
@@ -0,0 +1,98 @@
+#include "agent/gang.h"
+
+#include <gtest/gtest.h>
+
+using namespace pomelokeel;
+using namespace pomelokeel::agent;
+using model::MessageKind;
+
+namespace {
+
+constexpr GangTiming Timing{3000, 500};
+constexpr Millis StartBy = 10000;
+
+model::GangNote ready() {
+  model::GangNote N;
+  N.m_ready = true;
+  return N;
+}
+
+model::GangNote release() {
+  model::GangNote N;
+  N.m_release = true;
+  return N;
+}
+
+} // namespace
+
+TEST(GangHead, ReleasesWhenAllAreReady) {
+  GangHead H(3, Timing, StartBy, false, 0);
+  EXPECT_FALSE(H.advance(OwnTask::Ready, 0).m_release);
+  H.onReply(1, 1, ready(), 10);
+  EXPECT_FALSE(H.advance(OwnTask::Ready, 10).m_release);
+  H.onReply(2, 1, ready(), 20);
+  EXPECT_FALSE(H.advance(OwnTask::Starting, 20).m_release);
+  const GangStep Step = H.advance(OwnTask::Ready, 30);
+  EXPECT_TRUE(Step.m_release);
+  ASSERT_EQ(Step.m_sends.size(), 2u);
+  EXPECT_TRUE(Step.m_sends[0].m_note.m_release);
+}
+
+// Guards against a head that takes replies from before it was frozen as a sign
+// of life.
+TEST(GangHead, ReplyProvesLifeOnlyAtItsBeat) {
+  GangHead H(2, Timing, StartBy, false, 0);
+  H.advance(OwnTask::Ready, 0);
+  H.onReply(1, 1, ready(), 2900);
+  EXPECT_EQ(H.leaseEnd(), 3000);
+  EXPECT_TRUE(H.advance(OwnTask::Ready, 3000).m_stop);
+}
+
+TEST(GangHead, StopsAllWhenOneStopsOrIsSilentOrLate) {
+  GangHead Stopped(3, Timing, StartBy, true, 0);
+  model::GangNote N;
+  N.m_stopped = true;
+  Stopped.onReply(1, 0, N, 10);
+  const GangStep Step = Stopped.advance(OwnTask::Running, 10);
+  EXPECT_TRUE(Step.m_stop);
+  ASSERT_EQ(Step.m_sends.size(), 1u);
+  EXPECT_EQ(Step.m_sends[0].m_kind, MessageKind::GangStop);
+  EXPECT_EQ(Step.m_sends[0].m_to, 2);
+
+  GangHead Silent(2, Timing, StartBy, true, 0);
+  EXPECT_FALSE(Silent.advance(OwnTask::Running, 2999).m_stop);
+  EXPECT_TRUE(Silent.advance(OwnTask::Running, 3000).m_stop);
+
+  GangHead Late(2, Timing, StartBy, false, 0);
+  EXPECT_FALSE(Late.advance(OwnTask::Ready, StartBy - 1).m_stop);
+  EXPECT_TRUE(Late.advance(OwnTask::Ready, StartBy).m_stop);
+}
+
+TEST(GangHead, MemberThatSucceededMayBeSilent) {
+  GangHead H(2, Timing, StartBy, true, 0);
+  model::GangNote N;
+  N.m_done = true;
+  H.onReply(1, 0, N, 10);
+  EXPECT_FALSE(H.advance(OwnTask::Running, 60000).m_stop);
+}
+
+// Guards against a member that was frozen and takes an old beat from its
+// buffer as a new one.
+TEST(GangMember, BeatAfterTheLeaseDoesNotRenewIt) {
+  GangMember M(1, Timing, StartBy, false, 0);
+  M.onBeat(1, release(), 100);
+  EXPECT_TRUE(M.advance(OwnTask::Ready, 100).m_release);
+  EXPECT_EQ(M.leaseEnd(), 3100);
+  M.onBeat(2, release(), 3100);
+  const GangStep Step = M.advance(OwnTask::Ready, 3100);
+  EXPECT_FALSE(Step.m_release);
+  EXPECT_TRUE(Step.m_stop);
+  ASSERT_EQ(Step.m_sends.size(), 1u);
+  EXPECT_TRUE(Step.m_sends[0].m_note.m_stopped);
+}
+
+TEST(GangMember, WaitsForTheHeadOnlyForTheStartTimeout) {
+  GangMember M(1, Timing, StartBy, false, 0);
+  EXPECT_FALSE(M.advance(OwnTask::Ready, StartBy - 1).m_stop);
+  EXPECT_TRUE(M.advance(OwnTask::Ready, StartBy).m_stop);
+}
--- /dev/null
+++ b/tests/agent/tasks_test.cc
@@ -0,0 +1,294 @@
+#include "agent/tasks.h"
+
+#include "agent/simulation.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace pomelokeel;
+using namespace pomelokeel::agent;
+using base::ErrorKind;
+using model::Command;
+using model::CommandKind;
+using model::HoldState;
+using model::TaskState;
+
+namespace {
+
+constexpr Millis Lease = 3000; ///< Gang and task lease of TaskLimits.
+
+Command command(CommandKind Kind, int Members = 1, int Member = 0) {
+  Command C;
+  C.m_kind = Kind;
+  C.m_job = "j";
+  C.m_attempt = 1;
+  C.m_member = Member;
+  C.m_fence = 10;
+  for (int I = 0; I < Members; ++I) {
+    C.m_places.push_back({Simulation::nameOf(I), 0, 2});
+    C.m_peers.push_back(std::to_string(I));
+  }
+  C.m_spec.m_payload = {{"runMs", 100000}};
+  C.m_orphanLimitMs = 60000;
+  C.m_startTimeoutMs = 10000;
+  return C;
+}
+
+// One agent with a worker and without faults.
+struct Single {
+  std::optional<ErrorKind> send(const Command &C, std::uint64_t Epoch = 5) {
+    return table().command(C, Epoch, m_sim.now()).m_error;
+  }
+  TaskTable &table() { return *m_sim.node(0).m_table; }
+  void run(Millis Period) {
+    for (const Millis End = m_sim.now() + Period; m_sim.now() < End;)
+      m_sim.step();
+  }
+  model::Hold hold() { return table().holds().at(0); }
+  void start() {
+    ASSERT_EQ(send(command(CommandKind::Reserve)), std::nullopt);
+    ASSERT_EQ(send(command(CommandKind::Start)), std::nullopt);
+    run(500);
+    ASSERT_EQ(hold().m_state, HoldState::Running);
+  }
+  Simulation m_sim{1, {}, 1};
+};
+
+} // namespace
+
+TEST(TaskTable, CommandsMayBeRepeated) {
+  Single S;
+  for (const CommandKind Kind :
+       {CommandKind::Reserve, CommandKind::Start, CommandKind::Checkpoint,
+        CommandKind::Stop, CommandKind::Release}) {
+    EXPECT_EQ(S.send(command(Kind)), std::nullopt);
+    S.run(300);
+    EXPECT_EQ(S.send(command(Kind)), std::nullopt);
+    S.run(300);
+  }
+  EXPECT_TRUE(S.table().holds().empty());
+  EXPECT_EQ(S.m_sim.node(0).m_worker.task("j.1.0"), nullptr);
+  EXPECT_EQ(S.send(command(CommandKind::Reserve)), ErrorKind::StaleFence);
+}
+
+TEST(TaskTable, RefusesStaleEpochFenceAndIncarnation) {
+  Single S;
+  EXPECT_EQ(S.send(command(CommandKind::Reserve)), std::nullopt);
+  EXPECT_EQ(S.send(command(CommandKind::Start), 4), ErrorKind::StaleEpoch);
+  Command C = command(CommandKind::Reserve);
+  C.m_attempt = 2;
+  C.m_fence = 9;
+  EXPECT_EQ(S.send(C), ErrorKind::StaleFence);
+  C.m_fence = 11;
+  C.m_incarnation = "another";
+  EXPECT_EQ(S.send(C), ErrorKind::StaleFence);
+  C.m_incarnation = "i";
+  C.m_places[0].m_firstAccelerator = 2;
+  EXPECT_EQ(S.send(C), std::nullopt);
+  EXPECT_EQ(S.send(command(CommandKind::Start)), ErrorKind::StaleFence);
+}
+
+TEST(TaskTable, ReservationsExpireAndDoNotOverlap) {
+  Single S;
+  EXPECT_EQ(S.send(command(CommandKind::Reserve)), std::nullopt);
+  Command Other = command(CommandKind::Reserve);
+  Other.m_job = "k";
+  Other.m_places[0].m_firstAccelerator = 1;
+  EXPECT_EQ(S.send(Other), ErrorKind::Overloaded);
+  Other.m_places[0].m_firstAccelerator = 7;
+  EXPECT_EQ(S.send(Other), ErrorKind::OutOfRange);
+  S.run(3100);
+  EXPECT_EQ(S.send(command(CommandKind::Start)), ErrorKind::ReservationExpired);
+  Other.m_places[0].m_firstAccelerator = 1;
+  EXPECT_EQ(S.send(Other), std::nullopt);
+}
+
+// Guards G4: a stop that overtakes the start must win.
+TEST(TaskTable, StopBeforeReserveBlocksTheAttempt) {
+  Single S;
+  EXPECT_EQ(S.send(command(CommandKind::Stop)), std::nullopt);
+  EXPECT_EQ(S.hold().m_state, HoldState::Stopped);
+  EXPECT_FALSE(S.hold().m_everRan);
+  EXPECT_TRUE(S.send(command(CommandKind::Reserve)).has_value());
+  EXPECT_TRUE(S.send(command(CommandKind::Start)).has_value());
+  S.run(500);
+  EXPECT_EQ(S.m_sim.node(0).m_worker.task("j.1.0"), nullptr);
+}
+
+// Guards against a task that runs on at its worker while its agent is frozen,
+// and against one that is renewed after that.
+TEST(TaskTable, FrozenAgentLosesItsTask) {
+  Single S;
+  S.start();
+  S.m_sim.node(0).m_frozenUntil = S.m_sim.now() + 3 * Lease;
+  S.run(Lease + 100);
+  EXPECT_EQ(S.m_sim.node(0).m_worker.task("j.1.0")->m_info.m_state,
+            TaskState::Lapsed);
+  S.run(3 * Lease);
+  EXPECT_EQ(S.hold().m_state, HoldState::Stopped);
+  EXPECT_TRUE(S.hold().m_everRan);
+}
+
+// Guards G4: the previous agent may have reported the task as not run.
+TEST(TaskTable, AdoptsRunningTasksAndStopsPausedOnes) {
+  Single S;
+  S.start();
+  model::TaskPage Page = S.m_sim.node(0).m_worker.page();
+  model::TaskInfo Paused = Page.m_tasks[0];
+  Paused.m_task = "p.1.0";
+  Paused.m_state = TaskState::Paused;
+  Paused.m_everRan = false;
+  Paused.m_metadata["job"] = "p";
+  Page.m_tasks.push_back(Paused);
+  TaskLimits L;
+  L.m_worker = "w0";
+  TaskTable Next(L, 0);
+  EXPECT_EQ(Next.command(command(CommandKind::Stop), 5, 0).m_error,
+            ErrorKind::NotReady);
+  Next.onList(Page, 0, 0);
+  const Effects E = Next.advance(0);
+  const auto Calls = [&](CallKind Kind, const std::string &Task) {
+    return std::count_if(E.m_calls.begin(), E.m_calls.end(),
+                         [&](const WorkerCall &C) {
+                           return C.m_kind == Kind && C.m_task == Task;
+                         });
+  };
+  EXPECT_EQ(Calls(CallKind::Renew, "j.1.0"), 1);
+  EXPECT_EQ(Calls(CallKind::Stop, "p.1.0"), 1);
+  EXPECT_EQ(Calls(CallKind::Release, "p.1.0"), 0);
+  EXPECT_EQ(Next.holds().size(), 2u);
+  EXPECT_FALSE(isEnded(Next.holds()[1]));
+}
+
+// Guards against a bounded memory of fences that lets an old one through.
+TEST(TaskTable, ForgottenFencesStayRefused) {
+  TaskLimits L;
+  L.m_worker = "w0";
+  L.m_accelerators = 8;
+  L.m_maxFences = 2;
+  TaskTable T(L, 0);
+  T.onList({}, 0, 0);
+  for (std::uint64_t Fence = 10; Fence < 14; ++Fence) {
+    Command C = command(CommandKind::Stop);
+    C.m_job = "j" + std::to_string(Fence);
+    C.m_fence = Fence;
+    EXPECT_TRUE(T.command(C, 5, 0).m_accepted);
+    C.m_kind = CommandKind::Release;
+    EXPECT_TRUE(T.command(C, 5, 0).m_accepted);
+  }
+  Command Late = command(CommandKind::Reserve);
+  Late.m_job = "j10";
+  EXPECT_EQ(T.command(Late, 5, 0).m_error, ErrorKind::StaleFence);
+}
+
+namespace {
+
+// Watches the tasks of one gang, attempt by attempt.
+class GangWatch {
+public:
+  explicit GangWatch(Simulation &Sim) : m_sim(Sim) {}
+
+  void check(int Attempt) {
+    int Running = 0;
+    int Ended = 0;
+    for (int I = 0; I < m_sim.size(); ++I) {
+      const std::string Id = model::taskId("j", Attempt, I);
+      const auto *T = m_sim.node(I).m_worker.task(Id);
+      const TaskState State = T ? T->m_info.m_state : TaskState::Stopped;
+      m_ready[Attempt] |= T && !model::isFinal(State) ? 1 << I : 0;
+      Running += State == TaskState::Running ? 1 : 0;
+      Ended += model::isFinal(State) && State != TaskState::Succeeded ? 1 : 0;
+    }
+    const bool Partial = Running > 0 && Ended > 0;
+    if (Running > 0)
+      RC_ASSERT(m_ready[Attempt] == (1 << m_sim.size()) - 1);
+    if (!Partial)
+      m_partialSince[Attempt] = m_sim.now();
+    // Stop by silence, then the end of the lease at the worker.
+    RC_ASSERT(m_sim.now() - m_partialSince[Attempt] <= 2 * Lease + 1000);
+    checkHolds(Attempt);
+  }
+
+private:
+  void checkHolds(int Attempt) {
+    for (int I = 0; I < m_sim.size(); ++I) {
+      for (const model::Hold &H : m_sim.node(I).m_table->holds()) {
+        const std::string Id = model::taskId(H.m_job, H.m_attempt, H.m_member);
+        if (H.m_attempt == Attempt && isEnded(H) && !H.m_everRan)
+          m_neverRan[I].insert(Id);
+      }
+      for (const std::string &Id : m_neverRan[I])
+        RC_ASSERT(!m_sim.node(I).m_worker.everRan(Id));
+    }
+  }
+
+  Simulation &m_sim;
+  std::map<int, int> m_ready; ///< Members that were seen alive, as bits.
+  std::map<int, Millis> m_partialSince;
+  std::map<int, std::set<std::string>> m_neverRan;
+};
+
+} // namespace
+
+// Guards G2 and G4 under loss, repetition, reordering and freezes: a gang never
+// runs before all are ready and never in part beyond the leases, a task that
+// was said not to have run does not run, and stale commands start nothing.
+RC_GTEST_PROP(TaskTable, GangsAreAllOrNothing, ()) {
+  SimulationFaults F;
+  F.m_lossRate = *rc::gen::inRange(0, 40);
+  F.m_repeatRate = *rc::gen::inRange(0, 40);
+  F.m_maxDelayMs = *rc::gen::inRange(0, 400);
+  F.m_freezesPer1000 = *rc::gen::inRange(0, 4);
+  Simulation Sim(3, F, *rc::gen::arbitrary<std::uint64_t>());
+  GangWatch Watch(Sim);
+  constexpr Millis AttemptMs = 15000;
+  constexpr int Attempts = 3;
+  std::map<int, std::uint64_t> Highest; // Epoch seen, by agent.
+  while (Sim.now() < Attempts * AttemptMs) {
+    const int Attempt = 1 + static_cast<int>(Sim.now() / AttemptMs);
+    const Millis Age = Sim.now() % AttemptMs;
+    if (Sim.now() % 250 == 0) {
+      const int I = Sim.percent() % 3;
+      const CommandKind Kind = Age < 1000    ? CommandKind::Reserve
+                               : Age < 9000  ? CommandKind::Start
+                               : Age < 14000 ? CommandKind::Stop
+                                             : CommandKind::Release;
+      // Some commands are those of an earlier attempt or leader.
+      const int Given = Sim.percent() < 15 ? std::max(1, Attempt - 1) : Attempt;
+      const std::uint64_t Epoch =
+          static_cast<std::uint64_t>(Given + (Sim.percent() < 10 ? 0 : 1));
+      for (int To = 0; To < 3; ++To) {
+        if (Kind == CommandKind::Stop && To != I)
+          continue;
+        Command C = command(Kind, 3, To);
+        C.m_attempt = Given;
+        C.m_fence = static_cast<std::uint64_t>(10 * Given);
+        C.m_spec.m_payload["runMs"] = 1000 + 50 * Sim.percent();
+        Sim.toAgent(To, [&Sim, &Highest, C, To, Epoch] {
+          const auto R = Sim.node(To).m_table->command(C, Epoch, Sim.now());
+          RC_ASSERT(!R.m_accepted || Epoch >= Highest[To]);
+          Highest[To] = std::max(Highest[To], Epoch);
+        });
+      }
+    }
+    Sim.step();
+    for (int A = 1; A <= Attempt; ++A)
+      Watch.check(A);
+  }
+}
+
+// Guards against faults of the test above: without faults of the network every
+// attempt must run.
+TEST(TaskTable, GangRunsInTheSimulation) {
+  Simulation Sim(3, {}, 1);
+  for (const CommandKind Kind : {CommandKind::Reserve, CommandKind::Start}) {
+    for (int I = 0; I < 3; ++I)
+      EXPECT_TRUE(Sim.node(I)
+                      .m_table->command(command(Kind, 3, I), 5, Sim.now())
+                      .m_accepted);
+  }
+  while (Sim.now() < 20000)
+    Sim.step();
+  for (int I = 0; I < 3; ++I)
+    EXPECT_EQ(Sim.node(I).m_table->holds().at(0).m_state, HoldState::Running);
+}
