--- a/tests/entry/leader_sim.h
+++ b/tests/entry/leader_sim.h
@@ -30,6 +30,9 @@
   int m_failPercent = 0;    ///< Of a task.
 };
 
+constexpr int LongDelayPercent = 10;
+constexpr Millis LongDelayFactor = 10;
+
 /// An entry: its own state, position in the log and leader.
 struct Entry {
   Entry(const std::string &Name, base::HybridClock &Clock)
@@ -102,7 +105,7 @@
   bool chance(int Percent);
   std::uint32_t below(std::uint32_t Limit);
   void injectFaults();
-  void send(std::function<void()> Run);
+  void send(const std::function<void()> &Run);
   void deliver();
   void push(RecordKind Kind, Json Body, std::uint64_t Epoch);
   void checkPlacement(const model::Record &R);
@@ -227,12 +230,15 @@
        m_state.m_epoch + 1);
 }
 
-inline void Fleet::send(std::function<void()> Run) {
+inline void Fleet::send(const std::function<void()> &Run) {
   if (m_faulty && chance(m_faults.m_lossPercent))
     return;
   const int Copies = m_faulty && chance(m_faults.m_repeatPercent) ? 2 : 1;
   for (int I = 0; I < Copies; ++I) {
-    const Millis MaxMs = m_faulty ? m_faults.m_maxDelayMs : 0;
+    // A few messages are delayed past restarts and whole attempts.
+    const bool Long = chance(LongDelayPercent);
+    const Millis MaxMs =
+        m_faulty ? m_faults.m_maxDelayMs * (Long ? LongDelayFactor : 1) : 0;
     const auto DelayMs =
         static_cast<Millis>(below(static_cast<std::uint32_t>(MaxMs) + 1));
     m_network.push_back({m_nowMs + 1 + DelayMs, Run});
@@ -388,7 +394,7 @@
   auto It = m_agents.begin();
   std::advance(It, below(static_cast<std::uint32_t>(m_agents.size())));
   Agent &A = It->second;
-  const auto SpanMs = static_cast<Millis>(below(4000));
+  const auto SpanMs = static_cast<Millis>(below(3) == 0 ? 0 : below(4000));
   if (chance(m_faults.m_restartPercent))
     A.restart(false, SpanMs / 4, m_nowMs);
   if (chance(m_faults.m_wipePercent))
--- a/tests/entry/leader_test.cc
+++ b/tests/entry/leader_test.cc
@@ -32,6 +32,19 @@
   EXPECT_EQ(F.m_violations, std::vector<std::string>{});
 }
 
+// Guards G2: no member is started before all are reserved.
+TEST(Leader, StartsOnlyAfterEveryReservation) {
+  sim::Fleet F(2, 1, {});
+  F.runFor(500);
+  F.m_agents["w2"].m_cutUntilMs = F.m_nowMs + 800;
+  F.submit("j1", "batch", 2, 8);
+  F.runFor(700);
+  EXPECT_TRUE(sent(F, "reserve w1") && sent(F, "reserve w2"));
+  EXPECT_FALSE(sent(F, "start w1") || sent(F, "start w2"));
+  EXPECT_TRUE(F.runUntil([&] { return F.finished("j1"); }, 3000));
+  EXPECT_EQ(F.job("j1").m_attempt, 1);
+}
+
 // Guards jobs against a worker that refuses: it is not a failure of the job,
 // and the next attempt goes elsewhere.
 TEST(Leader, RefusedReservationIsPlacedElsewhere) {
