Reclaim promised blocks, reserve for gangs, search assignments exactly

The greedy assignment is followed by an exhaustive search where it can miss one: accelerators held by jobs that cannot be preempted, sizes that are no power of two, and blocks of whole workers. Blocks are put on the account's own jobs first, then where the fewest jobs have to stop. Blocks that their account has work for are not lent meanwhile. The first gang that has waited for reserveAfterMs gets a reservation; other jobs backfill if they end before it or leave it untouched.

Removing isInsideOwn from the choice of victims changes nothing, since blocks of different accounts are disjoint.

--- a/src/sched/fleet.cc
+++ b/src/sched/fleet.cc
@@ -82,6 +82,22 @@
   return std::max(Fit, 0);
 }
 
+void takeOne(Node &W, const Need &N, const Place &P) {
+  W.m_free &= ~P.mask();
+  W.m_slots -= 1;
+  W.m_cores -= N.m_cores;
+  W.m_memoryMb -= N.m_memoryMb;
+  W.m_jobs += 1;
+}
+
+void giveBack(Node &W, const Need &N, const Place &P) {
+  W.m_free |= P.mask() & W.m_all;
+  W.m_slots += 1;
+  W.m_cores += N.m_cores;
+  W.m_memoryMb += N.m_memoryMb;
+  W.m_jobs -= 1;
+}
+
 Fleet::Fleet(const std::vector<model::Account> &Accounts,
              const std::vector<WorkerView> &Workers,
              const std::vector<RunningView> &Running)
@@ -93,7 +109,8 @@
     Holding H{accountIndex(R.m_account),
               R.m_preemptible,
               {0, R.m_cores, R.m_memoryMb},
-              {}};
+              {},
+              R.m_reclaiming};
     for (const model::MemberPlace &P : R.m_places) {
       const int Worker = workerIndex(P.m_worker);
       if (Worker >= 0)
@@ -139,25 +156,13 @@
 }
 
 void Fleet::take(const Holding &H) {
-  for (const Place &P : H.m_places) {
-    Node &W = m_nodes[static_cast<std::size_t>(P.m_worker)];
-    W.m_free &= ~P.mask();
-    W.m_slots -= 1;
-    W.m_cores -= H.m_need.m_cores;
-    W.m_memoryMb -= H.m_need.m_memoryMb;
-    W.m_jobs += 1;
-  }
+  for (const Place &P : H.m_places)
+    takeOne(m_nodes[static_cast<std::size_t>(P.m_worker)], H.m_need, P);
 }
 
 void Fleet::release(const Holding &H) {
-  for (const Place &P : H.m_places) {
-    Node &W = m_nodes[static_cast<std::size_t>(P.m_worker)];
-    W.m_free |= P.mask() & W.m_all;
-    W.m_slots += 1;
-    W.m_cores += H.m_need.m_cores;
-    W.m_memoryMb += H.m_need.m_memoryMb;
-    W.m_jobs -= 1;
-  }
+  for (const Place &P : H.m_places)
+    giveBack(m_nodes[static_cast<std::size_t>(P.m_worker)], H.m_need, P);
 }
 
 } // namespace pomelokeel::sched::detail
--- a/src/sched/fleet.h
+++ b/src/sched/fleet.h
@@ -60,6 +60,7 @@
   bool m_preemptible = true;
   Need m_need;
   std::vector<Place> m_places;
+  bool m_reclaiming = false;
 };
 
 /// Workers of one rack, data centre or region, in fleet order.
@@ -98,6 +99,10 @@
 /// Members of \p N that fit on \p W now, at most \p Limit.
 int membersThatFit(const Node &W, const Need &N, int Limit);
 
+/// Takes the resources of one member, or gives them back.
+void takeOne(Node &W, const Need &N, const Place &P);
+void giveBack(Node &W, const Need &N, const Place &P);
+
 /// First accelerators of the aligned blocks of \p Size inside \p Free, as bits.
 Mask blockStarts(Mask Free, int Size);
 
--- a/src/sched/guarantee.cc
+++ b/src/sched/guarantee.cc
@@ -1,5 +1,7 @@
 #include "sched/guarantee.h"
 
+#include "sched/supply.h"
+
 #include <algorithm>
 #include <bit>
 #include <map>
@@ -8,85 +10,10 @@
 namespace pomelokeel::sched::detail {
 namespace {
 
-// Blocks of one size for one account.
-struct Demand {
-  int m_account = 0;
-  int m_size = 0;
-  int m_count = 0;
-  bool m_wholeWorkers = false;
-};
-
-// Which accelerators a block may use.
-struct Supply {
-  explicit Supply(const Fleet &F);
-
-  Mask usable(int Account, int Worker) const;
-  void remove(const Place &P);
-
-  std::vector<Mask> m_common; ///< Free, or held by a preemptible job.
-  /// Held by jobs that are not preemptible: account and its accelerators.
-  std::vector<std::vector<std::pair<int, Mask>>> m_own;
-};
-
-Supply::Supply(const Fleet &F)
-    : m_common(F.m_nodes.size()), m_own(F.m_nodes.size()) {
-  for (std::size_t I = 0; I < F.m_nodes.size(); ++I)
-    m_common[I] = F.m_nodes[I].m_healthy ? F.m_nodes[I].m_all : 0;
-  for (const Holding &H : F.m_holdings) {
-    if (H.m_preemptible)
-      continue;
-    for (const Place &P : H.m_places) {
-      const auto Worker = static_cast<std::size_t>(P.m_worker);
-      m_common[Worker] &= ~P.mask();
-      if (H.m_account >= 0 && F.m_nodes[Worker].m_healthy)
-        m_own[Worker].emplace_back(H.m_account,
-                                   P.mask() & F.m_nodes[Worker].m_all);
-    }
-  }
-}
-
-Mask Supply::usable(int Account, int Worker) const {
-  Mask Out = m_common[static_cast<std::size_t>(Worker)];
-  for (const auto &[Owner, Held] : m_own[static_cast<std::size_t>(Worker)])
-    Out |= Owner == Account ? Held : 0;
-  return Out;
-}
-
-void Supply::remove(const Place &P) {
-  m_common[static_cast<std::size_t>(P.m_worker)] &= ~P.mask();
-  for (auto &[Owner, Held] : m_own[static_cast<std::size_t>(P.m_worker)])
-    Held &= ~P.mask();
-}
-
-int largestWorker(const Fleet &F) {
-  int Largest = 0;
-  for (const Node &W : F.m_nodes)
-    Largest = std::max(Largest, W.m_accelerators);
-  return Largest;
-}
-
-// Larger blocks come first: a smaller one that is placed earlier could split
-// the last place of a larger one, and never the other way round.
-std::vector<Demand> demandsOf(const std::vector<model::Account> &Accounts,
-                              int LargestWorker) {
-  std::vector<Demand> Out;
-  for (std::size_t A = 0; A < Accounts.size(); ++A) {
-    for (const model::BlockDemand &D : Accounts[A].m_guarantee) {
-      if (D.m_count > 0 && D.m_size > 0)
-        Out.push_back({static_cast<int>(A), D.m_size, D.m_count,
-                       D.m_size > LargestWorker});
-    }
-  }
-  std::stable_sort(Out.begin(), Out.end(), [](const auto &L, const auto &R) {
-    return std::tuple(alignmentOf(L.m_size), L.m_size) >
-           std::tuple(alignmentOf(R.m_size), R.m_size);
-  });
-  return Out;
-}
-
 // A possible place of a block, best first.
 struct Candidate {
   int m_common = 0;  ///< Accelerators that another account could use.
+  int m_victims = 0; ///< Jobs of other accounts that would have to stop.
   int m_foreign = 0; ///< Accelerators held by other accounts.
   int m_own = 0;     ///< Accelerators held by the account, negated.
   int m_waste = 0;   ///< Usable accelerators beside the block, inside its
@@ -94,8 +21,8 @@
   Place m_place;
 
   auto rank() const {
-    return std::tuple(m_common, m_foreign, m_own, m_waste, m_place.m_worker,
-                      m_place.m_first);
+    return std::tuple(m_common, m_victims, m_foreign, m_own, m_waste,
+                      m_place.m_worker, m_place.m_first);
   }
 };
 
@@ -103,12 +30,11 @@
 public:
   Assigner(const std::vector<model::Account> &Accounts, const Fleet &F)
       : m_accounts(Accounts), m_fleet(F), m_supply(F),
-        m_demands(demandsOf(Accounts, largestWorker(F))),
-        m_held(F.m_nodes.size()) {
+        m_demands(demandsOf(Accounts, F)), m_held(F.m_nodes.size()) {
     for (const Holding &H : F.m_holdings) {
       for (const Place &P : H.m_places)
-        m_held[static_cast<std::size_t>(P.m_worker)].emplace_back(H.m_account,
-                                                                  P.mask());
+        m_held[static_cast<std::size_t>(P.m_worker)].push_back(
+            {H.m_account, P.mask(), H.m_reclaiming});
     }
   }
 
@@ -126,7 +52,12 @@
   Supply m_supply;
   std::vector<Demand> m_demands;
   /// By worker: who holds which accelerators.
-  std::vector<std::vector<std::pair<int, Mask>>> m_held;
+  struct Held {
+    int m_account;
+    Mask m_mask;
+    bool m_reclaiming;
+  };
+  std::vector<std::vector<Held>> m_held;
 };
 
 Candidate Assigner::rate(const Demand &D, const Place &P, Mask Usable) const {
@@ -137,11 +68,14 @@
   // Accelerators that only this account can use come first, so that the common
   // ones stay for the others.
   C.m_common = std::popcount(Block & m_supply.m_common[Worker]);
-  for (const auto &[Owner, Held] : m_held[Worker]) {
-    if (Owner == D.m_account)
-      C.m_own -= std::popcount(Held & Block);
-    else
-      C.m_foreign += std::popcount(Held & Block);
+  for (const Held &H : m_held[Worker]) {
+    const int Shared = std::popcount(H.m_mask & Block);
+    if (H.m_account == D.m_account) {
+      C.m_own -= Shared;
+      continue;
+    }
+    C.m_foreign += Shared;
+    C.m_victims += Shared > 0 && !H.m_reclaiming ? 1 : 0;
   }
   const Mask Aligned = maskOf(P.m_first, alignmentOf(D.m_size));
   C.m_waste = std::popcount(Usable & Aligned & ~Block);
@@ -206,15 +140,17 @@
 
 bool Assigner::placeWholeWorkers(const Demand &D, Assignment &Out) {
   std::vector<Place> Best;
-  std::tuple<int, int> BestRank;
+  std::tuple<int, int, int> BestRank;
   for (const Group &Rack : m_fleet.m_racks) {
     std::vector<Place> Parts = wholeWorkers(D, Rack);
     if (Parts.empty())
       continue;
-    int Foreign = 0;
-    for (const Place &P : Parts)
-      Foreign += rate(D, P, P.mask()).m_foreign;
-    const std::tuple Rank(Foreign, static_cast<int>(Rack.size()));
+    std::tuple Rank(0, 0, static_cast<int>(Rack.size()));
+    for (const Place &P : Parts) {
+      const Candidate C = rate(D, P, P.mask());
+      std::get<0>(Rank) += C.m_victims;
+      std::get<1>(Rank) += C.m_foreign;
+    }
     if (!Best.empty() && BestRank <= Rank)
       continue;
     Best = std::move(Parts);
@@ -272,10 +208,55 @@
   return Missing;
 }
 
+Promises::Promises(const Assignment &A, const Fleet &F)
+    : m_byWorker(F.m_nodes.size()) {
+  for (const Block &B : A.m_blocks) {
+    for (const Place &P : B.m_parts)
+      m_byWorker[static_cast<std::size_t>(P.m_worker)].emplace_back(B.m_account,
+                                                                    P.mask());
+  }
+}
+
+Mask Promises::toAccount(int Account, int Worker) const {
+  Mask Out = 0;
+  for (const auto &[Owner, Held] : m_byWorker[static_cast<std::size_t>(Worker)])
+    Out |= Owner == Account ? Held : 0;
+  return Out;
+}
+
+Mask Promises::toOthers(int Account, int Worker) const {
+  Mask Out = 0;
+  for (const auto &[Owner, Held] : m_byWorker[static_cast<std::size_t>(Worker)])
+    Out |= Owner == Account ? 0 : Held;
+  return Out;
+}
+
+bool Promises::isInsideOwn(const Holding &H) const {
+  if (H.m_account < 0)
+    return false;
+  bool HasAccelerators = false;
+  for (const Place &P : H.m_places) {
+    if ((P.mask() & ~toAccount(H.m_account, P.m_worker)) != 0)
+      return false;
+    HasAccelerators |= P.m_accelerators > 0;
+  }
+  return HasAccelerators;
+}
+
+bool Promises::touchesOthers(const Holding &H) const {
+  return std::any_of(H.m_places.begin(), H.m_places.end(), [&](const Place &P) {
+    return (P.mask() & toOthers(H.m_account, P.m_worker)) != 0;
+  });
+}
+
 Assignment assignBlocks(const std::vector<model::Account> &Accounts,
                         const Fleet &F, int SearchSteps) {
-  (void)SearchSteps;
-  return Assigner(Accounts, F).greedy();
+  Assignment Out = Assigner(Accounts, F).greedy();
+  if (Out.m_shortfalls.empty())
+    return Out;
+  if (auto Exact = searchBlocks(Accounts, F, SearchSteps))
+    return std::move(*Exact);
+  return Out;
 }
 
 } // namespace pomelokeel::sched::detail
@@ -294,7 +275,12 @@
     Out.m_blocks.push_back(
         {Accounts[static_cast<std::size_t>(B.m_account)].m_name,
          Workers[static_cast<std::size_t>(First.m_worker)].m_name,
-         First.m_first, B.m_size});
+         First.m_first,
+         B.m_size,
+         {}});
+    for (const detail::Place &P : B.m_parts)
+      Out.m_blocks.back().m_workers.push_back(
+          Workers[static_cast<std::size_t>(P.m_worker)].m_name);
   }
   Out.m_shortfalls = std::move(Found.m_shortfalls);
   return Out;
--- a/src/sched/guarantee.h
+++ b/src/sched/guarantee.h
@@ -22,9 +22,9 @@
   int missingAccelerators() const;
 };
 
-/// Steps that the exact search may take after the greedy one has failed.
-constexpr int FullSearch = 20000;
-constexpr int ShortSearch = 500;
+/// Places that the exact search may try after the greedy assignment has failed.
+constexpr int FullSearch = 400000;
+constexpr int ShortSearch = 20000;
 
 /// Assigns disjoint blocks to all guarantees. Minimises neither the number of
 /// missing blocks nor the jobs to reclaim, but prefers accelerators that the
@@ -32,4 +32,23 @@
 Assignment assignBlocks(const std::vector<model::Account> &Accounts,
                         const Fleet &F, int SearchSteps);
 
+/// An assignment by worker.
+class Promises {
+public:
+  Promises(const Assignment &A, const Fleet &F);
+
+  /// Accelerators of \p Worker promised to \p Account, or to any other one.
+  Mask toAccount(int Account, int Worker) const;
+  Mask toOthers(int Account, int Worker) const;
+
+  /// True if all accelerators of \p H lie in blocks of its own account.
+  bool isInsideOwn(const Holding &H) const;
+
+  /// True if \p H lies partly in blocks of other accounts.
+  bool touchesOthers(const Holding &H) const;
+
+private:
+  std::vector<std::vector<std::pair<int, Mask>>> m_byWorker;
+};
+
 } // namespace pomelokeel::sched::detail
--- /dev/null
+++ b/src/sched/pass.cc
@@ -0,0 +1,360 @@
+#include "sched/pass.h"
+
+#include "sched/explain.h"
+#include "sched/queue.h"
+#include "sched/reclaim.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <bit>
+
+namespace pomelokeel::sched::detail {
+namespace {
+
+using base::ErrorKind;
+
+constexpr std::size_t MaxReservations = 1;
+// A job that runs longer than expected is taken to need this share of its run
+// time so far once more.
+constexpr double OverdueShare = 0.25;
+
+int acceleratorsOf(const model::JobSpec &Spec) {
+  return Spec.m_members * Spec.m_accelerators;
+}
+
+Need needOf(const model::JobSpec &Spec) {
+  return {Spec.m_accelerators, Spec.m_cores, Spec.m_memoryMb};
+}
+
+Millis expectedEnd(const RunningView &R, Millis NowMs) {
+  const double Run = static_cast<double>(NowMs - R.m_startedMs);
+  const Millis Overdue = NowMs + static_cast<Millis>(Run * OverdueShare);
+  return R.m_expectedEndMs > NowMs ? R.m_expectedEndMs : Overdue;
+}
+
+} // namespace
+
+Pass::Pass(const Snapshot &S, std::size_t MaxPlacements)
+    : m_s(S), m_maxPlacements(MaxPlacements),
+      m_fleet(S.m_accounts, S.m_workers, S.m_running),
+      m_assignment(assignBlocks(S.m_accounts, m_fleet, FullSearch)),
+      m_promises(m_assignment, m_fleet), m_inUse(S.m_accounts.size()),
+      m_claims(S.m_workers.size()), m_pending(S.m_workers.size()) {
+  for (const Holding &H : m_fleet.m_holdings) {
+    for (const Place &P : H.m_places) {
+      if (H.m_account >= 0)
+        m_inUse[static_cast<std::size_t>(H.m_account)] += P.m_accelerators;
+    }
+  }
+  for (const model::Account &A : S.m_accounts) {
+    int Sum = 0;
+    for (const model::BlockDemand &D : A.m_guarantee)
+      Sum += D.m_size * D.m_count;
+    m_guaranteed.push_back(Sum);
+  }
+  for (std::size_t I = 0; I < S.m_running.size(); ++I) {
+    m_reclaiming.push_back(S.m_running[I].m_reclaiming);
+    m_ends.push_back(
+        {expectedEnd(S.m_running[I], S.m_nowMs), static_cast<int>(I)});
+  }
+}
+
+// Whether the empty fleet, with all its workers in service, holds the job.
+bool Pass::canEverFit(const model::JobSpec &Spec) const {
+  for (const Group &Region : m_fleet.m_regions) {
+    int Room = 0;
+    for (const int I : Region) {
+      const WorkerView &W = m_s.m_workers[static_cast<std::size_t>(I)];
+      Node Empty = m_fleet.m_nodes[static_cast<std::size_t>(I)];
+      Empty.m_free = Empty.m_all;
+      Empty.m_slots = W.m_slots;
+      Empty.m_cores = W.m_cores;
+      Empty.m_memoryMb = W.m_memoryMb;
+      Empty.m_placeable = true;
+      Empty.m_onProbation = false;
+      Room += membersThatFit(Empty, needOf(Spec), Spec.m_members);
+      if (Room >= Spec.m_members)
+        return true;
+    }
+  }
+  // Without workers nothing is known about the fleet yet.
+  return m_fleet.m_nodes.empty();
+}
+
+bool Pass::reject(const WaitingView &J) {
+  const auto Add = [&](ErrorKind Kind, std::string Message) {
+    m_plan.m_reject.push_back({J.m_id, Kind, std::move(Message)});
+    return true;
+  };
+  const model::JobSpec &Spec = J.m_spec;
+  if (Spec.m_deadlineMs > 0 &&
+      m_s.m_nowMs > J.m_submittedMs + Spec.m_deadlineMs)
+    return Add(ErrorKind::DeadlinePassed,
+               fmt::format("not started within {} ms of acceptance",
+                           Spec.m_deadlineMs));
+  const int Account = m_fleet.accountIndex(Spec.m_account);
+  const int Quota =
+      Account < 0
+          ? 0
+          : m_s.m_accounts[static_cast<std::size_t>(Account)].m_maxAccelerators;
+  if (Quota > 0 && acceleratorsOf(Spec) > Quota)
+    return Add(
+        ErrorKind::CanNeverRun,
+        fmt::format("needs {} accelerators, the quota of account \"{}\" is {}",
+                    acceleratorsOf(Spec), Spec.m_account, Quota));
+  if (!canEverFit(Spec))
+    return Add(ErrorKind::CanNeverRun,
+               fmt::format("no region has workers for {} members with {} "
+                           "adjacent accelerators, {} cores and {} MB each, "
+                           "even with all workers idle",
+                           Spec.m_members, Spec.m_accelerators, Spec.m_cores,
+                           Spec.m_memoryMb));
+  return false;
+}
+
+// Why the job must not be placed now whatever is free, or an empty string.
+std::string Pass::holdBack(const WaitingView &J) const {
+  if (J.m_notBeforeMs > m_s.m_nowMs)
+    return fmt::format("backoff after a failed attempt, next attempt in {} ms",
+                       J.m_notBeforeMs - m_s.m_nowMs);
+  const int Account = m_fleet.accountIndex(J.m_spec.m_account);
+  if (Account < 0)
+    return fmt::format("account \"{}\" does not exist", J.m_spec.m_account);
+  const int Quota =
+      m_s.m_accounts[static_cast<std::size_t>(Account)].m_maxAccelerators;
+  const int InUse = m_inUse[static_cast<std::size_t>(Account)];
+  const int Asked = acceleratorsOf(J.m_spec);
+  if (Quota > 0 && Asked > 0 && InUse + Asked > Quota)
+    return fmt::format("account \"{}\" uses {} of its quota of {} accelerators "
+                       "and the job needs {} more",
+                       J.m_spec.m_account, InUse, Quota, Asked);
+  if (m_plan.m_place.size() >= m_maxPlacements)
+    return "the limit of placements per pass is reached, the next pass goes on";
+  return {};
+}
+
+// Whether the account is below its guarantee even with the job.
+bool Pass::isEntitled(const WaitingView &J) const {
+  const int Account = m_fleet.accountIndex(J.m_spec.m_account);
+  const int Asked = acceleratorsOf(J.m_spec);
+  return Account >= 0 && Asked > 0 &&
+         m_inUse[static_cast<std::size_t>(Account)] + Asked <=
+             m_guaranteed[static_cast<std::size_t>(Account)];
+}
+
+// Blocks that their own account has work for are not lent to others meanwhile:
+// otherwise a job that is placed on them first would have to be reclaimed, and
+// what was just reclaimed could be taken by the next one.
+void Pass::claimBlocks() {
+  std::vector<int> Needed(m_s.m_accounts.size());
+  for (const WaitingView &J : m_s.m_waiting) {
+    if (!isEntitled(J) || J.m_notBeforeMs > m_s.m_nowMs)
+      continue;
+    const int Account = m_fleet.accountIndex(J.m_spec.m_account);
+    Needed[static_cast<std::size_t>(Account)] += acceleratorsOf(J.m_spec);
+  }
+  for (std::size_t A = 0; A < Needed.size(); ++A) {
+    if (Needed[A] > 0)
+      claimBlocks(static_cast<int>(A), Needed[A]);
+  }
+}
+
+void Pass::claimBlocks(int Account, int Needed) {
+  std::vector<Mask> Held(m_fleet.m_nodes.size());
+  for (const Holding &H : m_fleet.m_holdings) {
+    for (const Place &P : H.m_places) {
+      if (H.m_account == Account)
+        Held[static_cast<std::size_t>(P.m_worker)] |= P.mask();
+    }
+  }
+  for (const Block &B : m_assignment.m_blocks) {
+    if (B.m_account != Account || Needed <= 0)
+      continue;
+    for (const Place &P : B.m_parts) {
+      const auto Worker = static_cast<std::size_t>(P.m_worker);
+      Needed -= std::popcount(P.mask() & ~Held[Worker]);
+      m_claims[Worker].emplace_back(Account, P.mask());
+    }
+  }
+}
+
+Request Pass::requestOf(const WaitingView &J) const {
+  Request R{needOf(J.m_spec), J.m_spec.m_members, {}, m_pending, {}, {}, {}};
+  for (const std::string &Name : J.m_avoid)
+    R.m_avoid.push_back(m_fleet.workerIndex(Name));
+  const int Account = m_fleet.accountIndex(J.m_spec.m_account);
+  for (std::size_t I = 0; I < m_claims.size(); ++I) {
+    for (const auto &[Owner, Claimed] : m_claims[I])
+      R.m_blocked[I] |= Owner == Account ? 0 : Claimed;
+  }
+  if (J.m_urgent)
+    return R;
+  for (const Reservation &Kept : m_reservations) {
+    if (m_s.m_nowMs + J.m_expectedRunMs > Kept.m_startMs)
+      R.m_bounds.push_back(&Kept.m_spare);
+  }
+  return R;
+}
+
+Holding Pass::holdingOf(const WaitingView &J, std::vector<Place> Places) const {
+  return {m_fleet.accountIndex(J.m_spec.m_account), J.m_preemptible,
+          needOf(J.m_spec), std::move(Places), false};
+}
+
+// Only a job that cannot be preempted takes accelerators away from a promise.
+bool Pass::keepsGuarantees(const Holding &H) {
+  if (H.m_preemptible || !m_promises.touchesOthers(H))
+    return true;
+  m_fleet.add(H);
+  Assignment After = assignBlocks(m_s.m_accounts, m_fleet, ShortSearch);
+  m_fleet.release(H);
+  m_fleet.m_holdings.pop_back();
+  if (After.missingAccelerators() > m_assignment.missingAccelerators())
+    return false;
+  m_assignment = std::move(After);
+  m_promises = Promises(m_assignment, m_fleet);
+  return true;
+}
+
+void Pass::commit(const WaitingView &J, Holding H) {
+  PlaceJob Out{J.m_id, {}, ""};
+  for (const Place &P : H.m_places) {
+    Out.m_places.push_back(
+        {m_s.m_workers[static_cast<std::size_t>(P.m_worker)].m_name, P.m_first,
+         P.m_accelerators});
+    for (Reservation &Kept : m_reservations) {
+      const auto It = Kept.m_spare.find(P.m_worker);
+      if (It != Kept.m_spare.end() &&
+          m_s.m_nowMs + J.m_expectedRunMs > Kept.m_startMs)
+        takeOne(It->second, H.m_need, P);
+    }
+  }
+  Out.m_reason =
+      fmt::format("{}, waited {} ms", base::nameOf(m_s.m_rule.m_strategy),
+                  m_s.m_nowMs - J.m_submittedMs);
+  m_inUse[static_cast<std::size_t>(H.m_account)] += acceleratorsOf(J.m_spec);
+  const int Index = m_fleet.add(std::move(H));
+  m_ends.push_back({m_s.m_nowMs + J.m_expectedRunMs, Index});
+  m_plan.m_place.push_back(std::move(Out));
+}
+
+void Pass::wait(const WaitingView &J, std::string Reason) {
+  m_plan.m_wait.push_back({J.m_id, std::move(Reason)});
+}
+
+// Reclaims what the account's promise needs. Returns false if its blocks do
+// not help.
+bool Pass::reclaim(const WaitingView &J, const Request &R) {
+  const int Account = m_fleet.accountIndex(J.m_spec.m_account);
+  if (!isEntitled(J))
+    return false;
+  const ReclaimChoice Choice =
+      chooseReclaim(m_fleet, m_promises, Account, R, m_reclaiming, m_s.m_rule);
+  if (Choice.m_holdings.empty())
+    return false;
+  for (const int I : Choice.m_holdings) {
+    const auto Index = static_cast<std::size_t>(I);
+    if (m_reclaiming[Index])
+      continue;
+    m_reclaiming[Index] = true;
+    m_plan.m_reclaim.push_back(
+        {m_s.m_running[Index].m_id, J.m_id,
+         fmt::format("holds accelerators promised to account \"{}\"",
+                     J.m_spec.m_account)});
+  }
+  for (const Place &P : Choice.m_places)
+    m_pending[static_cast<std::size_t>(P.m_worker)] |= P.mask();
+  m_inUse[static_cast<std::size_t>(Account)] += acceleratorsOf(J.m_spec);
+  wait(J, fmt::format("takes back guaranteed accelerators from {} running jobs",
+                      Choice.m_holdings.size()));
+  return true;
+}
+
+void Pass::reserveFor(const WaitingView &J) {
+  if (J.m_urgent || !isLargeGang(J.m_spec) ||
+      m_reservations.size() >= MaxReservations ||
+      m_s.m_nowMs - J.m_submittedMs < m_s.m_rule.m_reserveAfterMs)
+    return;
+  Reservation New = reserve(m_fleet, requestOf(J), m_ends, m_s.m_rule);
+  if (!New.m_places.empty())
+    m_reservations.push_back(std::move(New));
+}
+
+bool Pass::delaysReservation(const WaitingView &J) const {
+  return !J.m_urgent && !m_reservations.empty() &&
+         m_s.m_nowMs + J.m_expectedRunMs > m_reservations.front().m_startMs;
+}
+
+Pass::Shape Pass::shapeOf(const WaitingView &J) const {
+  const model::JobSpec &S = J.m_spec;
+  return {m_fleet.accountIndex(S.m_account),
+          S.m_members,
+          S.m_accelerators,
+          S.m_cores,
+          S.m_memoryMb,
+          J.m_preemptible,
+          delaysReservation(J),
+          m_reservations.empty()};
+}
+
+bool Pass::placeOn(const WaitingView &J, const Request &R) {
+  std::vector<Place> Places = findPlaces(m_fleet, R, m_s.m_rule);
+  if (Places.empty())
+    return false;
+  Holding H = holdingOf(J, std::move(Places));
+  if (!keepsGuarantees(H))
+    return false;
+  commit(J, std::move(H));
+  return true;
+}
+
+bool Pass::place(const WaitingView &J) {
+  const Request R = requestOf(J);
+  if (!J.m_preemptible && J.m_spec.m_accelerators > 0) {
+    Request Unpromised = R;
+    const int Account = m_fleet.accountIndex(J.m_spec.m_account);
+    for (std::size_t I = 0; I < Unpromised.m_blocked.size(); ++I)
+      Unpromised.m_blocked[I] |=
+          m_promises.toOthers(Account, static_cast<int>(I));
+    if (placeOn(J, Unpromised))
+      return true;
+  }
+  if (placeOn(J, R))
+    return true;
+  if (reclaim(J, R))
+    return false;
+  std::string Reason =
+      hasPlaces(m_fleet, R)
+          ? "the free accelerators that fit are needed to keep guarantees"
+          : whyNoPlace(m_fleet, R);
+  if (!R.m_bounds.empty())
+    Reason += "; a waiting gang has a reservation";
+  wait(J, Reason);
+  if (J.m_avoid.empty())
+    m_failed.emplace(shapeOf(J), std::move(Reason));
+  return false;
+}
+
+void Pass::consider(const WaitingView &J) {
+  if (reject(J))
+    return;
+  if (std::string Reason = holdBack(J); !Reason.empty())
+    return wait(J, std::move(Reason));
+  const auto Known = m_failed.find(shapeOf(J));
+  if (Known != m_failed.end() && J.m_avoid.empty())
+    wait(J, Known->second);
+  else if (place(J))
+    return;
+  reserveFor(J);
+}
+
+Plan Pass::run() {
+  m_plan.m_shortfalls = m_assignment.m_shortfalls;
+  claimBlocks();
+  for (const WaitingView *J : queueOrder(m_s))
+    consider(*J);
+  return std::move(m_plan);
+}
+
+} // namespace pomelokeel::sched::detail
--- a/src/sched/placement.cc
+++ b/src/sched/placement.cc
@@ -35,53 +35,74 @@
     Strategy{firstBlock, firstGroup}, Strategy{tightestBlock, tightestGroup},
     Strategy{balancedBlock, tightestGroup}};
 
-// A worker with the accelerators that the request may use.
+// A worker with the resources that the request may use.
 Node visible(const Fleet &F, const Request &R, int Worker) {
-  Node W = F.m_nodes[static_cast<std::size_t>(Worker)];
-  if (R.m_blocked != nullptr)
-    W.m_free &= ~(*R.m_blocked)[static_cast<std::size_t>(Worker)];
+  const auto Index = static_cast<std::size_t>(Worker);
+  Node W = R.m_nodes != nullptr ? (*R.m_nodes)[Index] : F.m_nodes[Index];
+  if (!R.m_blocked.empty())
+    W.m_free &= ~R.m_blocked[Index];
+  for (const auto *Bounds : R.m_bounds) {
+    const auto It = Bounds->find(Worker);
+    if (It == Bounds->end())
+      continue;
+    const Node &Bound = It->second;
+    W.m_free &= Bound.m_free;
+    W.m_slots = std::min(W.m_slots, Bound.m_slots);
+    W.m_cores = std::min(W.m_cores, Bound.m_cores);
+    W.m_memoryMb = std::min(W.m_memoryMb, Bound.m_memoryMb);
+  }
   if (std::find(R.m_avoid.begin(), R.m_avoid.end(), Worker) != R.m_avoid.end())
     W.m_placeable = false;
   return W;
 }
 
+// Costs one unit for each job that has to make way; more than any other cost.
+double victimCost(const Request &R, int Worker, Mask Block) {
+  constexpr double PerVictim = 1e9;
+  if (R.m_victims == nullptr)
+    return 0;
+  double Cost = 0;
+  for (const Victim &V : (*R.m_victims)[static_cast<std::size_t>(Worker)])
+    Cost += (V.m_place.mask() & Block) != 0 ? V.m_cost * PerVictim : 0;
+  return Cost;
+}
+
 struct Choice {
   double m_cost = 0;
   Place m_place;
 };
 
+// How a request is placed.
+struct Policy {
+  const Strategy &m_how;
+  Weights m_weights;
+};
+
 // The cheapest block on one worker.
-Choice cheapestBlock(const Node &W, int Worker, const Need &N,
-                     const Strategy &How, const Weights &Weights) {
-  if (N.m_accelerators == 0)
-    return {How.m_blockCost(W, N, -1, Weights), {Worker, 0, 0}};
+Choice cheapestBlock(const Node &W, int Worker, const Request &R,
+                     const Policy &P) {
+  const int Size = R.m_need.m_accelerators;
+  if (Size == 0)
+    return {P.m_how.m_blockCost(W, R.m_need, -1, P.m_weights), {Worker, 0, 0}};
   Choice Best;
   bool Found = false;
-  for (Mask Starts = blockStarts(W.m_free, N.m_accelerators); Starts != 0;
+  for (Mask Starts = blockStarts(W.m_free, Size); Starts != 0;
        Starts &= Starts - 1) {
     const int First = std::countr_zero(Starts);
-    const double Cost = How.m_blockCost(W, N, First, Weights);
+    const double Cost = P.m_how.m_blockCost(W, R.m_need, First, P.m_weights) +
+                        victimCost(R, Worker, maskOf(First, Size));
     if (Found && Best.m_cost <= Cost)
       continue;
-    Best = {Cost, {Worker, First, N.m_accelerators}};
+    Best = {Cost, {Worker, First, Size}};
     Found = true;
   }
   return Best;
 }
 
-void takeOne(Node &W, const Need &N, const Place &P) {
-  W.m_free &= ~P.mask();
-  W.m_slots -= 1;
-  W.m_cores -= N.m_cores;
-  W.m_memoryMb -= N.m_memoryMb;
-  W.m_jobs += 1;
-}
-
 // Places the members one after another, each at the cheapest block of the
 // group.
 std::vector<Place> fillGroup(const Fleet &F, const Request &R,
-                             const Strategy &How, const Weights &Weights,
-                             const Group &Workers) {
+                             const Policy &How, const Group &Workers) {
   struct Open {
     Node m_node;
     Choice m_next;
@@ -90,7 +111,7 @@
   for (const int I : Workers) {
     const Node W = visible(F, R, I);
     if (membersThatFit(W, R.m_need, 1) > 0)
-      Candidates.push_back({W, cheapestBlock(W, I, R.m_need, How, Weights)});
+      Candidates.push_back({W, cheapestBlock(W, I, R, How)});
   }
   std::vector<Place> Out;
   while (std::cmp_less(Out.size(), R.m_members) && !Candidates.empty()) {
@@ -104,14 +125,29 @@
     if (membersThatFit(Best->m_node, R.m_need, 1) == 0)
       Candidates.erase(Best);
     else
-      Best->m_next =
-          cheapestBlock(Best->m_node, Taken.m_worker, R.m_need, How, Weights);
+      Best->m_next = cheapestBlock(Best->m_node, Taken.m_worker, R, How);
   }
   if (std::cmp_less(Out.size(), R.m_members))
     Out.clear();
   return Out;
 }
 
+// Members that fit on each worker.
+std::vector<int> roomOnWorkers(const Fleet &F, const Request &R) {
+  std::vector<int> Room;
+  Room.reserve(F.m_nodes.size());
+  for (int I = 0; std::cmp_less(I, F.m_nodes.size()); ++I)
+    Room.push_back(membersThatFit(visible(F, R, I), R.m_need, R.m_members));
+  return Room;
+}
+
+int roomOfGroup(const Group &G, const std::vector<int> &Room) {
+  int Total = 0;
+  for (const int I : G)
+    Total += Room[static_cast<std::size_t>(I)];
+  return Total;
+}
+
 // The cheapest group with room for all members, or null.
 const Group *chooseGroup(const std::vector<Group> &Groups,
                          const std::vector<int> &Room, int Members,
@@ -119,9 +155,7 @@
   const Group *Best = nullptr;
   double BestCost = 0;
   for (const Group &G : Groups) {
-    int Total = 0;
-    for (const int I : G)
-      Total += Room[static_cast<std::size_t>(I)];
+    const int Total = roomOfGroup(G, Room);
     if (Total < Members)
       continue;
     const double Cost = How.m_groupCost(Total, Members);
@@ -133,29 +167,58 @@
   return Best;
 }
 
+double victimCost(const Request &R, const std::vector<Place> &Places) {
+  double Cost = 0;
+  for (const Place &P : Places)
+    Cost += victimCost(R, P.m_worker, P.mask());
+  return Cost;
+}
+
+// The group in which the fewest jobs have to make way.
+std::vector<Place> fillWithFewestVictims(const Fleet &F, const Request &R,
+                                         const Policy &How,
+                                         const std::vector<Group> &Groups,
+                                         const std::vector<int> &Room) {
+  std::vector<Place> Best;
+  for (const Group &G : Groups) {
+    if (roomOfGroup(G, Room) < R.m_members)
+      continue;
+    std::vector<Place> Places = fillGroup(F, R, How, G);
+    if (Places.empty() ||
+        (!Best.empty() && victimCost(R, Best) <= victimCost(R, Places)))
+      continue;
+    Best = std::move(Places);
+  }
+  return Best;
+}
+
 std::vector<Place> findGang(const Fleet &F, const Request &R,
-                            const Strategy &How, const Weights &Weights) {
-  std::vector<int> Room;
-  Room.reserve(F.m_nodes.size());
-  for (int I = 0; std::cmp_less(I, F.m_nodes.size()); ++I)
-    Room.push_back(membersThatFit(visible(F, R, I), R.m_need, R.m_members));
+                            const Policy &How) {
+  const std::vector<int> Room = roomOnWorkers(F, R);
   for (const auto *Level : {&F.m_racks, &F.m_dataCentres, &F.m_regions}) {
-    const Group *G = chooseGroup(*Level, Room, R.m_members, How);
+    if (R.m_victims != nullptr) {
+      std::vector<Place> Places =
+          fillWithFewestVictims(F, R, How, *Level, Room);
+      if (!Places.empty())
+        return Places;
+      continue;
+    }
+    const Group *G = chooseGroup(*Level, Room, R.m_members, How.m_how);
     if (G != nullptr)
-      return fillGroup(F, R, How, Weights, *G);
+      return fillGroup(F, R, How, *G);
   }
   return {};
 }
 
 std::vector<Place> findSingle(const Fleet &F, const Request &R,
-                              const Strategy &How, const Weights &Weights) {
+                              const Policy &How) {
   Choice Best;
   bool Found = false;
   for (int I = 0; std::cmp_less(I, F.m_nodes.size()); ++I) {
     const Node W = visible(F, R, I);
     if (membersThatFit(W, R.m_need, 1) == 0)
       continue;
-    const Choice C = cheapestBlock(W, I, R.m_need, How, Weights);
+    const Choice C = cheapestBlock(W, I, R, How);
     if (Found && Best.m_cost <= C.m_cost)
       continue;
     Best = C;
@@ -183,9 +246,21 @@
 
 std::vector<Place> findPlaces(const Fleet &F, const Request &R,
                               const model::PlacementRule &Rule) {
-  const Strategy &How = strategyOf(Rule.m_strategy);
-  const Weights W{Rule.m_completionWeight, Rule.m_fragmentationWeight};
-  return R.m_members == 1 ? findSingle(F, R, How, W) : findGang(F, R, How, W);
+  const Policy How{strategyOf(Rule.m_strategy),
+                   {Rule.m_completionWeight, Rule.m_fragmentationWeight}};
+  return R.m_members == 1 ? findSingle(F, R, How) : findGang(F, R, How);
+}
+
+int roomInBestRegion(const Fleet &F, const Request &R) {
+  const std::vector<int> Room = roomOnWorkers(F, R);
+  int Best = 0;
+  for (const Group &G : F.m_regions)
+    Best = std::max(Best, roomOfGroup(G, Room));
+  return Best;
+}
+
+bool hasPlaces(const Fleet &F, const Request &R) {
+  return roomInBestRegion(F, R) >= R.m_members;
 }
 
 } // namespace pomelokeel::sched::detail
--- a/src/sched/placement.h
+++ b/src/sched/placement.h
@@ -2,17 +2,31 @@
 
 #include "sched/fleet.h"
 
+#include <unordered_map>
 #include <vector>
 
 namespace pomelokeel::sched::detail {
 
+/// A running job that could be told to give up its resources.
+struct Victim {
+  int m_holding = 0;
+  Place m_place;  ///< Of one of its members.
+  int m_cost = 1; ///< 0 if it has already been told.
+};
+
 /// A job to place.
 struct Request {
   Need m_need; ///< Of each member.
   int m_members = 1;
   std::vector<int> m_avoid; ///< Worker indices.
   /// Accelerators that must stay untouched, by worker; empty for none.
-  const std::vector<Mask> *m_blocked = nullptr;
+  std::vector<Mask> m_blocked;
+  /// Upper bounds of what may be used, by worker.
+  std::vector<const std::unordered_map<int, Node> *> m_bounds;
+  /// Resources to use instead of the fleet's, or null.
+  const std::vector<Node> *m_nodes = nullptr;
+  /// Jobs that make way if the request is placed on them, by worker, or null.
+  const std::vector<std::vector<Victim>> *m_victims = nullptr;
 };
 
 /// Weights of the balanced strategy.
@@ -41,6 +55,12 @@
 std::vector<Place> findPlaces(const Fleet &F, const Request &R,
                               const model::PlacementRule &Rule);
 
+/// True if findPlaces would find places.
+bool hasPlaces(const Fleet &F, const Request &R);
+
+/// Members of \p R that fit now, in the region with the most room.
+int roomInBestRegion(const Fleet &F, const Request &R);
+
 /// Size of the largest aligned free block that contains the one at \p First.
 int enclosingBlock(Mask Free, int First, int Size);
 
--- /dev/null
+++ b/src/sched/reclaim.cc
@@ -0,0 +1,118 @@
+#include "sched/reclaim.h"
+
+#include <algorithm>
+
+namespace pomelokeel::sched::detail {
+namespace {
+
+using Victims = std::vector<std::vector<Victim>>;
+
+// Victims on the account's blocks. Jobs without accelerators count as well:
+// they hold slots, cores and memory that the blocks are of no use without.
+Victims possibleVictims(const Fleet &F, const Promises &P, int Account,
+                        const std::vector<bool> &Reclaiming) {
+  Victims Out(F.m_nodes.size());
+  for (std::size_t I = 0; I < Reclaiming.size(); ++I) {
+    const Holding &H = F.m_holdings[I];
+    if (!H.m_preemptible || H.m_account == Account || P.isInsideOwn(H))
+      continue;
+    for (const Place &At : H.m_places) {
+      const Mask Promised = P.toAccount(Account, At.m_worker);
+      const bool InTheWay =
+          At.m_accelerators == 0 ? Promised != 0 : (Promised & At.mask()) != 0;
+      if (InTheWay)
+        Out[static_cast<std::size_t>(At.m_worker)].push_back(
+            {static_cast<int>(I), At, Reclaiming[I] ? 0 : 1});
+    }
+  }
+  return Out;
+}
+
+// Collects the victims of one worker.
+class WorkerVictims {
+public:
+  WorkerVictims(const Fleet &F, const Request &R, int Worker,
+                const std::vector<Victim> &Victims)
+      : m_fleet(F), m_request(R),
+        m_node(F.m_nodes[static_cast<std::size_t>(Worker)]),
+        m_victims(Victims) {}
+
+  void collect(const std::vector<Place> &Here, std::vector<int> &Out) {
+    Mask Wanted = 0;
+    for (const Place &P : Here)
+      Wanted |= P.mask();
+    for (const Victim &V : m_victims) {
+      if ((V.m_place.mask() & Wanted) != 0)
+        add(V, Out);
+    }
+    // Slots, cores and memory may still be missing.
+    const Need &N = m_request.m_need;
+    const int Members = static_cast<int>(Here.size());
+    for (const Victim &V : m_victims) {
+      if (m_node.m_slots >= Members && m_node.m_cores >= Members * N.m_cores &&
+          m_node.m_memoryMb >= Members * N.m_memoryMb)
+        return;
+      if ((V.m_place.mask() & Wanted) == 0)
+        add(V, Out);
+    }
+  }
+
+private:
+  void add(const Victim &V, std::vector<int> &Out) {
+    giveBack(m_node,
+             m_fleet.m_holdings[static_cast<std::size_t>(V.m_holding)].m_need,
+             V.m_place);
+    if (std::find(Out.begin(), Out.end(), V.m_holding) == Out.end())
+      Out.push_back(V.m_holding);
+  }
+
+  const Fleet &m_fleet;
+  const Request &m_request;
+  Node m_node;
+  const std::vector<Victim> &m_victims;
+};
+
+std::vector<int> victimsOf(const Fleet &F, const Request &R,
+                           const Victims &Possible,
+                           const std::vector<Place> &Places) {
+  std::vector<int> Out;
+  std::vector<int> Done;
+  for (const Place &P : Places) {
+    if (std::find(Done.begin(), Done.end(), P.m_worker) != Done.end())
+      continue;
+    Done.push_back(P.m_worker);
+    std::vector<Place> Here;
+    std::copy_if(Places.begin(), Places.end(), std::back_inserter(Here),
+                 [&](const Place &Q) { return Q.m_worker == P.m_worker; });
+    WorkerVictims(F, R, P.m_worker,
+                  Possible[static_cast<std::size_t>(P.m_worker)])
+        .collect(Here, Out);
+  }
+  return Out;
+}
+
+} // namespace
+
+ReclaimChoice chooseReclaim(const Fleet &F, const Promises &P, int Account,
+                            Request R, const std::vector<bool> &Reclaiming,
+                            const model::PlacementRule &Rule) {
+  const Victims Possible = possibleVictims(F, P, Account, Reclaiming);
+  std::vector<Node> Nodes = F.m_nodes;
+  if (R.m_blocked.empty())
+    R.m_blocked.resize(Nodes.size());
+  for (std::size_t I = 0; I < Nodes.size(); ++I) {
+    R.m_blocked[I] |= P.toOthers(Account, static_cast<int>(I));
+    for (const Victim &V : Possible[I])
+      giveBack(Nodes[I],
+               F.m_holdings[static_cast<std::size_t>(V.m_holding)].m_need,
+               V.m_place);
+  }
+  R.m_nodes = &Nodes;
+  R.m_victims = &Possible;
+  ReclaimChoice Out;
+  Out.m_places = findPlaces(F, R, Rule);
+  Out.m_holdings = victimsOf(F, R, Possible, Out.m_places);
+  return Out;
+}
+
+} // namespace pomelokeel::sched::detail
--- /dev/null
+++ b/src/sched/reserve.cc
@@ -0,0 +1,64 @@
+#include "sched/reserve.h"
+
+#include <algorithm>
+
+namespace pomelokeel::sched::detail {
+namespace {
+
+// The fleet after the first Count ends.
+std::vector<Node> nodesAfter(const Fleet &F,
+                             const std::vector<ExpectedEnd> &Ends,
+                             std::size_t Count) {
+  std::vector<Node> Nodes = F.m_nodes;
+  for (std::size_t I = 0; I < Count; ++I) {
+    const Holding &H =
+        F.m_holdings[static_cast<std::size_t>(Ends[I].m_holding)];
+    for (const Place &P : H.m_places)
+      giveBack(Nodes[static_cast<std::size_t>(P.m_worker)], H.m_need, P);
+  }
+  return Nodes;
+}
+
+bool fitsAfter(const Fleet &F, Request &R, const std::vector<ExpectedEnd> &Ends,
+               std::size_t Count) {
+  const std::vector<Node> Nodes = nodesAfter(F, Ends, Count);
+  R.m_nodes = &Nodes;
+  const bool Fits = hasPlaces(F, R);
+  R.m_nodes = nullptr;
+  return Fits;
+}
+
+} // namespace
+
+Reservation reserve(const Fleet &F, Request R, std::vector<ExpectedEnd> Ends,
+                    const model::PlacementRule &Rule) {
+  std::sort(Ends.begin(), Ends.end(), [](const auto &L, const auto &R) {
+    return std::tie(L.m_endMs, L.m_holding) < std::tie(R.m_endMs, R.m_holding);
+  });
+  Reservation Out;
+  if (!fitsAfter(F, R, Ends, Ends.size()))
+    return Out;
+  // Each end only adds resources, so the first number that suffices can be
+  // bisected.
+  std::size_t Low = 0;
+  std::size_t High = Ends.size();
+  while (Low < High) {
+    const std::size_t Middle = (Low + High) / 2;
+    if (fitsAfter(F, R, Ends, Middle))
+      High = Middle;
+    else
+      Low = Middle + 1;
+  }
+  std::vector<Node> Nodes = nodesAfter(F, Ends, Low);
+  R.m_nodes = &Nodes;
+  Out.m_places = findPlaces(F, R, Rule);
+  Out.m_startMs = Low == 0 ? 0 : Ends[Low - 1].m_endMs;
+  for (const Place &P : Out.m_places) {
+    Node &W = Nodes[static_cast<std::size_t>(P.m_worker)];
+    takeOne(W, R.m_need, P);
+    Out.m_spare[P.m_worker] = W;
+  }
+  return Out;
+}
+
+} // namespace pomelokeel::sched::detail
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -120,6 +120,7 @@
   std::string m_worker; ///< First worker, for blocks larger than a worker.
   int m_firstAccelerator = 0;
   int m_size = 0;
+  std::vector<std::string> m_workers; ///< All of them, the first one included.
 };
 
 /// One assignment of disjoint blocks for all guarantees, and what is missing.
--- /dev/null
+++ b/src/sched/supply.cc
@@ -0,0 +1,68 @@
+#include "sched/supply.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace pomelokeel::sched::detail {
+namespace {
+
+int largestWorker(const Fleet &F) {
+  int Largest = 0;
+  for (const Node &W : F.m_nodes)
+    Largest = std::max(Largest, W.m_accelerators);
+  return Largest;
+}
+
+} // namespace
+
+Supply::Supply(const Fleet &F)
+    : m_common(F.m_nodes.size()), m_own(F.m_nodes.size()) {
+  for (std::size_t I = 0; I < F.m_nodes.size(); ++I)
+    m_common[I] = F.m_nodes[I].m_healthy ? F.m_nodes[I].m_all : 0;
+  for (const Holding &H : F.m_holdings) {
+    if (H.m_preemptible)
+      continue;
+    for (const Place &P : H.m_places) {
+      const auto Worker = static_cast<std::size_t>(P.m_worker);
+      m_common[Worker] &= ~P.mask();
+      if (H.m_account >= 0 && F.m_nodes[Worker].m_healthy)
+        m_own[Worker].emplace_back(H.m_account,
+                                   P.mask() & F.m_nodes[Worker].m_all);
+    }
+  }
+}
+
+Mask Supply::usable(int Account, int Worker) const {
+  Mask Out = m_common[static_cast<std::size_t>(Worker)];
+  for (const auto &[Owner, Held] : m_own[static_cast<std::size_t>(Worker)])
+    Out |= Owner == Account ? Held : 0;
+  return Out;
+}
+
+void Supply::remove(const Place &P) {
+  m_common[static_cast<std::size_t>(P.m_worker)] &= ~P.mask();
+  for (auto &[Owner, Held] : m_own[static_cast<std::size_t>(P.m_worker)])
+    Held &= ~P.mask();
+}
+
+// Larger blocks come first: a smaller one that is placed earlier could split
+// the last place of a larger one, and never the other way round.
+std::vector<Demand> demandsOf(const std::vector<model::Account> &Accounts,
+                              const Fleet &F) {
+  const int LargestWorker = largestWorker(F);
+  std::vector<Demand> Out;
+  for (std::size_t A = 0; A < Accounts.size(); ++A) {
+    for (const model::BlockDemand &D : Accounts[A].m_guarantee) {
+      if (D.m_count > 0 && D.m_size > 0)
+        Out.push_back({static_cast<int>(A), D.m_size, D.m_count,
+                       D.m_size > LargestWorker});
+    }
+  }
+  std::stable_sort(Out.begin(), Out.end(), [](const auto &L, const auto &R) {
+    return std::tuple(alignmentOf(L.m_size), L.m_size) >
+           std::tuple(alignmentOf(R.m_size), R.m_size);
+  });
+  return Out;
+}
+
+} // namespace pomelokeel::sched::detail
