Scan only the places that can be chosen in the guarantee check

Cause: every demand rated and sorted all blocks of all workers. Now the scan covers the account's own workers and ends after enough free blocks.

--- a/src/sched/guarantee.cc
+++ b/src/sched/guarantee.cc
@@ -30,18 +30,33 @@
 public:
   Assigner(const std::vector<model::Account> &Accounts, const Fleet &F)
       : m_accounts(Accounts), m_fleet(F), m_supply(F),
-        m_demands(demandsOf(Accounts, F)), m_held(F.m_nodes.size()) {
+        m_demands(demandsOf(Accounts, F)), m_held(F.m_nodes.size()),
+        m_heldBy(Accounts.size()) {
     for (const Holding &H : F.m_holdings) {
       for (const Place &P : H.m_places)
-        m_held[static_cast<std::size_t>(P.m_worker)].push_back(
-            {H.m_account, P.mask(), H.m_reclaiming});
+        addHeld(H, P);
+    }
+    for (std::vector<int> &Workers : m_heldBy) {
+      std::sort(Workers.begin(), Workers.end());
+      Workers.erase(std::unique(Workers.begin(), Workers.end()), Workers.end());
     }
   }
 
   Assignment greedy();
 
 private:
-  std::vector<Candidate> candidates(const Demand &D) const;
+  void addHeld(const Holding &H, const Place &P) {
+    if (P.m_accelerators == 0)
+      return;
+    m_held[static_cast<std::size_t>(P.m_worker)].push_back(
+        {H.m_account, P.mask(), H.m_reclaiming});
+    if (H.m_account >= 0)
+      m_heldBy[static_cast<std::size_t>(H.m_account)].push_back(P.m_worker);
+  }
+  int addCandidates(const Demand &D, int Worker,
+                    std::vector<Candidate> &Out) const;
+  std::vector<Candidate> candidates(const Demand &D, bool OwnOnly,
+                                    int Count) const;
   Candidate rate(const Demand &D, const Place &P, Mask Usable) const;
   int placeOnWorkers(const Demand &D, bool OwnOnly, int Count, Assignment &Out);
   bool placeWholeWorkers(const Demand &D, Assignment &Out);
@@ -58,6 +73,7 @@
     bool m_reclaiming;
   };
   std::vector<std::vector<Held>> m_held;
+  std::vector<std::vector<int>> m_heldBy; ///< Workers by account, ascending.
 };
 
 Candidate Assigner::rate(const Demand &D, const Place &P, Mask Usable) const {
@@ -82,13 +98,37 @@
   return C;
 }
 
-std::vector<Candidate> Assigner::candidates(const Demand &D) const {
+// Adds the places on one worker; returns how many of them are perfect, that is
+// free and without waste.
+int Assigner::addCandidates(const Demand &D, int Worker,
+                            std::vector<Candidate> &Out) const {
+  int Perfect = 0;
+  const Mask Usable = m_supply.usable(D.m_account, Worker);
+  for (Mask Starts = blockStarts(Usable, D.m_size); Starts != 0;
+       Starts &= Starts - 1) {
+    Out.push_back(
+        rate(D, {Worker, std::countr_zero(Starts), D.m_size}, Usable));
+    const Candidate &C = Out.back();
+    Perfect += C.m_foreign == 0 && C.m_waste == 0 ? 1 : 0;
+  }
+  return Perfect;
+}
+
+// The best candidates, at least Count if there are as many. Only the account's
+// own accelerators rank before perfect ones, so the scan of the others ends
+// with enough of those.
+std::vector<Candidate> Assigner::candidates(const Demand &D, bool OwnOnly,
+                                            int Count) const {
   std::vector<Candidate> Out;
-  for (int I = 0; std::cmp_less(I, m_fleet.m_nodes.size()); ++I) {
-    const Mask Usable = m_supply.usable(D.m_account, I);
-    for (Mask Starts = blockStarts(Usable, D.m_size); Starts != 0;
-         Starts &= Starts - 1)
-      Out.push_back(rate(D, {I, std::countr_zero(Starts), D.m_size}, Usable));
+  const std::vector<int> &Own = m_heldBy[static_cast<std::size_t>(D.m_account)];
+  for (const int I : Own)
+    addCandidates(D, I, Out);
+  int Perfect = 0;
+  for (int I = 0;
+       !OwnOnly && Perfect < Count && std::cmp_less(I, m_fleet.m_nodes.size());
+       ++I) {
+    if (!std::binary_search(Own.begin(), Own.end(), I))
+      Perfect += addCandidates(D, I, Out);
   }
   std::sort(Out.begin(), Out.end(),
             [](const auto &L, const auto &R) { return L.rank() < R.rank(); });
@@ -100,7 +140,7 @@
 int Assigner::placeOnWorkers(const Demand &D, bool OwnOnly, int Count,
                              Assignment &Out) {
   int Placed = 0;
-  for (const Candidate &C : candidates(D)) {
+  for (const Candidate &C : candidates(D, OwnOnly, Count)) {
     if (Placed == Count)
       break;
     if (OwnOnly && (C.m_own == 0 || C.m_foreign > 0))
