Limit the nesting of JSON and msgpack input

A request body of 240 KB with 120,000 nested arrays overflowed the stack of the process that dumped it, and so did 1 MB of nested msgpack. DeepNesting, DeepMsgpack: seen to fail by segmentation fault with the earlier parse() and decodeMessage().

--- a/src/base/fields.h
+++ b/src/base/fields.h
@@ -1,10 +1,9 @@
 #pragma once
 
 #include "base/error.h"
+#include "base/json.h"
 #include "base/names.h"
 
-#include <nlohmann/json.hpp>
-
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -17,8 +16,6 @@
 
 namespace pomelokeel::base {
 
-using Json = nlohmann::json;
-
 // Error kinds have their names in the error table.
 template <> inline std::string_view nameOf<ErrorKind>(ErrorKind Value) {
   return errorAnswer(Value).m_name;
@@ -234,9 +231,10 @@
   }
 }
 
-/// Parses and decodes \p Text.
+/// Parses and decodes \p Text. Text that is nested deeper than MaxNesting is
+/// not valid.
 template <typename T> Result<T> parse(std::string_view Text) {
-  const Json J = Json::parse(Text, nullptr, false);
+  const Json J = parseJson(Text);
   if (J.is_discarded())
     return Error{ErrorKind::BadRequest, "not valid JSON"};
   T Out{};
--- /dev/null
+++ b/src/base/json.cc
@@ -0,0 +1,77 @@
+#include "base/json.h"
+
+#include <algorithm>
+
+namespace pomelokeel::base {
+namespace {
+
+// Fails at the nesting limit. The msgpack reader recurses, so the limit must
+// apply while reading.
+class NestingLimit : public nlohmann::json_sax<Json> {
+public:
+  bool null() override { return true; }
+  bool boolean(bool) override { return true; }
+  bool number_integer(number_integer_t) override { return true; }
+  bool number_unsigned(number_unsigned_t) override { return true; }
+  bool number_float(number_float_t, const string_t &) override { return true; }
+  bool string(string_t &) override { return true; }
+  bool binary(binary_t &) override { return true; }
+  bool start_object(std::size_t) override { return ++m_levels <= MaxNesting; }
+  bool key(string_t &) override { return true; }
+  bool end_object() override { return leave(); }
+  bool start_array(std::size_t) override { return ++m_levels <= MaxNesting; }
+  bool end_array() override { return leave(); }
+  bool parse_error(std::size_t, const std::string &,
+                   const nlohmann::detail::exception &) override {
+    return false;
+  }
+
+private:
+  bool leave() {
+    --m_levels;
+    return true;
+  }
+
+  int m_levels = 0;
+};
+
+Json discarded() { return Json(Json::value_t::discarded); }
+
+} // namespace
+
+Json parseJson(std::string_view Text) {
+  bool TooDeep = false;
+  Json J = Json::parse(
+      Text,
+      [&](int Levels, Json::parse_event_t Event, const Json &) {
+        const bool Opens = Event == Json::parse_event_t::object_start ||
+                           Event == Json::parse_event_t::array_start;
+        TooDeep = TooDeep || (Opens && Levels >= MaxNesting);
+        return !TooDeep;
+      },
+      false);
+  return TooDeep ? discarded() : J;
+}
+
+Json parseMsgpack(const std::uint8_t *Data, std::size_t Size) {
+  NestingLimit Limit;
+  if (!Json::sax_parse(Data, Data + Size, &Limit,
+                       Json::input_format_t::msgpack))
+    return discarded();
+  return Json::from_msgpack(Data, Data + Size, true, false);
+}
+
+bool nestedDeeperThan(const Json &J, int Levels) {
+  if (!J.is_structured())
+    return false;
+  return Levels <= 0 ||
+         std::any_of(J.begin(), J.end(), [&](const Json &Element) {
+           return nestedDeeperThan(Element, Levels - 1);
+         });
+}
+
+std::string dumpJson(const Json &J) {
+  return J.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+} // namespace pomelokeel::base
--- a/src/model/job.cc
+++ b/src/model/job.cc
@@ -37,6 +37,8 @@
   if (Spec.m_key.empty() || Spec.m_key.size() > MaxKeyLength)
     return Error{ErrorKind::OutOfRange,
                  "\"key\" must have 1 to 200 characters"};
+  if (base::nestedDeeperThan(Spec.m_payload, base::MaxPayloadNesting))
+    return Error{ErrorKind::OutOfRange, "\"payload\" is nested too deeply"};
   for (const IntRange &R : SpecRanges) {
     const int Value = Spec.*(R.m_member);
     if (Value < R.m_low || Value > R.m_high)
--- a/src/model/message.cc
+++ b/src/model/message.cc
@@ -8,7 +8,7 @@
 
 base::Result<Message> decodeMessage(const std::uint8_t *Data,
                                     std::size_t Size) {
-  const Json J = Json::from_msgpack(Data, Data + Size, true, false);
+  const Json J = base::parseMsgpack(Data, Size);
   if (J.is_discarded())
     return base::Error{base::ErrorKind::BadRequest, "not a msgpack map"};
   Message M;
--- /dev/null
+++ b/tests/base/json_test.cc
@@ -0,0 +1,46 @@
+#include "base/json.h"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+using namespace pomelokeel::base;
+
+namespace {
+
+std::string nestedText(int Levels) {
+  return std::string(Levels, '[') + std::string(Levels, ']');
+}
+
+} // namespace
+
+// A request of 240 KB with this nesting overflowed the stack of its process.
+TEST(Json, DeepNestingIsNotParsed) {
+  EXPECT_FALSE(parseJson(nestedText(MaxNesting)).is_discarded());
+  EXPECT_TRUE(parseJson(nestedText(MaxNesting + 1)).is_discarded());
+  EXPECT_TRUE(parseJson(nestedText(1000000)).is_discarded());
+  EXPECT_TRUE(parseJson(std::string(1000000, '{')).is_discarded());
+  EXPECT_TRUE(parseJson("[1,").is_discarded());
+}
+
+// The msgpack reader recurses: one byte a level overflowed its stack.
+TEST(Json, DeepMsgpackIsNotParsed) {
+  const auto Fits = Json::to_msgpack(parseJson(nestedText(MaxNesting)));
+  EXPECT_FALSE(parseMsgpack(Fits.data(), Fits.size()).is_discarded());
+  const std::vector<std::uint8_t> Deep(1000000, 0x91);
+  EXPECT_TRUE(parseMsgpack(Deep.data(), Deep.size()).is_discarded());
+  const std::vector<std::uint8_t> DeepMaps(1000000, 0x81);
+  EXPECT_TRUE(parseMsgpack(DeepMaps.data(), DeepMaps.size()).is_discarded());
+}
+
+TEST(Json, NestingCountsArraysAndObjects) {
+  EXPECT_FALSE(nestedDeeperThan(1, 0));
+  EXPECT_TRUE(nestedDeeperThan(Json::array(), 0));
+  EXPECT_FALSE(nestedDeeperThan(Json{{"a", 1}, {"b", Json{1}}}, 2));
+  EXPECT_TRUE(nestedDeeperThan(Json{{"a", 1}, {"b", Json{1}}}, 1));
+}
+
+TEST(Json, DumpReplacesInvalidText) {
+  EXPECT_EQ(dumpJson("a\xff"), "\"a\xEF\xBF\xBD\"");
+}
