--- a/src/http/http.cc
+++ b/src/http/http.cc
@@ -79,7 +79,7 @@
                              {"retryable", Answer.m_retryable}}}};
   Response R;
   R.m_status = Answer.m_httpStatus;
-  R.m_body = Body.dump(-1, ' ', false, base::Json::error_handler_t::replace);
+  R.m_body = base::dumpJson(Body);
   return R;
 }
 
--- a/src/logclient/follower.cc
+++ b/src/logclient/follower.cc
@@ -29,6 +29,12 @@
 constexpr std::uint64_t MaxSnapshotChunks = 512;
 constexpr std::chrono::milliseconds OfferWait{50};
 
+Status decodeRecord(const Json &Value, model::Record &Out) {
+  if (base::nestedDeeperThan(Value, base::MaxRecordNesting))
+    return Error{ErrorKind::TooLarge, "nested too deeply"};
+  return base::decode(Value, "", Out);
+}
+
 } // namespace
 
 struct Follower::Impl {
@@ -99,7 +105,7 @@
 
   void addEntry(const ReadPage::Value &V, Batch &B) {
     model::LogEntry Entry{V.m_offset, V.m_timeMs, {}};
-    if (const Status S = base::decode(V.m_value, "", Entry.m_record); !S) {
+    if (const Status S = decodeRecord(V.m_value, Entry.m_record); !S) {
       ++m_invalid;
       LOG(ERROR) << "event=recordSkipped offset=" << V.m_offset << " error=\""
                  << base::toString(S.error()) << "\"";
@@ -170,7 +176,8 @@
                      fmt::format("no snapshot chunk at offset {}", Begin)};
       for (const ReadPage::Value &V : Page->m_values) {
         state::SnapshotChunk Chunk;
-        if (base::decode(V.m_value, "", Chunk))
+        if (!base::nestedDeeperThan(V.m_value, base::MaxRecordNesting) &&
+            base::decode(V.m_value, "", Chunk))
           Reader.add(std::move(Chunk));
         else
           ++m_invalid;
@@ -224,7 +231,7 @@
   std::thread m_thread; // Last, so that it starts when all else exists.
 };
 
-Follower::Follower(LogSettings Settings, base::Ring<FollowerEvent> &Out,
+Follower::Follower(const LogSettings &Settings, base::Ring<FollowerEvent> &Out,
                    base::Counters &Counters)
     : m_impl(std::make_unique<Impl>(Settings, Out, Counters)) {}
 
--- a/src/logclient/logclient.cc
+++ b/src/logclient/logclient.cc
@@ -39,6 +39,8 @@
 }
 
 bool decodePage(const std::string &Text, ReadPage &Out) {
+  // Without a limit of nesting: a value that is nested too deeply must not make
+  // the page unreadable. Parsing and moving do not recurse.
   Json J = Json::parse(Text, nullptr, false);
   if (!J.is_object() || !unsignedAt(J, "first", Out.m_first) ||
       !unsignedAt(J, "next", Out.m_next))
@@ -67,7 +69,7 @@
 
 AppendOutcome appendOutcome(const http::Response &R) {
   if (R.m_status == 200) {
-    const Json J = Json::parse(R.m_body, nullptr, false);
+    const Json J = base::parseJson(R.m_body);
     AppendOutcome Out{AppendFate::Done, 0, {}};
     if (!J.is_object() || !unsignedAt(J, "first", Out.m_first))
       return unconfirmed("the log service's answer is not valid");
@@ -157,8 +159,7 @@
 AppendOutcome LogClient::append(const std::string &Stream,
                                 const std::vector<Json> &Values) {
   const Json Body = {{"records", Values}};
-  return appendEncoded(
-      Stream, Body.dump(-1, ' ', false, Json::error_handler_t::replace));
+  return appendEncoded(Stream, base::dumpJson(Body));
 }
 
 AppendOutcome LogClient::appendEncoded(const std::string &Stream,
--- a/src/logclient/logclient.h
+++ b/src/logclient/logclient.h
@@ -104,15 +104,16 @@
 public:
   using Done = std::function<void(const AppendOutcome &)>;
 
-  Writer(LogSettings Settings, std::size_t Capacity, base::Counters &Counters);
+  Writer(const LogSettings &Settings, std::size_t Capacity,
+         base::Counters &Counters);
   ~Writer();
 
   /// Queues values for one append to \p Stream. \p OnDone is called on the
   /// writer's thread, exactly once. While the log is known to be unavailable
-  /// that is at once, with NoEffect. Values over the limits of one append get
-  /// NoEffect with tooLarge. Returns false, without effect, if the queue is
-  /// full or stopping.
-  [[nodiscard]] bool submit(std::string Stream, std::vector<Json> Values,
+  /// that is at once, with NoEffect. Values over the limits of one append or
+  /// of base::MaxRecordNesting get NoEffect with tooLarge. Returns false,
+  /// without effect, if the queue is full or stopping.
+  [[nodiscard]] bool submit(std::string Stream, const std::vector<Json> &Values,
                             Done OnDone);
 
   /// True while the last append had an answer. False after a failure, until a
@@ -153,7 +154,7 @@
 /// snapshot.
 class Follower {
 public:
-  Follower(LogSettings Settings, base::Ring<FollowerEvent> &Out,
+  Follower(const LogSettings &Settings, base::Ring<FollowerEvent> &Out,
            base::Counters &Counters);
   ~Follower();
 
--- a/src/logclient/writer.cc
+++ b/src/logclient/writer.cc
@@ -21,7 +21,8 @@
 constexpr std::string_view BodyBegin = "{\"records\":[";
 constexpr std::string_view BodyEnd = "]}";
 
-// One submission. The bytes include a separator for each value.
+// One submission. The bytes include a separator for each value, and are over
+// the limit if a value is nested too deeply.
 struct Item {
   std::string m_stream;
   std::vector<std::string> m_values;
@@ -253,18 +254,19 @@
   std::thread m_prober;
 };
 
-Writer::Writer(LogSettings Settings, std::size_t Capacity,
+Writer::Writer(const LogSettings &Settings, std::size_t Capacity,
                base::Counters &Counters)
     : m_impl(std::make_unique<Impl>(Settings, Capacity, Counters)) {}
 
 Writer::~Writer() { stop(0); }
 
-bool Writer::submit(std::string Stream, std::vector<Json> Values, Done OnDone) {
+bool Writer::submit(std::string Stream, const std::vector<Json> &Values,
+                    Done OnDone) {
   Item I{std::move(Stream), {}, 0, std::move(OnDone)};
   for (const Json &Value : Values) {
-    I.m_values.push_back(
-        Value.dump(-1, ' ', false, Json::error_handler_t::replace));
-    I.m_bytes += I.m_values.back().size() + 1;
+    const bool Fits = !base::nestedDeeperThan(Value, base::MaxRecordNesting);
+    I.m_values.push_back(Fits ? base::dumpJson(Value) : "");
+    I.m_bytes += Fits ? I.m_values.back().size() + 1 : MaxAppendBytes;
   }
   return m_impl->submit(std::move(I));
 }
--- a/tests/http/http_test.cc
+++ b/tests/http/http_test.cc
@@ -35,9 +35,10 @@
 class Fixture : public testing::Test {
 protected:
   void start(const ServerLimits &Limits = {}) {
-    auto Started = Server::start(
-        "127.0.0.1:0", Limits,
-        [this](Request R, Responder Answer) { handle(R, std::move(Answer)); });
+    auto Started = Server::start("127.0.0.1:0", Limits,
+                                 [this](const Request &R, Responder Answer) {
+                                   handle(R, std::move(Answer));
+                                 });
     ASSERT_TRUE(Started.ok());
     m_server = std::move(Started.value());
   }
@@ -248,6 +249,7 @@
   start();
   constexpr int Callers = 16;
   std::vector<std::thread> Threads;
+  Threads.reserve(Callers);
   std::atomic<int> Right = 0;
   for (int I = 0; I < Callers; ++I)
     Threads.emplace_back([&, I] {
@@ -292,14 +294,14 @@
 TEST_F(HttpServer, StopAnswersARequestOnItsWay) {
   std::promise<void> Entered;
   std::promise<void> Go;
-  auto Started =
-      Server::start("127.0.0.1:0", {}, [&](const Request &R, Responder Answer) {
-        if (R.m_target == "/block") {
-          Entered.set_value();
-          Go.get_future().wait();
-        }
-        Answer({200, "whole"});
-      });
+  auto Started = Server::start("127.0.0.1:0", {},
+                               [&](const Request &R, const Responder &Answer) {
+                                 if (R.m_target == "/block") {
+                                   Entered.set_value();
+                                   Go.get_future().wait();
+                                 }
+                                 Answer({200, "whole"});
+                               });
   ASSERT_TRUE(Started.ok());
   m_server = std::move(Started.value());
   RawConnection Idle(m_server->address());
--- a/tests/logclient/logclient_test.cc
+++ b/tests/logclient/logclient_test.cc
@@ -13,7 +13,6 @@
 using namespace pomelokeel::logclient;
 using base::ErrorKind;
 using standin::eventually;
-using standin::LogFaults;
 using standin::LogStandin;
 
 namespace {
@@ -406,6 +405,24 @@
   EXPECT_EQ(m_counters.get("log_invalid_records"), 2);
 }
 
+// Such a record would make every later snapshot unreadable.
+TEST_F(Follow, DeeplyNestedRecordIsSkipped) {
+  constexpr int Levels = 2 * base::MaxRecordNesting;
+  const std::string Body = R"({"records":[)" + std::string(Levels, '[') +
+                           std::string(Levels, ']') + "]}";
+  LogClient Raw({m_log.address(), 2000});
+  ASSERT_EQ(Raw.appendEncoded("records", Body).m_fate, AppendFate::Done);
+  append(1);
+  start();
+  ASSERT_TRUE(reaches(2));
+  EXPECT_EQ(m_entries, 1U);
+  Submitter S({m_log.address()});
+  Json Deep;
+  for (int I = 0; I <= base::MaxRecordNesting; ++I)
+    Deep = Json::array({Deep});
+  EXPECT_EQ(S.append(Deep).m_error.m_kind, ErrorKind::TooLarge);
+}
+
 TEST_F(Follow, LoadsTheSnapshotThenTheTail) {
   append(10);
   snapshot(3, 9);
--- a/tests/standin/standin.cc
+++ b/tests/standin/standin.cc
@@ -70,7 +70,7 @@
 }
 
 http::Response jsonResponse(const Json &Body) {
-  return {200, Body.dump(-1, ' ', false, Json::error_handler_t::replace)};
+  return {200, base::dumpJson(Body)};
 }
 
 std::uint64_t numberOf(const http::Request &R, const char *Name,
