--- a/tests/scenario/checker.cc
+++ b/tests/scenario/checker.cc
@@ -173,9 +173,16 @@
   }
 }
 
+// A process that has just started reports 0 until it has read the
+// configuration; until then it serves nothing. The first version after that is
+// compared with what earlier incarnations reported.
 void checkVersions(const History &H, Violations &Out) {
   std::map<std::string, std::uint64_t> Highest;
+  std::set<std::string> Loaded;
   for (const VersionSeen &V : H.m_versions) {
+    if (V.m_version == 0 && !Loaded.contains(V.m_incarnation))
+      continue;
+    Loaded.insert(V.m_incarnation);
     std::uint64_t &Known = Highest[V.m_process];
     if (V.m_version < Known)
       Out.push_back(fmt::format("G8 {}: version went from {} to {}",
@@ -195,6 +202,14 @@
   }
 }
 
+void checkCuts(const History &H, const CheckLimits &Limits, Violations &Out) {
+  for (const CallerView &C : H.m_callers) {
+    if (Limits.m_uncut && C.m_cutCalls > 0)
+      Out.push_back(
+          fmt::format("G7 {}: {} calls were cut off", C.m_name, C.m_cutCalls));
+  }
+}
+
 } // namespace
 
 std::vector<std::string> check(const History &H, const CheckLimits &Limits) {
@@ -207,6 +222,7 @@
   checkOverlap(H, Out);
   checkVersions(H, Out);
   checkDrains(H, Limits, Out);
+  checkCuts(H, Limits, Out);
   return Out;
 }
 
--- a/tests/scenario/checker.h
+++ b/tests/scenario/checker.h
@@ -27,6 +27,7 @@
   int m_members = 1;
   bool m_idempotent = true;
   bool m_accepted = false;
+  int m_cutCalls = 0; ///< Connections that closed before the answer.
   std::vector<Told> m_told;
 };
 
@@ -39,9 +40,11 @@
   std::vector<int> m_accelerators;
 };
 
-/// A configuration version that a process reported.
+/// A configuration version that a process reported. 0 means that it has none
+/// yet.
 struct VersionSeen {
   std::string m_process;
+  std::string m_incarnation;
   Millis m_atMs = 0;
   std::uint64_t m_version = 0;
 };
@@ -64,9 +67,10 @@
 struct CheckLimits {
   Millis m_partialGangMs = 7000; ///< Twice the gang lease and a margin.
   Millis m_drainMs = 4000;       ///< "After a few seconds".
+  bool m_uncut = false;          ///< G7: no call may be cut off.
 };
 
-/// Returns one line for each violation of G2, G3, G4, G5, G6 and G8 and for
+/// Returns one line for each violation of G2 to G8 and for
 /// each accelerator used twice. Empty if the history is allowed.
 std::vector<std::string> check(const History &H,
                                const CheckLimits &Limits = {});
--- a/tests/scenario/fleet.h
+++ b/tests/scenario/fleet.h
@@ -46,6 +46,14 @@
                                 const base::Json &Body = nullptr,
                                 int TimeoutMs = 3000) const;
 
+  /// The same, and tells in \p Cut whether the connection closed after the
+  /// request may have been sent.
+  base::Result<base::Json> call(const std::string &Name,
+                                const std::string &Method,
+                                const std::string &Target,
+                                const base::Json &Body, int TimeoutMs,
+                                bool &Cut) const;
+
   std::string httpAddress(const std::string &Name) const;
   std::vector<std::string> entries() const;
   std::vector<std::string> workers() const;
