Order waiting jobs by age in units of their run time

Cause: in arrival order long jobs kept many short ones waiting behind them. The oldest large gang now gets its reservation before the other non-urgent jobs are considered, since in the new order they may precede it.

--- a/src/sched/pass.cc
+++ b/src/sched/pass.cc
@@ -14,7 +14,6 @@
 
 using base::ErrorKind;
 
-constexpr std::size_t MaxReservations = 1;
 // A job that runs longer than expected is taken to need this share of its run
 // time so far once more.
 constexpr double OverdueShare = 0.25;
@@ -40,7 +39,8 @@
       m_fleet(S.m_accounts, S.m_workers, S.m_running),
       m_assignment(assignBlocks(S.m_accounts, m_fleet, FullSearch)),
       m_promises(m_assignment, m_fleet), m_inUse(S.m_accounts.size()),
-      m_claims(S.m_workers.size()), m_pending(S.m_workers.size()) {
+      m_claims(S.m_workers.size()), m_pending(S.m_workers.size()),
+      m_headGang(headGang(S)) {
   for (const Holding &H : m_fleet.m_holdings) {
     for (const Place &P : H.m_places) {
       if (H.m_account >= 0)
@@ -272,9 +272,7 @@
 }
 
 void Pass::reserveFor(const WaitingView &J) {
-  if (J.m_urgent || !isLargeGang(J.m_spec) ||
-      m_reservations.size() >= MaxReservations ||
-      m_s.m_nowMs - J.m_submittedMs < m_s.m_rule.m_reserveAfterMs)
+  if (&J != m_headGang)
     return;
   Reservation New = reserve(m_fleet, requestOf(J), m_ends, m_s.m_rule);
   if (!New.m_places.empty())
@@ -352,8 +350,18 @@
 Plan Pass::run() {
   m_plan.m_shortfalls = m_assignment.m_shortfalls;
   claimBlocks();
-  for (const WaitingView *J : queueOrder(m_s))
-    consider(*J);
+  const std::vector<const WaitingView *> Queue = queueOrder(m_s);
+  // Urgent jobs come before the reservation, all others respect it.
+  for (const WaitingView *J : Queue) {
+    if (J->m_urgent)
+      consider(*J);
+  }
+  if (m_headGang != nullptr)
+    consider(*m_headGang);
+  for (const WaitingView *J : Queue) {
+    if (!J->m_urgent && J != m_headGang)
+      consider(*J);
+  }
   return std::move(m_plan);
 }
 
--- a/src/sched/pass.h
+++ b/src/sched/pass.h
@@ -53,6 +53,7 @@
   /// By worker: blocks that the account has waiting work for.
   std::vector<std::vector<std::pair<int, Mask>>> m_claims;
   std::vector<Mask> m_pending; ///< Accelerators kept for reclaiming jobs.
+  const WaitingView *m_headGang;
   std::vector<ExpectedEnd> m_ends;
   std::vector<Reservation> m_reservations;
   std::map<Shape, std::string> m_failed;
--- a/src/sched/queue.cc
+++ b/src/sched/queue.cc
@@ -1,6 +1,7 @@
 #include "sched/queue.h"
 
 #include <algorithm>
+#include <tuple>
 
 namespace pomelokeel::sched::detail {
 
@@ -8,15 +9,59 @@
   return Spec.m_members > 1 || Spec.m_accelerators > 1;
 }
 
+namespace {
+
+// Waiting time that a job is credited with from the start, so that fresh jobs
+// are ordered by their run time.
+constexpr double StartCreditMs = 1000;
+// Jobs are ordered as if they ran at least this long, because estimates of
+// short ones are off by more than their differences.
+constexpr double ShortestRunMs = 1000;
+
+// Waiting time in units of the run time: short jobs first, but every job gets
+// to the front as it ages.
+double urgencyByAge(const WaitingView &J, Millis NowMs) {
+  const auto Waited = static_cast<double>(NowMs - J.m_submittedMs);
+  const auto Run = static_cast<double>(J.m_expectedRunMs);
+  return (Waited + StartCreditMs) / std::max(Run, ShortestRunMs);
+}
+
+struct Entry {
+  const WaitingView *m_job = nullptr;
+  double m_rank = 0;
+};
+
+} // namespace
+
 std::vector<const WaitingView *> queueOrder(const Snapshot &S) {
-  std::vector<const WaitingView *> Out;
-  Out.reserve(S.m_waiting.size());
+  const bool ByAge = S.m_rule.m_strategy == model::PlacementStrategy::Balanced;
+  std::vector<Entry> Entries;
+  Entries.reserve(S.m_waiting.size());
   for (const WaitingView &J : S.m_waiting)
-    Out.push_back(&J);
-  std::stable_sort(Out.begin(), Out.end(), [](const auto *L, const auto *R) {
-    return L->m_urgent > R->m_urgent;
-  });
+    Entries.push_back({&J, ByAge ? urgencyByAge(J, S.m_nowMs) : 0});
+  std::stable_sort(Entries.begin(), Entries.end(),
+                   [](const Entry &L, const Entry &R) {
+                     return std::tuple(L.m_job->m_urgent, L.m_rank) >
+                            std::tuple(R.m_job->m_urgent, R.m_rank);
+                   });
+  std::vector<const WaitingView *> Out;
+  Out.reserve(Entries.size());
+  for (const Entry &E : Entries)
+    Out.push_back(E.m_job);
   return Out;
 }
 
+const WaitingView *headGang(const Snapshot &S) {
+  const WaitingView *Oldest = nullptr;
+  for (const WaitingView &J : S.m_waiting) {
+    const bool Eligible =
+        !J.m_urgent && isLargeGang(J.m_spec) && J.m_notBeforeMs <= S.m_nowMs &&
+        S.m_nowMs - J.m_submittedMs >= S.m_rule.m_reserveAfterMs;
+    if (Eligible &&
+        (Oldest == nullptr || J.m_submittedMs < Oldest->m_submittedMs))
+      Oldest = &J;
+  }
+  return Oldest;
+}
+
 } // namespace pomelokeel::sched::detail
