Reserve only for gangs of several members, and for the first that can fit

Cause: single jobs of two or more accelerators held the reservation most of the time, and a gang that fits only without the blocks that are claimed at the moment kept all others from having one.

--- a/src/sched/pass.cc
+++ b/src/sched/pass.cc
@@ -14,6 +14,9 @@
 
 using base::ErrorKind;
 
+// Aged gangs that may try for the reservation: one that does not fit even when
+// all jobs have ended must not keep the others from it.
+constexpr std::size_t MaxGangsTried = 4;
 // A job that runs longer than expected is taken to need this share of its run
 // time so far once more.
 constexpr double OverdueShare = 0.25;
@@ -39,8 +42,7 @@
       m_fleet(S.m_accounts, S.m_workers, S.m_running),
       m_assignment(assignBlocks(S.m_accounts, m_fleet, FullSearch)),
       m_promises(m_assignment, m_fleet), m_inUse(S.m_accounts.size()),
-      m_claims(S.m_workers.size()), m_pending(S.m_workers.size()),
-      m_headGang(headGang(S)) {
+      m_claims(S.m_workers.size()), m_pending(S.m_workers.size()) {
   for (const Holding &H : m_fleet.m_holdings) {
     for (const Place &P : H.m_places) {
       if (H.m_account >= 0)
@@ -272,9 +274,13 @@
 }
 
 void Pass::reserveFor(const WaitingView &J) {
-  if (&J != m_headGang)
+  if (!holdBack(J).empty())
     return;
-  Reservation New = reserve(m_fleet, requestOf(J), m_ends, m_s.m_rule);
+  Request R = requestOf(J);
+  // What is claimed or reclaimed now is in use by its owner at that time, or
+  // free again.
+  R.m_blocked.clear();
+  Reservation New = reserve(m_fleet, std::move(R), m_ends, m_s.m_rule);
   if (!New.m_places.empty())
     m_reservations.push_back(std::move(New));
 }
@@ -342,9 +348,21 @@
   const auto Known = m_failed.find(shapeOf(J));
   if (Known != m_failed.end() && J.m_avoid.empty())
     wait(J, Known->second);
-  else if (place(J))
-    return;
-  reserveFor(J);
+  else
+    place(J);
+}
+
+// Considers aged gangs until one has a reservation. Returns how many.
+std::size_t Pass::considerGangs(const std::vector<const WaitingView *> &Aged) {
+  std::size_t Count = 0;
+  for (; Count < Aged.size() && Count < MaxGangsTried && m_reservations.empty();
+       ++Count) {
+    const std::size_t Waits = m_plan.m_wait.size();
+    consider(*Aged[Count]);
+    if (m_plan.m_wait.size() > Waits)
+      reserveFor(*Aged[Count]);
+  }
+  return Count;
 }
 
 Plan Pass::run() {
@@ -356,10 +374,11 @@
     if (J->m_urgent)
       consider(*J);
   }
-  if (m_headGang != nullptr)
-    consider(*m_headGang);
+  const std::vector<const WaitingView *> Aged = agedGangs(m_s);
+  const std::size_t Gangs = considerGangs(Aged);
+  const auto Done = Aged.begin() + static_cast<std::ptrdiff_t>(Gangs);
   for (const WaitingView *J : Queue) {
-    if (!J->m_urgent && J != m_headGang)
+    if (!J->m_urgent && std::find(Aged.begin(), Done, J) == Done)
       consider(*J);
   }
   return std::move(m_plan);
--- a/src/sched/pass.h
+++ b/src/sched/pass.h
@@ -31,6 +31,7 @@
   bool placeOn(const WaitingView &J, const Request &R);
   bool reclaim(const WaitingView &J, const Request &R);
   void reserveFor(const WaitingView &J);
+  std::size_t considerGangs(const std::vector<const WaitingView *> &Aged);
   void claimBlocks();
   void claimBlocks(int Account, int Needed);
   bool isEntitled(const WaitingView &J) const;
@@ -53,7 +54,6 @@
   /// By worker: blocks that the account has waiting work for.
   std::vector<std::vector<std::pair<int, Mask>>> m_claims;
   std::vector<Mask> m_pending; ///< Accelerators kept for reclaiming jobs.
-  const WaitingView *m_headGang;
   std::vector<ExpectedEnd> m_ends;
   std::vector<Reservation> m_reservations;
   std::map<Shape, std::string> m_failed;
--- a/src/sched/queue.cc
+++ b/src/sched/queue.cc
@@ -6,7 +6,7 @@
 namespace pomelokeel::sched::detail {
 
 bool isLargeGang(const model::JobSpec &Spec) {
-  return Spec.m_members > 1 || Spec.m_accelerators > 1;
+  return Spec.m_members > 1 && Spec.m_accelerators > 0;
 }
 
 namespace {
@@ -51,17 +51,17 @@
   return Out;
 }
 
-const WaitingView *headGang(const Snapshot &S) {
-  const WaitingView *Oldest = nullptr;
+std::vector<const WaitingView *> agedGangs(const Snapshot &S) {
+  std::vector<const WaitingView *> Out;
   for (const WaitingView &J : S.m_waiting) {
-    const bool Eligible =
-        !J.m_urgent && isLargeGang(J.m_spec) && J.m_notBeforeMs <= S.m_nowMs &&
-        S.m_nowMs - J.m_submittedMs >= S.m_rule.m_reserveAfterMs;
-    if (Eligible &&
-        (Oldest == nullptr || J.m_submittedMs < Oldest->m_submittedMs))
-      Oldest = &J;
+    if (!J.m_urgent && isLargeGang(J.m_spec) && J.m_notBeforeMs <= S.m_nowMs &&
+        S.m_nowMs - J.m_submittedMs >= S.m_rule.m_reserveAfterMs)
+      Out.push_back(&J);
   }
-  return Oldest;
+  std::stable_sort(Out.begin(), Out.end(), [](const auto *L, const auto *R) {
+    return L->m_submittedMs < R->m_submittedMs;
+  });
+  return Out;
 }
 
 } // namespace pomelokeel::sched::detail
--- a/src/sched/queue.h
+++ b/src/sched/queue.h
@@ -13,8 +13,8 @@
 /// first, then as the strategy of the rule says.
 std::vector<const WaitingView *> queueOrder(const Snapshot &S);
 
-/// The gang that gets a reservation if it does not fit: the one that has waited
-/// longest of those that have waited for m_reserveAfterMs; null if none has.
-const WaitingView *headGang(const Snapshot &S);
+/// The large gangs that have waited for m_reserveAfterMs, oldest first. The
+/// first that does not fit gets a reservation.
+std::vector<const WaitingView *> agedGangs(const Snapshot &S);
 
 } // namespace pomelokeel::sched::detail
