--- a/src/sched/pass.cc
+++ b/src/sched/pass.cc
@@ -315,7 +315,10 @@
 
 bool Pass::place(const WaitingView &J) {
   const Request R = requestOf(J);
-  if (!J.m_preemptible && J.m_spec.m_accelerators > 0) {
+  // A job that cannot be preempted must not touch the promises of others if
+  // there is another way, and a gang loses all its members with one of them.
+  const bool AvoidsPromises = !J.m_preemptible || isLargeGang(J.m_spec);
+  if (AvoidsPromises && J.m_spec.m_accelerators > 0) {
     Request Unpromised = R;
     const int Account = m_fleet.accountIndex(J.m_spec.m_account);
     for (std::size_t I = 0; I < Unpromised.m_blocked.size(); ++I)
