Count the members that stop when promised blocks are put on running jobs

Cause: one gang of six counted as one victim and was preferred to two small jobs. The fewest jobs to reclaim are now the fewest members.

--- a/src/sched/guarantee.cc
+++ b/src/sched/guarantee.cc
@@ -13,7 +13,7 @@
 // A possible place of a block, best first.
 struct Candidate {
   int m_common = 0;  ///< Accelerators that another account could use.
-  int m_victims = 0; ///< Jobs of other accounts that would have to stop.
+  int m_victims = 0; ///< Members of other accounts that would have to stop.
   int m_foreign = 0; ///< Accelerators held by other accounts.
   int m_own = 0;     ///< Accelerators held by the account, negated.
   int m_waste = 0;   ///< Usable accelerators beside the block, inside its
@@ -49,7 +49,8 @@
     if (P.m_accelerators == 0)
       return;
     m_held[static_cast<std::size_t>(P.m_worker)].push_back(
-        {H.m_account, P.mask(), H.m_reclaiming});
+        {H.m_account, P.mask(),
+         H.m_reclaiming ? 0 : static_cast<int>(H.m_places.size())});
     if (H.m_account >= 0)
       m_heldBy[static_cast<std::size_t>(H.m_account)].push_back(P.m_worker);
   }
@@ -70,7 +71,7 @@
   struct Held {
     int m_account;
     Mask m_mask;
-    bool m_reclaiming;
+    int m_members; ///< That stop with it; 0 if it is being reclaimed.
   };
   std::vector<std::vector<Held>> m_held;
   std::vector<std::vector<int>> m_heldBy; ///< Workers by account, ascending.
@@ -91,7 +92,7 @@
       continue;
     }
     C.m_foreign += Shared;
-    C.m_victims += Shared > 0 && !H.m_reclaiming ? 1 : 0;
+    C.m_victims += Shared > 0 ? H.m_members : 0;
   }
   const Mask Aligned = maskOf(P.m_first, alignmentOf(D.m_size));
   C.m_waste = std::popcount(Usable & Aligned & ~Block);
--- a/src/sched/reclaim.cc
+++ b/src/sched/reclaim.cc
@@ -22,7 +22,8 @@
           At.m_accelerators == 0 ? Promised != 0 : (Promised & At.mask()) != 0;
       if (InTheWay)
         Out[static_cast<std::size_t>(At.m_worker)].push_back(
-            {static_cast<int>(I), At, Reclaiming[I] ? 0 : 1});
+            {static_cast<int>(I), At,
+             Reclaiming[I] ? 0 : static_cast<int>(H.m_places.size())});
     }
   }
   return Out;
