Order waiting jobs by age over run time and accelerators

Cause: small jobs of few accelerators waited behind wide ones with the same run time. The weights of the rule set the power of the size.

--- a/src/sched/queue.cc
+++ b/src/sched/queue.cc
@@ -1,6 +1,7 @@
 #include "sched/queue.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 namespace pomelokeel::sched::detail {
@@ -18,12 +19,19 @@
 // short ones are off by more than their differences.
 constexpr double ShortestRunMs = 1000;
 
-// Waiting time in units of the run time: short jobs first, but every job gets
-// to the front as it ages.
-double urgencyByAge(const WaitingView &J, Millis NowMs) {
+// Waiting time over the work that the job asks for: small jobs first, but every
+// job gets to the front as it ages. With a higher weight of fragmentation the
+// size counts less, so that large jobs get blocks before small ones split them.
+double urgencyByAge(const WaitingView &J, Millis NowMs,
+                    const model::PlacementRule &Rule) {
   const auto Waited = static_cast<double>(NowMs - J.m_submittedMs);
   const auto Run = static_cast<double>(J.m_expectedRunMs);
-  return (Waited + StartCreditMs) / std::max(Run, ShortestRunMs);
+  const double Size = std::max(J.m_spec.m_members * J.m_spec.m_accelerators, 1);
+  const double Weights = Rule.m_completionWeight + Rule.m_fragmentationWeight;
+  const double SizePower =
+      Weights > 0 ? 2 * Rule.m_completionWeight / Weights : 1;
+  return (Waited + StartCreditMs) /
+         (std::max(Run, ShortestRunMs) * std::pow(Size, SizePower));
 }
 
 struct Entry {
@@ -38,7 +46,7 @@
   std::vector<Entry> Entries;
   Entries.reserve(S.m_waiting.size());
   for (const WaitingView &J : S.m_waiting)
-    Entries.push_back({&J, ByAge ? urgencyByAge(J, S.m_nowMs) : 0});
+    Entries.push_back({&J, ByAge ? urgencyByAge(J, S.m_nowMs, S.m_rule) : 0});
   std::stable_sort(Entries.begin(), Entries.end(),
                    [](const Entry &L, const Entry &R) {
                      return std::tuple(L.m_job->m_urgent, L.m_rank) >
