--- a/src/sched/pass.h
+++ b/src/sched/pass.h
@@ -31,6 +31,7 @@
   bool placeOn(const WaitingView &J, const Request &R);
   bool reclaim(const WaitingView &J, const Request &R);
   void reserveFor(const WaitingView &J);
+  std::size_t considerGangs(const std::vector<const WaitingView *> &Aged);
   void claimBlocks();
   void claimBlocks(int Account, int Needed);
   bool isEntitled(const WaitingView &J) const;
