--- a/src/agent/tasks_timers.cc
+++ b/src/agent/tasks_timers.cc
@@ -110,7 +110,7 @@
         0,
         base::encode(T.m_record)};
     Call.m_notAfter = T.m_startBy;
-    Call.m_leaseEnd = Now + m_limits.m_taskLeaseMs;
+    Call.m_leaseEnd = std::min(Now + m_limits.m_taskLeaseMs, orphanEnd(T));
     issue(T, std::move(Call), Now + RetryMs);
     T.m_nextAt[indexOf(CallKind::Renew)] =
         Now + m_limits.m_taskLeaseMs / RenewalsPerLease;
--- a/tests/agent/tasks_test.cc
+++ b/tests/agent/tasks_test.cc
@@ -129,6 +129,36 @@
   EXPECT_TRUE(S.hold().m_everRan);
 }
 
+// Guards against a worker lease that outlives the orphan limit when the agent
+// is frozen before the limit passes.
+TEST(TaskTable, WorkerLeaseEndsWithTheOrphanLimit) {
+  Single S;
+  Command C = command(CommandKind::Reserve);
+  C.m_orphanLimitMs = Lease / 2;
+  EXPECT_EQ(S.send(C), std::nullopt);
+  C.m_kind = CommandKind::Start;
+  EXPECT_EQ(S.send(C), std::nullopt);
+  S.run(2 * Lease);
+  ASSERT_EQ(S.hold().m_state, HoldState::Running);
+  S.m_sim.node(0).m_frozenUntil = S.m_sim.now() + Lease;
+  S.run(Lease / 2 + 10);
+  EXPECT_EQ(S.m_sim.node(0).m_worker.task("j.1.0")->m_info.m_state,
+            TaskState::Lapsed);
+}
+
+// Guards against a gang that goes on with a member whose worker has stopped
+// answering and has ended the task by its lease.
+TEST(TaskTable, StopsATaskThatTheWorkerDoesNotRenew) {
+  Single S;
+  S.start();
+  const Effects E = S.table().advance(S.m_sim.now() + Lease);
+  EXPECT_EQ(S.hold().m_state, HoldState::Running);
+  EXPECT_TRUE(
+      std::any_of(E.m_calls.begin(), E.m_calls.end(), [](const WorkerCall &W) {
+        return W.m_kind == CallKind::Stop;
+      }));
+}
+
 // Guards G4: the previous agent may have reported the task as not run.
 TEST(TaskTable, AdoptsRunningTasksAndStopsPausedOnes) {
   Single S;
