--- a/tests/http/http_test.cc
+++ b/tests/http/http_test.cc
@@ -29,14 +29,16 @@
 constexpr int CallMs = 10000;
 constexpr int ShortMs = 100;
 
-// A server that echoes. /hold keeps the responder, /drop drops it, /throw
-// fails, /lost closes the connection, /big answers with 16 MB.
+// A server that echoes. /hold keeps the responder, /late first answers the kept
+// ones, /drop drops it, /throw fails, /lost closes the connection, /big answers
+// with 16 MB.
 class Fixture : public testing::Test {
 protected:
   void start(const ServerLimits &Limits = {}) {
-    auto Started = Server::start(
-        "127.0.0.1:0", Limits,
-        [this](Request R, Responder Answer) { handle(R, std::move(Answer)); });
+    auto Started = Server::start("127.0.0.1:0", Limits,
+                                 [this](const Request &R, Responder Answer) {
+                                   handle(R, std::move(Answer));
+                                 });
     ASSERT_TRUE(Started.ok());
     m_server = std::move(Started.value());
   }
@@ -49,6 +51,8 @@
       m_held.push_back(std::move(Answer));
       return;
     }
+    if (R.m_target == "/late")
+      answerHeld("late");
     if (R.m_target == "/drop")
       return;
     if (R.m_target == "/throw")
@@ -224,9 +228,8 @@
   const auto Outcome = C->call(get("/hold"), CallMs);
   EXPECT_EQ(kindOf(std::get<Response>(Outcome).m_body), "timeout");
   // A late answer must not be taken for that of the next request.
-  answerHeld("late");
-  const auto Next = C->call(get("/next"), CallMs);
-  EXPECT_EQ(std::get<Response>(Next).m_body, "GET /next ");
+  const auto Next = C->call(get("/late"), CallMs);
+  EXPECT_EQ(std::get<Response>(Next).m_body, "GET /late ");
 }
 
 TEST_F(HttpServer, ResponderOutlivesConnectionAndServer) {
@@ -246,6 +249,7 @@
   start();
   constexpr int Callers = 16;
   std::vector<std::thread> Threads;
+  Threads.reserve(Callers);
   std::atomic<int> Right = 0;
   for (int I = 0; I < Callers; ++I)
     Threads.emplace_back([&, I] {
@@ -290,14 +294,14 @@
 TEST_F(HttpServer, StopAnswersARequestOnItsWay) {
   std::promise<void> Entered;
   std::promise<void> Go;
-  auto Started =
-      Server::start("127.0.0.1:0", {}, [&](const Request &R, Responder Answer) {
-        if (R.m_target == "/block") {
-          Entered.set_value();
-          Go.get_future().wait();
-        }
-        Answer({200, "whole"});
-      });
+  auto Started = Server::start("127.0.0.1:0", {},
+                               [&](const Request &R, const Responder &Answer) {
+                                 if (R.m_target == "/block") {
+                                   Entered.set_value();
+                                   Go.get_future().wait();
+                                 }
+                                 Answer({200, "whole"});
+                               });
   ASSERT_TRUE(Started.ok());
   m_server = std::move(Started.value());
   RawConnection Idle(m_server->address());
