Keep the offset at which a worker's incarnation was announced

A restarted agent marks an attempt that it does not know as stopped and never run. On a machine that was rebooted this may be wrong, and the leader placed a payment a second time. With the offset the leader can tell whether the agent has run since before the placement. Found by the fault property of the leader.

--- a/src/state/state.cc
+++ b/src/state/state.cc
@@ -107,6 +107,8 @@
   if (!Body)
     return Body.error();
   WorkerEntry &W = S.m_workers[Body->m_name];
+  if (W.m_worker.m_incarnation != Body->m_incarnation)
+    W.m_sinceOffset = C.m_entry.m_offset;
   W.m_worker = *Body;
   if (W.m_standing == model::WorkerStanding::Lost) {
     W.m_standing = model::WorkerStanding::Healthy;
--- a/src/state/state.h
+++ b/src/state/state.h
@@ -18,6 +18,7 @@
 /// A worker in the state.
 struct WorkerEntry {
   model::Worker m_worker;
+  std::uint64_t m_sinceOffset = 0; ///< First record of this incarnation.
   model::WorkerStanding m_standing = model::WorkerStanding::Healthy;
   std::string m_standingReason;
   Millis m_standingUntilMs = 0;
@@ -25,6 +26,7 @@
   static constexpr auto fields() {
     return std::tuple{
         base::required("worker", &WorkerEntry::m_worker),
+        base::optional("sinceOffset", &WorkerEntry::m_sinceOffset),
         base::optional("standing", &WorkerEntry::m_standing),
         base::optional("standingReason", &WorkerEntry::m_standingReason),
         base::optional("standingUntilMs", &WorkerEntry::m_standingUntilMs)};
--- a/tests/state/state_test.cc
+++ b/tests/state/state_test.cc
@@ -276,3 +276,17 @@
   EXPECT_TRUE(Attempt(2, true));
   EXPECT_TRUE(Attempt(3, false));
 }
+
+// Guards G5: the leader must be able to tell an agent that has run since before
+// a placement from one that was restarted after it.
+TEST(Fold, WorkerKeepsTheOffsetOfItsIncarnation) {
+  Log L;
+  L.addWorker("w1");
+  L.addWorker("w2");
+  L.addWorker("w1");
+  EXPECT_EQ(L.m_state.m_workers.at("w1").m_sinceOffset, 0u);
+  model::Worker W = L.m_state.m_workers.at("w2").m_worker;
+  W.m_incarnation = "2";
+  L.append(RecordKind::WorkerAnnounced, W);
+  EXPECT_EQ(L.m_state.m_workers.at("w2").m_sinceOffset, 3u);
+}
