--- a/src/entry/core.h
+++ b/src/entry/core.h
@@ -74,9 +74,6 @@
   struct Peer {
     std::string m_address;
     Millis m_sinceMs = 0; ///< Kept since then.
-    model::Digest m_digest;
-    Millis m_digestMs = 0;
-    Millis m_digestFedMs = 0; ///< When the leader was last told of it.
   };
 
   // The log.
@@ -112,7 +109,7 @@
   void sendCommand(const AgentCommand &C);
   bool sendToLeader(model::Message M);
   void tickMesh(Millis NowMs);
-  void refreshDigests(Millis NowMs);
+  void tickDigests(Millis NowMs);
   void updatePeers(Millis NowMs);
   void dropLostMembers(Millis NowMs);
   const Peer *leaderPeer() const;
--- a/src/entry/core_messages.cc
+++ b/src/entry/core_messages.cc
@@ -14,10 +14,6 @@
 // still runs announces itself again.
 constexpr Millis MemberLostMs = 600000;
 
-// Age up to which the leader counts an entry's last digest as still true while
-// the entry answers pings. A change is sent at once.
-constexpr Millis DigestHoldsMs = 6000;
-
 template <typename Body> std::optional<Body> readBody(const model::Message &M) {
   Body Out;
   if (!base::decode(M.m_body, "", Out))
@@ -190,9 +186,7 @@
 
 void Core::sendCommand(const AgentCommand &C) {
   const auto Route = m_relay.route(C.m_worker);
-  const auto Peer =
-      Route && !Route->m_local ? m_peers.find(Route->m_entry) : m_peers.end();
-  if (!Route || (!Route->m_local && Peer == m_peers.end())) {
+  if (!Route) {
     ++m_counters.get("commands_unroutable");
     return;
   }
@@ -200,8 +194,7 @@
       model::makeMessage(MessageKind::Command, C.m_worker, C.m_command);
   M.m_epoch = state().m_epoch;
   M.m_requestId = m_nextRequest++;
-  if (!m_out.m_send(Route->m_local ? Route->m_address : Peer->second.m_address,
-                    std::move(M)))
+  if (!m_out.m_send(Route->m_address, std::move(M)))
     ++m_counters.get("messages_dropped");
 }
 
@@ -235,36 +228,28 @@
     ++m_counters.get("messages_dropped");
 }
 
+// The entry need not be a member yet: its announcement and its first digest
+// take different ways.
 void Core::onDigest(const model::Message &M, Millis NowMs) {
-  auto D = readBody<model::Digest>(M);
-  const auto It = m_peers.find(M.m_from);
-  if (!D || It == m_peers.end() || !m_leadership.leads())
+  const auto D = readBody<model::Digest>(M);
+  if (!D || !m_leadership.leads() || M.m_from == m_self.m_name)
     return;
-  m_relay.onDigest(M.m_from, *D, NowMs);
+  m_relay.onDigest(M.m_from, M.m_replyAddress, *D, NowMs);
   m_leadership.onDigest(*D, NowMs);
-  It->second.m_digest = std::move(*D);
-  It->second.m_digestMs = NowMs;
-  It->second.m_digestFedMs = NowMs;
 }
 
-// An entry sends a digest at once when an agent falls silent, and else seldom.
-// In between, what its last digest listed as alive is alive as long as the
-// entry itself is.
-void Core::refreshDigests(Millis NowMs) {
-  for (auto &[Name, P] : m_peers) {
-    const Millis Silence = m_out.m_silence(P.m_address);
-    if (P.m_digestMs == 0 || NowMs - P.m_digestMs > DigestHoldsMs ||
-        NowMs - P.m_digestFedMs < m_settings.m_heartbeatMs || Silence < 0 ||
-        Silence > 2 * m_settings.m_heartbeatMs)
-      continue;
-    P.m_digestFedMs = NowMs;
-    model::Digest Alive;
-    for (const model::DigestEntry &E : P.m_digest.m_agents) {
-      if (E.m_silentMs < m_settings.m_agentTimeoutMs)
-        Alive.m_agents.push_back(E);
-    }
-    m_leadership.onDigest(Alive, NowMs);
+void Core::tickDigests(Millis NowMs) {
+  if (const auto D = m_relay.digestDue(NowMs)) {
+    if (m_leadership.leads())
+      m_leadership.onDigest(*D, NowMs);
+    else if (!sendToLeader(
+                 model::makeMessage(MessageKind::Digest, state().m_leader, *D)))
+      m_relay.digestLost();
   }
+  if (!m_leadership.leads())
+    return;
+  for (const model::Digest &D : m_relay.liveDigests(m_out.m_silence, NowMs))
+    m_leadership.onDigest(D, NowMs);
 }
 
 void Core::updatePeers(Millis NowMs) {
@@ -285,7 +270,7 @@
   for (const auto &[Name, M] : Members) {
     if (Name == m_self.m_name || m_peers.contains(Name))
       continue;
-    m_peers[Name] = {M.m_meshAddress, NowMs, {}, 0, 0};
+    m_peers[Name] = {M.m_meshAddress, NowMs};
     m_out.m_setRegion(M.m_meshAddress, M.m_region);
     m_out.m_keep(M.m_meshAddress);
   }
@@ -318,25 +303,15 @@
     m_toldEpoch = state().m_epoch;
     m_leaderPongMs = -1;
     m_relay.leaderChanged();
-    for (auto &[Name, P] : m_peers)
-      P.m_digestMs = 0;
   }
   notifyAgents(NowMs);
   for (const std::string &Worker : m_relay.dropSilent(NowMs)) {
     m_membersTold.erase(Worker);
     m_events.record("agentDetached", {"", "", Worker}, "reason=silent");
   }
-  if (auto D = m_relay.digestDue(NowMs)) {
-    if (m_leadership.leads())
-      m_leadership.onDigest(*D, NowMs);
-    else
-      sendToLeader(
-          model::makeMessage(MessageKind::Digest, state().m_leader, *D));
-  }
-  if (!m_leadership.leads())
-    return;
-  refreshDigests(NowMs);
-  dropLostMembers(NowMs);
+  tickDigests(NowMs);
+  if (m_leadership.leads())
+    dropLostMembers(NowMs);
 }
 
 Millis Core::leaderAge(Millis NowMs) const {
--- a/src/entry/relay.cc
+++ b/src/entry/relay.cc
@@ -123,6 +123,7 @@
 void Relay::leaderChanged() {
   m_digestMs.reset();
   m_remote.clear();
+  m_listings.clear();
   for (auto &[Name, A] : m_agents)
     A.m_passedMs.reset();
 }
@@ -139,16 +140,40 @@
   return It == m_agents.end() ? nullptr : &It->second.m_report;
 }
 
-void Relay::onDigest(const std::string &Entry, const model::Digest &D,
-                     Millis NowMs) {
+void Relay::onDigest(const std::string &Entry, const std::string &Address,
+                     const model::Digest &D, Millis NowMs) {
+  m_listings[Entry] = {Address, D, NowMs, NowMs};
   for (const model::DigestEntry &E : D.m_agents) {
     const Millis Heard = NowMs - E.m_silentMs;
     const auto [It, Inserted] = m_remote.try_emplace(E.m_worker);
     if (Inserted || Heard >= It->second.m_heardMs)
-      It->second = {Entry, Heard};
+      It->second = {Entry, Address, Heard};
   }
 }
 
+std::vector<model::Digest>
+Relay::liveDigests(const std::function<Millis(const std::string &)> &Silence,
+                   Millis NowMs) {
+  std::erase_if(m_listings, [&](const auto &Item) {
+    return NowMs - Item.second.m_listedMs >= m_timing.m_forgetMs;
+  });
+  std::vector<model::Digest> Out;
+  for (auto &[Entry, L] : m_listings) {
+    const Millis Silent = Silence(L.m_address);
+    if (NowMs - L.m_listedMs > m_timing.m_listingMs ||
+        NowMs - L.m_repeatedMs < m_timing.m_digestMs || Silent < 0 ||
+        Silent > 2 * m_timing.m_digestMs)
+      continue;
+    L.m_repeatedMs = NowMs;
+    Out.emplace_back();
+    for (const model::DigestEntry &E : L.m_digest.m_agents) {
+      if (E.m_silentMs < m_timing.m_agentTimeoutMs)
+        Out.back().m_agents.push_back(E);
+    }
+  }
+  return Out;
+}
+
 void Relay::forgetEntry(const std::string &Entry) {
   std::erase_if(m_remote,
                 [&](const auto &Item) { return Item.second.m_entry == Entry; });
@@ -163,7 +188,7 @@
       (!HasOther || Local->second.m_heardMs >= Other->second.m_heardMs))
     return RelayRoute{true, "", Local->second.m_report.m_worker.m_agentAddress};
   if (HasOther)
-    return RelayRoute{false, Other->second.m_entry, ""};
+    return RelayRoute{false, Other->second.m_entry, Other->second.m_address};
   return std::nullopt;
 }
 
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -4,6 +4,7 @@
 #include "model/message.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -23,6 +24,8 @@
   /// the leader has recorded it, and the relayed report may have been lost.
   Millis m_resultMs = 2000;
   Millis m_forgetMs = 30000; ///< Silence after which an agent is dropped.
+  /// Age up to which a digest is still true while its entry is heard.
+  Millis m_listingMs = 6000;
 };
 
 /// What to do with a message of an agent.
@@ -36,7 +39,7 @@
 struct RelayRoute {
   bool m_local = false;  ///< The agent is attached to this entry.
   std::string m_entry;   ///< Otherwise the entry that listed it last.
-  std::string m_address; ///< Mesh address of the agent, if local.
+  std::string m_address; ///< Mesh address of the agent or of that entry.
 };
 
 /// The agents attached to this entry, and at the leader, what other entries
@@ -80,8 +83,20 @@
 
   std::size_t attached() const { return m_agents.size(); }
 
-  /// At the leader: \p Entry listed its agents.
-  void onDigest(const std::string &Entry, const model::Digest &D, Millis NowMs);
+  /// The last digest could not be sent.
+  void digestLost() { m_changed = true; }
+
+  /// At the leader: the entry \p Entry at \p Address listed its agents.
+  void onDigest(const std::string &Entry, const std::string &Address,
+                const model::Digest &D, Millis NowMs);
+
+  /// At the leader: digests of entries that are still true, by the silence of
+  /// each entry, without the agents that were silent in them. An entry sends a
+  /// digest at once when an agent falls silent and else seldom, so in between
+  /// its agents are as alive as the entry itself.
+  std::vector<model::Digest>
+  liveDigests(const std::function<Millis(const std::string &)> &Silence,
+              Millis NowMs);
 
   /// At the leader: forgets what \p Entry listed.
   void forgetEntry(const std::string &Entry);
@@ -103,15 +118,23 @@
   };
   struct Remote {
     std::string m_entry;
+    std::string m_address;
     Millis m_heardMs = 0;
   };
+  struct Listing {
+    std::string m_address;
+    model::Digest m_digest;
+    Millis m_listedMs = 0;
+    Millis m_repeatedMs = 0; ///< When it was last given to the leader.
+  };
 
   bool shouldPassOn(const Agent &A, Millis NowMs) const;
 
   RelayTiming m_timing;
   std::map<std::string, Agent> m_agents;
-  std::map<std::string, Remote> m_remote;
-  std::optional<Millis> m_digestMs; ///< When the last digest was made.
+  std::map<std::string, Remote> m_remote;    ///< By worker.
+  std::map<std::string, Listing> m_listings; ///< By entry.
+  std::optional<Millis> m_digestMs;          ///< When the last digest was made.
   bool m_changed = true;
 };
 
--- a/src/entry/submissions.cc
+++ b/src/entry/submissions.cc
@@ -105,6 +105,7 @@
   std::vector<Waiter> Staying;
   for (Waiter &W : P.m_waiters) {
     if (W.m_forOutcome) {
+      W.m_acceptMs = W.m_deadlineMs;
       Staying.push_back(std::move(W));
       continue;
     }
