--- /dev/null
+++ b/tests/entry/relay_test.cc
@@ -0,0 +1,146 @@
+#include "entry/relay.h"
+
+#include <gtest/gtest.h>
+
+using namespace pomelokeel;
+using namespace pomelokeel::entry;
+
+namespace {
+
+model::AgentReport report(const std::string &Worker) {
+  model::AgentReport R;
+  R.m_worker.m_name = Worker;
+  R.m_worker.m_incarnation = "1";
+  R.m_worker.m_agentAddress = Worker + ":1";
+  return R;
+}
+
+model::Hold hold(model::HoldState State) {
+  model::Hold H;
+  H.m_job = "j";
+  H.m_state = State;
+  return H;
+}
+
+// Reports at \p NowMs and tells whether the report was passed on.
+bool passes(Relay &R, const model::AgentReport &Report, Millis NowMs) {
+  const bool Pass = R.onReport(Report, NowMs).m_passOn;
+  if (Pass)
+    R.passedOn(Report.m_worker.m_name, NowMs);
+  return Pass;
+}
+
+model::Digest digest(const std::string &Worker, Millis SilentMs) {
+  return {{{Worker, "1", SilentMs}}};
+}
+
+} // namespace
+
+// Guards against complete reports that cross regions every second.
+TEST(Relay, PassesOnChangesAndElseSeldom) {
+  Relay R({});
+  auto Report = report("w1");
+  EXPECT_TRUE(passes(R, Report, 0));
+  Report.m_usage.m_cores = 3;
+  Report.m_sequence = 2;
+  EXPECT_FALSE(passes(R, Report, 1000));
+  Report.m_holds.push_back(hold(model::HoldState::Running));
+  EXPECT_TRUE(passes(R, Report, 2000));
+  EXPECT_FALSE(passes(R, Report, 3000));
+  Report.m_draining = true;
+  EXPECT_TRUE(passes(R, Report, 4000));
+  EXPECT_FALSE(passes(R, Report, 13999));
+  EXPECT_TRUE(passes(R, Report, 14000));
+  R.leaderChanged();
+  EXPECT_TRUE(passes(R, Report, 14001));
+}
+
+// Guards against a result that waits 10 s because one relayed report was lost.
+TEST(Relay, RepeatsResultsSooner) {
+  Relay R({});
+  auto Report = report("w1");
+  Report.m_holds.push_back(hold(model::HoldState::Succeeded));
+  EXPECT_TRUE(passes(R, Report, 0));
+  EXPECT_FALSE(passes(R, Report, 1999));
+  EXPECT_TRUE(passes(R, Report, 2000));
+}
+
+// Guards against a leader that waits for the report after a command's reply,
+// and against a report that was passed over before the worker was announced.
+TEST(Relay, PassesOnTheReportAfterAReply) {
+  Relay R({});
+  EXPECT_TRUE(passes(R, report("w1"), 0));
+  R.expectReport("w1");
+  EXPECT_TRUE(passes(R, report("w1"), 1));
+}
+
+// Guards against an append per report, and against two agents of one name that
+// announce over each other forever.
+TEST(Relay, AnnouncesOncePerDescriptor) {
+  Relay R({});
+  EXPECT_TRUE(R.onReport(report("w1"), 0).m_announce);
+  EXPECT_FALSE(R.onReport(report("w1"), 1).m_announce);
+  R.announced("w1", false);
+  EXPECT_TRUE(R.onReport(report("w1"), 2).m_announce);
+  R.announced("w1", true);
+  EXPECT_FALSE(R.onReport(report("w1"), 3).m_announce);
+  auto Restarted = report("w1");
+  Restarted.m_worker.m_incarnation = "2";
+  const auto Steps = R.onReport(Restarted, 4);
+  EXPECT_TRUE(Steps.m_attached);
+  EXPECT_TRUE(Steps.m_announce);
+}
+
+// Guards against a silent agent that the leader learns of late, and against a
+// digest per heartbeat when nothing changes.
+TEST(Relay, DigestIsPromptForChangesAndElseSeldom) {
+  Relay R({});
+  R.onReport(report("w1"), 0);
+  ASSERT_TRUE(R.digestDue(0).has_value());
+  EXPECT_FALSE(R.digestDue(1999).has_value());
+  EXPECT_TRUE(R.digestDue(2000).has_value());
+  const auto Silent = R.digestDue(3000);
+  ASSERT_TRUE(Silent.has_value());
+  EXPECT_EQ(Silent->m_agents.at(0).m_silentMs, 3000);
+  R.onReport(report("w1"), 3100);
+  EXPECT_FALSE(R.digestDue(3499).has_value());
+  EXPECT_EQ(R.digestDue(3500)->m_agents.at(0).m_silentMs, 400);
+  EXPECT_EQ(R.dropSilent(40000), std::vector<std::string>{"w1"});
+  EXPECT_TRUE(R.digestDue(40000)->m_agents.empty());
+}
+
+// Guards against commands that go to an entry that the agent has left.
+TEST(Relay, RoutesToTheLatestSignOfLife) {
+  Relay R({});
+  EXPECT_FALSE(R.route("w1").has_value());
+  R.onDigest("e2", "e2:1", digest("w1", 0), 1000);
+  EXPECT_EQ(R.route("w1")->m_address, "e2:1");
+  R.onDigest("e3", "e3:1", digest("w1", 0), 2000);
+  R.onDigest("e2", "e2:1", digest("w1", 1500), 2500);
+  EXPECT_EQ(R.route("w1")->m_address, "e3:1");
+  R.onReport(report("w1"), 3000);
+  EXPECT_TRUE(R.route("w1")->m_local);
+  EXPECT_EQ(R.route("w1")->m_address, "w1:1");
+  R.onDigest("e3", "e3:1", digest("w1", 0), 4000);
+  EXPECT_FALSE(R.route("w1")->m_local);
+  R.forgetEntry("e3");
+  EXPECT_TRUE(R.route("w1")->m_local);
+}
+
+// Guards against agents that count as silent between two digests of an entry
+// that lives, or as alive when the entry does not.
+TEST(Relay, DigestHoldsWhileItsEntryIsHeard) {
+  Relay R({});
+  Millis Silence = 100;
+  const auto Silent = [&](const std::string &) { return Silence; };
+  R.onDigest("e2", "e2:1", {{{"w1", "1", 50}, {"w2", "1", 4000}}}, 0);
+  EXPECT_TRUE(R.liveDigests(Silent, 499).empty());
+  const auto Live = R.liveDigests(Silent, 500);
+  ASSERT_EQ(Live.size(), 1U);
+  ASSERT_EQ(Live[0].m_agents.size(), 1U);
+  EXPECT_EQ(Live[0].m_agents[0].m_worker, "w1");
+  Silence = 1001;
+  EXPECT_TRUE(R.liveDigests(Silent, 1000).empty());
+  Silence = 100;
+  EXPECT_TRUE(R.liveDigests(Silent, 6001).empty());
+}
