--- /dev/null
+++ b/tests/settings/docs_test.cc
@@ -0,0 +1,59 @@
+#include "base/error.h"
+#include "settings/settings.h"
+
+#include <fmt/format.h>
+#include <gtest/gtest.h>
+
+#include <fstream>
+#include <sstream>
+
+using namespace pomelokeel;
+
+namespace {
+
+std::string readPage(const std::string &Name) {
+  std::ifstream In(std::string(POMELOKEEL_SOURCE_DIR) + "/docs/" + Name);
+  std::stringstream Text;
+  Text << In.rdbuf();
+  return Text.str();
+}
+
+// Expects a row with name and default for each field of S after Heading.
+template <typename S> void expectRows(const std::string &Heading) {
+  const std::string Page = readPage("OPERATORS.md");
+  const auto Begin = Page.find(Heading);
+  ASSERT_NE(Begin, std::string::npos);
+  const std::string Section =
+      Page.substr(Begin, Page.find("\n## ", Begin + 1) - Begin);
+  const base::Json Defaults = base::encode(S());
+  const auto Expect = [&](const auto &F) {
+    const std::string Default = F.m_presence == base::Presence::Required
+                                    ? "required"
+                                    : Defaults[F.m_name].dump();
+    EXPECT_NE(Section.find(fmt::format("| `{}` | {} |", F.m_name, Default)),
+              std::string::npos)
+        << F.m_name << " with " << Default;
+  };
+  std::apply([&](const auto &...F) { (Expect(F), ...); }, S::fields());
+}
+
+} // namespace
+
+// Guards against a settings reference that differs from the code.
+TEST(Docs, SettingsReferenceMatchesTheCode) {
+  expectRows<settings::EntrySettings>("## Settings of `pomelokeel entry`");
+  expectRows<settings::AgentSettings>("## Settings of `pomelokeel agent`");
+}
+
+TEST(Docs, ErrorPageMatchesTheTable) {
+  const std::string Page = readPage("ERRORS.md");
+  const auto YesNo = [](bool Value) { return Value ? "yes" : "no"; };
+  for (int I = 0; I <= static_cast<int>(base::ErrorKind::Internal); ++I) {
+    const auto &Row = base::errorAnswer(static_cast<base::ErrorKind>(I));
+    const std::string Line =
+        fmt::format("| `{}` | {} | {} | {} | {} | {} |", Row.m_name,
+                    Row.m_httpStatus, Row.m_exitCode, YesNo(Row.m_notRun),
+                    YesNo(Row.m_retryable), Row.m_advice);
+    EXPECT_NE(Page.find(Line), std::string::npos) << Line;
+  }
+}
