--- a/tests/scenario/fleet.cc
+++ b/tests/scenario/fleet.cc
@@ -27,7 +27,7 @@
 // Options of a step that are settings of the process: numbers stay numbers.
 void addOptions(Json &Settings, const Step &S) {
   for (const auto &[Key, Value] : S.m_options) {
-    if (Key == "dc" || Key == "region" || Key == "rack")
+    if (Key == "dc" || Key == "region" || Key == "rack" || Key == "count")
       continue;
     Settings[Key] = Json::parse(Value, nullptr, false);
   }
@@ -79,8 +79,7 @@
       Address);
 }
 
-Status Fleet::addWorker(const Step &S) {
-  const std::string Name = S.argument(0);
+Status Fleet::addWorker(const Step &S, const std::string &Name) {
   const std::string WorkerAddress = newAddress();
   if (auto Added =
           add(Name + ".worker",
@@ -198,6 +197,14 @@
   return It == m_processes.end() ? "" : It->second.m_httpAddress;
 }
 
+pid_t Fleet::pid(const std::string &Name) const {
+  const std::lock_guard Lock(m_mutex);
+  const auto It = m_processes.find(Name);
+  return It == m_processes.end() || !It->second.m_child
+             ? -1
+             : It->second.m_child->pid();
+}
+
 std::vector<std::string> Fleet::entries() const {
   const std::lock_guard Lock(m_mutex);
   return m_entries;
--- a/tests/scenario/fleet.h
+++ b/tests/scenario/fleet.h
@@ -27,7 +27,7 @@
 
   base::Status addLog(const Step &S);
   base::Status addEntry(const Step &S);
-  base::Status addWorker(const Step &S);
+  base::Status addWorker(const Step &S, const std::string &Name);
 
   /// Starts a process again with its first settings.
   base::Status start(const std::string &Name);
@@ -55,6 +55,7 @@
                                 bool &Cut) const;
 
   std::string httpAddress(const std::string &Name) const;
+  pid_t pid(const std::string &Name) const;
   std::vector<std::string> entries() const;
   std::vector<std::string> workers() const;
   const std::string &directory() const { return m_programs.m_directory; }
--- a/tests/scenario/process.h
+++ b/tests/scenario/process.h
@@ -23,6 +23,7 @@
 
   void signal(int Signal) const;
   bool running();
+  pid_t pid() const { return m_pid; }
 
   /// Waits for the end and returns the exit code, or 128 + signal.
   std::optional<int> wait(base::Millis TimeoutMs);
--- a/tests/scenario/runner.cc
+++ b/tests/scenario/runner.cc
@@ -1,6 +1,7 @@
 #include "scenario/runner.h"
 
 #include "http/http.h"
+#include "scenario/measure.h"
 #include "standin/worker.h"
 
 #include <fmt/format.h>
@@ -8,6 +9,7 @@
 
 #include <chrono>
 #include <future>
+#include <limits>
 #include <utility>
 
 namespace pomelokeel::scenario {
@@ -90,6 +92,8 @@
       {"hold", &Runner::runHold},
       {"mark", &Runner::runMark},
       {"figure", &Runner::runFigure},
+      {"measure", &Runner::runMeasure},
+      {"measure-config", &Runner::runMeasureConfig},
       {"check", &Runner::runCheck}};
   return Table;
 }
@@ -114,7 +118,14 @@
 }
 
 Status Runner::runWorker(const Step &S) {
-  return located(S, m_fleet.addWorker(S));
+  const long Count = S.number("count", 1);
+  for (long I = 0; I < Count; ++I) {
+    const std::string Name =
+        Count == 1 ? S.argument(0) : S.argument(0) + std::to_string(I + 1);
+    if (auto Added = m_fleet.addWorker(S, Name); !Added)
+      return located(S, Added);
+  }
+  return base::success();
 }
 
 template <typename F>
@@ -405,6 +416,60 @@
   return base::success();
 }
 
+// measure PROCESS LABEL over=MS
+Status Runner::runMeasure(const Step &S) {
+  const std::string Name = resolve(S.argument(0));
+  const std::string Region = S.option("region", "nord-ovest");
+  m_measuring = true;
+  std::this_thread::sleep_for(2 * WatchInterval); // the last poll ends
+  const auto Begin = readUsage(m_fleet, Name, Region);
+  std::this_thread::sleep_for(
+      std::chrono::milliseconds(S.number("over", 5000)));
+  const auto End = readUsage(m_fleet, Name, Region);
+  m_measuring = false;
+  if (!Begin || !End)
+    return failure(S, Name + " does not answer");
+  printUsage(S.argument(1), *Begin, *End);
+  return base::success();
+}
+
+// The lowest version that any entry or agent reports.
+std::uint64_t Runner::lowestVersion() const {
+  auto Names = m_fleet.entries();
+  for (const std::string &Worker : m_fleet.workers())
+    Names.push_back(Worker);
+  std::uint64_t Lowest = std::numeric_limits<std::uint64_t>::max();
+  for (const std::string &Name : Names) {
+    const auto Answer = m_fleet.call(Name, "GET", "/v1/status", nullptr, 500);
+    const std::uint64_t Version =
+        Answer ? Answer->value("configVersion", std::uint64_t{0}) : 0;
+    Lowest = std::min(Lowest, Version);
+  }
+  return Lowest;
+}
+
+// measure-config LABEL count=N: time from a publisher's request until every
+// process reports the version.
+Status Runner::runMeasureConfig(const Step &S) {
+  std::vector<Millis> Times;
+  for (long I = 0; I < S.number("count", 10); ++I) {
+    const Millis Begin = base::monotonicNow();
+    Step Record = S;
+    Record.m_arguments = {"jobClass", "measured", "{}"};
+    const auto Answer = publish(Record, m_fleet.entries().front(), "{}");
+    if (!Answer)
+      return failure(S, base::toString(Answer.error()));
+    const auto Version = (*Answer)["configVersion"].get<std::uint64_t>();
+    const auto Reached = until(S, "not in force everywhere",
+                               [&] { return lowestVersion() >= Version; });
+    if (!Reached)
+      return Reached;
+    Times.push_back(base::monotonicNow() - Begin);
+  }
+  printSpread(S.argument(0), std::move(Times));
+  return base::success();
+}
+
 // Every worker stand-in tells when which task ran.
 void Runner::collectRuns(History &H) {
   H.m_runs = m_lostRuns;
@@ -483,6 +548,8 @@
     for (const std::string &Worker : m_fleet.workers())
       Names.push_back(Worker);
     for (const std::string &Name : Names) {
+      if (m_measuring)
+        break;
       const auto Answer = m_fleet.call(Name, "GET", "/v1/status", nullptr, 300);
       if (!Answer || !Answer->contains("configVersion"))
         continue;
--- a/tests/scenario/runner.h
+++ b/tests/scenario/runner.h
@@ -50,6 +50,8 @@
   base::Status runHold(const Step &S);
   base::Status runMark(const Step &S);
   base::Status runFigure(const Step &S);
+  base::Status runMeasure(const Step &S);
+  base::Status runMeasureConfig(const Step &S);
   base::Status runCheck(const Step &S);
 
   /// Repeats \p Condition until it holds or the option `within` (ms) has
@@ -70,6 +72,7 @@
   void keepRunsOf(const std::string &Process);
   void completeCallers(History &H);
   void watchVersions();
+  std::uint64_t lowestVersion() const;
 
   Fleet m_fleet;
   std::map<std::string, std::unique_ptr<Caller>> m_callers;
@@ -81,6 +84,7 @@
   std::mutex m_mutex;
   std::vector<VersionSeen> m_versions;
   std::atomic<bool> m_stopping = false;
+  std::atomic<bool> m_measuring = false; ///< The watcher pauses.
   std::thread m_watcher;
 };
 
