Trust "never ran" only from an agent that is older than the placement

A restarted agent marks an attempt that it does not know as stopped and never run; after a reboot of the machine that is wrong. The fault property failed with a payment that ran twice as soon as the simulated agents behaved like the real ones. A refusal of Stop counts as word about the attempt only if the agent has listed its tasks.

--- a/src/entry/attempts.cc
+++ b/src/entry/attempts.cc
@@ -28,11 +28,13 @@
          S == HoldState::Stopped;
 }
 
-MemberEnd endOf(const model::Hold &H) {
+// An agent that was started after the placement does not know whether the task
+// ran before, unless its worker still has the task.
+MemberEnd endOf(const model::Hold &H, bool KnowsAll) {
   if (H.m_state == HoldState::Succeeded)
     return MemberEnd::Succeeded;
   if (!H.m_everRan)
-    return MemberEnd::NeverRan;
+    return KnowsAll ? MemberEnd::NeverRan : MemberEnd::Gone;
   return H.m_state == HoldState::Failed ? MemberEnd::Failed
                                         : MemberEnd::Stopped;
 }
@@ -69,8 +71,8 @@
   M.m_end = End;
 }
 
-void noteHold(MemberTrack &M, const model::Hold &H, Millis NowMs) {
-  M.m_held = true;
+void noteHold(MemberTrack &M, const model::Hold &H, bool KnowsAll,
+              Millis NowMs) {
   M.m_reserved = true;
   M.m_absentReports = 0;
   M.m_running = M.m_running || H.m_state == HoldState::Running ||
@@ -83,7 +85,7 @@
     M.m_reason = H.m_reason;
     M.m_answer = H.m_answer;
   }
-  endMember(M, endOf(H), NowMs);
+  endMember(M, endOf(H, KnowsAll), NowMs);
 }
 
 void noteAbsence(MemberTrack &M, const model::AgentReport &R,
@@ -93,12 +95,10 @@
   if (M.m_known) {
     if (!isNewer(R, *M.m_known, Announced))
       return;
-    M.m_held = false;
-    if (M.m_end == MemberEnd::Open)
-      M.m_reason = "the agent no longer holds the task";
-    if (M.m_end == MemberEnd::Open)
-      endMember(M, MemberEnd::Gone, NowMs);
-    return;
+    if (M.m_end != MemberEnd::Open)
+      return;
+    M.m_reason = "the agent no longer holds the task";
+    return endMember(M, MemberEnd::Gone, NowMs);
   }
   if (M.m_absentReports > 0 && !isNewer(R, M.m_absent, Announced))
     return;
@@ -275,14 +275,17 @@
 }
 
 void noteReport(Attempt &A, std::size_t Member, const model::AgentReport &R,
-                const std::string &Announced, Millis NowMs) {
+                const AnnouncedAgent &Announced, Millis NowMs) {
   MemberTrack &M = A.m_members[Member];
+  const std::string &Incarnation = Announced.m_incarnation;
   const model::Hold *H = findHold(A, Member, R);
   if (!H)
-    return noteAbsence(M, R, Announced, NowMs);
-  if (!M.m_known || isNewer(R, *M.m_known, Announced))
+    return noteAbsence(M, R, Incarnation, NowMs);
+  if (!M.m_known || isNewer(R, *M.m_known, Incarnation))
     M.m_known = markOf(R);
-  noteHold(M, *H, NowMs);
+  const bool KnowsAll = R.m_worker.m_incarnation == Incarnation &&
+                        Announced.m_sinceOffset < A.m_fence;
+  noteHold(M, *H, KnowsAll, NowMs);
 }
 
 void noteReply(Attempt &A, const model::CommandReply &R, Millis NowMs) {
@@ -291,15 +294,16 @@
   MemberTrack &M = A.m_members[static_cast<std::size_t>(R.m_member)];
   if (M.m_worker != R.m_worker || R.m_error == base::ErrorKind::StaleEpoch)
     return;
-  const bool Stop = R.m_kind == CommandKind::Stop;
-  if (R.m_accepted || Stop) {
+  // An agent refuses to stop what it does not hold and has released before.
+  const bool StopKnown = R.m_kind == CommandKind::Stop &&
+                         (R.m_error == base::ErrorKind::NotFound ||
+                          R.m_error == base::ErrorKind::StaleFence);
+  if (R.m_accepted || StopKnown) {
     const ReportMark Mark{R.m_incarnation, R.m_sequence};
     if (!M.m_known || M.m_known->m_incarnation != Mark.m_incarnation ||
         M.m_known->m_sequence < Mark.m_sequence)
       M.m_known = Mark;
   }
-  if (Stop)
-    M.m_stopAcked = true;
   if (R.m_kind == CommandKind::Reserve && R.m_accepted)
     M.m_reserved = true;
   if (R.m_kind == CommandKind::Start && R.m_accepted)
--- a/src/entry/attempts.h
+++ b/src/entry/attempts.h
@@ -52,9 +52,7 @@
   Millis m_endedMs = 0;
   bool m_reserved = false;   ///< The agent holds the attempt, or held it.
   bool m_startAcked = false; ///< Start was accepted.
-  bool m_stopAcked = false;  ///< Stop had a reply.
   bool m_running = false;    ///< Reported as running, or later.
-  bool m_held = false;       ///< The last report listed the hold.
   std::optional<ReportMark> m_known; ///< Latest word about this attempt.
   ReportMark m_absent;               ///< Last report without the hold.
   int m_absentReports = 0;
@@ -93,10 +91,15 @@
 Attempt makeAttempt(const model::Job &J, const model::JobClass &C,
                     bool TakenOver, Millis NowMs);
 
-/// Takes in a report of the agent of \p Member. \p Announced is the incarnation
-/// of the agent according to the log.
+/// The agent of a worker according to the log.
+struct AnnouncedAgent {
+  std::string m_incarnation;
+  std::uint64_t m_sinceOffset = 0; ///< Of its first record.
+};
+
+/// Takes in a report of the agent of \p Member.
 void noteReport(Attempt &A, std::size_t Member, const model::AgentReport &R,
-                const std::string &Announced, Millis NowMs);
+                const AnnouncedAgent &Announced, Millis NowMs);
 
 /// Takes in the reply of the agent of a member. Replies of other attempts must
 /// not be passed.
--- a/src/entry/leader.cc
+++ b/src/entry/leader.cc
@@ -163,7 +163,8 @@
     Attempt &A = I.m_attempts.at(Job);
     for (std::size_t M = 0; M < A.m_members.size(); ++M) {
       if (A.m_members[M].m_worker == Name)
-        noteReport(A, M, Report, Announced, NowMs);
+        noteReport(A, M, Report, {Announced, Known->second.m_sinceOffset},
+                   NowMs);
     }
     I.moveAttempt(S, Job, NowMs, Out);
   }
--- a/tests/entry/agent_sim.h
+++ b/tests/entry/agent_sim.h
@@ -49,7 +49,6 @@
   std::map<std::string, Task> m_tasks;
   std::map<std::string, std::uint64_t> m_released; ///< Fence by job.
   bool m_refuses = false; ///< Refuses every reservation.
-  bool m_forgot = false;  ///< The worker may have run unknown attempts.
   Millis m_downUntilMs = 0;
   Millis m_cutUntilMs = 0;
   Millis m_heardMs = 0;
@@ -138,7 +137,6 @@
       T.m_hold.m_attempt = C.m_attempt;
       T.m_hold.m_member = C.m_member;
       T.m_hold.m_fence = C.m_fence;
-      T.m_hold.m_everRan = m_forgot;
       m_tasks[Id] = T;
     }
     stop(m_tasks[Id], "told to", NowMs);
@@ -194,7 +192,6 @@
     m_epoch = 0;
     m_released.clear();
     m_downUntilMs = NowMs + DownMs;
-    m_forgot = m_forgot || Wipe;
     std::erase_if(m_tasks, [&](const auto &Item) {
       const Task &T = Item.second;
       return Wipe || T.m_hold.m_state == HoldState::Reserved ||
