--- a/src/agent/tasks_timers.cc
+++ b/src/agent/tasks_timers.cc
@@ -19,6 +19,7 @@
 
 std::vector<int> acceleratorsOf(const model::MemberPlace &Place) {
   std::vector<int> Out;
+  Out.reserve(static_cast<std::size_t>(std::max(Place.m_accelerators, 0)));
   for (int I = 0; I < Place.m_accelerators; ++I)
     Out.push_back(Place.m_firstAccelerator + I);
   return Out;
@@ -109,7 +110,7 @@
         0,
         base::encode(T.m_record)};
     Call.m_notAfter = T.m_startBy;
-    Call.m_leaseEnd = Now + m_limits.m_taskLeaseMs;
+    Call.m_leaseEnd = std::min(Now + m_limits.m_taskLeaseMs, orphanEnd(T));
     issue(T, std::move(Call), Now + RetryMs);
     T.m_nextAt[indexOf(CallKind::Renew)] =
         Now + m_limits.m_taskLeaseMs / RenewalsPerLease;
