--- a/src/entry/core.h
+++ b/src/entry/core.h
@@ -117,7 +117,7 @@
 
   // Requests; core_requests.cc.
   void onCall(ApiCall Call, Millis NowMs);
-  void answer(SubmitJob R, http::Responder Respond, Millis NowMs);
+  void answer(const SubmitJob &R, http::Responder Respond, Millis NowMs);
   void answer(const GetJob &R, http::Responder Respond, Millis NowMs);
   void answer(const GetByKey &R, http::Responder Respond, Millis NowMs);
   void answer(const CancelJob &R, http::Responder Respond, Millis NowMs);
--- a/src/entry/core_requests.cc
+++ b/src/entry/core_requests.cc
@@ -43,7 +43,7 @@
                                           : lookupError(E));
           return;
         }
-        answer(std::move(R), std::move(Call.m_respond), NowMs);
+        answer(R, std::move(Call.m_respond), NowMs);
       },
       Call.m_request);
 }
@@ -66,7 +66,7 @@
   return W;
 }
 
-void Core::answer(SubmitJob R, http::Responder Respond, Millis NowMs) {
+void Core::answer(const SubmitJob &R, http::Responder Respond, Millis NowMs) {
   const model::JobSpec &Spec = R.m_spec;
   Waiter W = waiter(std::move(Respond), R.m_waitMs, NowMs);
   const auto *Known = state::findByKey(state(), Spec.m_account, Spec.m_key);
