--- a/src/sched/pass.cc
+++ b/src/sched/pass.cc
@@ -14,7 +14,9 @@
 
 using base::ErrorKind;
 
-constexpr std::size_t MaxReservations = 1;
+// Aged gangs that may try for the reservation: one that does not fit even when
+// all jobs have ended must not keep the others from it.
+constexpr std::size_t MaxGangsTried = 4;
 // A job that runs longer than expected is taken to need this share of its run
 // time so far once more.
 constexpr double OverdueShare = 0.25;
@@ -272,11 +274,13 @@
 }
 
 void Pass::reserveFor(const WaitingView &J) {
-  if (J.m_urgent || !isLargeGang(J.m_spec) ||
-      m_reservations.size() >= MaxReservations ||
-      m_s.m_nowMs - J.m_submittedMs < m_s.m_rule.m_reserveAfterMs)
+  if (!holdBack(J).empty())
     return;
-  Reservation New = reserve(m_fleet, requestOf(J), m_ends, m_s.m_rule);
+  Request R = requestOf(J);
+  // What is claimed or reclaimed now is in use by its owner at that time, or
+  // free again.
+  R.m_blocked.clear();
+  Reservation New = reserve(m_fleet, std::move(R), m_ends, m_s.m_rule);
   if (!New.m_places.empty())
     m_reservations.push_back(std::move(New));
 }
@@ -311,7 +315,10 @@
 
 bool Pass::place(const WaitingView &J) {
   const Request R = requestOf(J);
-  if (!J.m_preemptible && J.m_spec.m_accelerators > 0) {
+  // A job that cannot be preempted must not touch the promises of others if
+  // there is another way, and a gang loses all its members with one of them.
+  const bool AvoidsPromises = !J.m_preemptible || isLargeGang(J.m_spec);
+  if (AvoidsPromises && J.m_spec.m_accelerators > 0) {
     Request Unpromised = R;
     const int Account = m_fleet.accountIndex(J.m_spec.m_account);
     for (std::size_t I = 0; I < Unpromised.m_blocked.size(); ++I)
@@ -344,16 +351,39 @@
   const auto Known = m_failed.find(shapeOf(J));
   if (Known != m_failed.end() && J.m_avoid.empty())
     wait(J, Known->second);
-  else if (place(J))
-    return;
-  reserveFor(J);
+  else
+    place(J);
+}
+
+// Considers aged gangs until one has a reservation. Returns how many.
+std::size_t Pass::considerGangs(const std::vector<const WaitingView *> &Aged) {
+  std::size_t Count = 0;
+  for (; Count < Aged.size() && Count < MaxGangsTried && m_reservations.empty();
+       ++Count) {
+    const std::size_t Waits = m_plan.m_wait.size();
+    consider(*Aged[Count]);
+    if (m_plan.m_wait.size() > Waits)
+      reserveFor(*Aged[Count]);
+  }
+  return Count;
 }
 
 Plan Pass::run() {
   m_plan.m_shortfalls = m_assignment.m_shortfalls;
   claimBlocks();
-  for (const WaitingView *J : queueOrder(m_s))
-    consider(*J);
+  const std::vector<const WaitingView *> Queue = queueOrder(m_s);
+  // Urgent jobs come before the reservation, all others respect it.
+  for (const WaitingView *J : Queue) {
+    if (J->m_urgent)
+      consider(*J);
+  }
+  const std::vector<const WaitingView *> Aged = agedGangs(m_s);
+  const std::size_t Gangs = considerGangs(Aged);
+  const auto Done = Aged.begin() + static_cast<std::ptrdiff_t>(Gangs);
+  for (const WaitingView *J : Queue) {
+    if (!J->m_urgent && std::find(Aged.begin(), Done, J) == Done)
+      consider(*J);
+  }
   return std::move(m_plan);
 }
 
--- a/src/sched/queue.cc
+++ b/src/sched/queue.cc
@@ -1,20 +1,73 @@
 #include "sched/queue.h"
 
 #include <algorithm>
+#include <cmath>
+#include <tuple>
 
 namespace pomelokeel::sched::detail {
 
 bool isLargeGang(const model::JobSpec &Spec) {
-  return Spec.m_members > 1 || Spec.m_accelerators > 1;
+  return Spec.m_members > 1 && Spec.m_accelerators > 0;
 }
 
+namespace {
+
+// Waiting time that a job is credited with from the start, so that fresh jobs
+// are ordered by their run time.
+constexpr double StartCreditMs = 1000;
+// Jobs are ordered as if they ran at least this long, because estimates of
+// short ones are off by more than their differences.
+constexpr double ShortestRunMs = 1000;
+
+// Waiting time over the work that the job asks for: small jobs first, but every
+// job gets to the front as it ages. With a higher weight of fragmentation the
+// size counts less, so that large jobs get blocks before small ones split them.
+double urgencyByAge(const WaitingView &J, Millis NowMs,
+                    const model::PlacementRule &Rule) {
+  const auto Waited = static_cast<double>(NowMs - J.m_submittedMs);
+  const auto Run = static_cast<double>(J.m_expectedRunMs);
+  const double Size = std::max(J.m_spec.m_members * J.m_spec.m_accelerators, 1);
+  const double Weights = Rule.m_completionWeight + Rule.m_fragmentationWeight;
+  const double SizePower =
+      Weights > 0 ? 2 * Rule.m_completionWeight / Weights : 1;
+  return (Waited + StartCreditMs) /
+         (std::max(Run, ShortestRunMs) * std::pow(Size, SizePower));
+}
+
+struct Entry {
+  const WaitingView *m_job = nullptr;
+  double m_rank = 0;
+};
+
+} // namespace
+
 std::vector<const WaitingView *> queueOrder(const Snapshot &S) {
-  std::vector<const WaitingView *> Out;
-  Out.reserve(S.m_waiting.size());
+  const bool ByAge = S.m_rule.m_strategy == model::PlacementStrategy::Balanced;
+  std::vector<Entry> Entries;
+  Entries.reserve(S.m_waiting.size());
   for (const WaitingView &J : S.m_waiting)
-    Out.push_back(&J);
+    Entries.push_back({&J, ByAge ? urgencyByAge(J, S.m_nowMs, S.m_rule) : 0});
+  std::stable_sort(Entries.begin(), Entries.end(),
+                   [](const Entry &L, const Entry &R) {
+                     return std::tuple(L.m_job->m_urgent, L.m_rank) >
+                            std::tuple(R.m_job->m_urgent, R.m_rank);
+                   });
+  std::vector<const WaitingView *> Out;
+  Out.reserve(Entries.size());
+  for (const Entry &E : Entries)
+    Out.push_back(E.m_job);
+  return Out;
+}
+
+std::vector<const WaitingView *> agedGangs(const Snapshot &S) {
+  std::vector<const WaitingView *> Out;
+  for (const WaitingView &J : S.m_waiting) {
+    if (!J.m_urgent && isLargeGang(J.m_spec) && J.m_notBeforeMs <= S.m_nowMs &&
+        S.m_nowMs - J.m_submittedMs >= S.m_rule.m_reserveAfterMs)
+      Out.push_back(&J);
+  }
   std::stable_sort(Out.begin(), Out.end(), [](const auto *L, const auto *R) {
-    return L->m_urgent > R->m_urgent;
+    return L->m_submittedMs < R->m_submittedMs;
   });
   return Out;
 }
