--- a/src/agent/process.cc
+++ b/src/agent/process.cc
@@ -175,9 +175,9 @@
          "only GET is served, after the start"}));
   }
   if (Path == "/v1/events")
-    Out.m_body = base::encode(m_events.page()).dump();
+    Out.m_body = base::dumpJson(base::encode(m_events.page()));
   else if (Path == "/v1/status")
-    Out.m_body = base::encode(C->status()).dump();
+    Out.m_body = base::dumpJson(base::encode(C->status()));
   else if (Path == "/metrics") {
     Out.m_contentType = "text/plain; version=0.0.4";
     Out.m_body = m_counters.render();
--- a/src/agent/tasks_worker.cc
+++ b/src/agent/tasks_worker.cc
@@ -32,12 +32,18 @@
 }
 
 void TaskTable::succeed(Task &T, const TaskInfo &Info) {
-  if (Info.m_answer.dump().size() > m_limits.m_maxAnswerBytes) {
+  if (base::dumpJson(Info.m_answer).size() > m_limits.m_maxAnswerBytes) {
     end(T, HoldState::Failed, true,
         "the answer exceeds " + std::to_string(m_limits.m_maxAnswerBytes) +
             " bytes");
     return;
   }
+  if (base::nestedDeeperThan(Info.m_answer, base::MaxPayloadNesting)) {
+    end(T, HoldState::Failed, true,
+        "the answer is nested in more than " +
+            std::to_string(base::MaxPayloadNesting) + " levels");
+    return;
+  }
   T.m_hold.m_answer = Info.m_answer;
   end(T, HoldState::Succeeded, true, "");
 }
--- a/src/agent/worker_client.cc
+++ b/src/agent/worker_client.cc
@@ -53,7 +53,7 @@
 }
 
 ErrorKind errorOf(const http::Response &R) {
-  const Json J = Json::parse(R.m_body, nullptr, false);
+  const Json J = base::parseJson(R.m_body);
   if (!J.is_object() || !J.contains("error") || !J["error"].is_object())
     return ErrorKind::Internal;
   const auto Kind = J["error"].find("kind");
--- a/src/ctl/client.cc
+++ b/src/ctl/client.cc
@@ -13,7 +13,7 @@
 using base::Result;
 
 Result<Json> readResponse(const http::Response &R) {
-  Json Body = Json::parse(R.m_body, nullptr, false);
+  Json Body = base::parseJson(R.m_body);
   if (Body.is_discarded())
     return Error{ErrorKind::Internal, "the answer is not valid JSON"};
   if (R.m_status < 300)
@@ -55,7 +55,8 @@
   for (const std::string &Address : m_addresses) {
     const auto Connection = http::Client::create(Address);
     const auto Outcome = Connection->call(
-        {Method, Target, Body.is_null() ? "" : Body.dump()}, m_timeoutMs);
+        {Method, Target, Body.is_null() ? "" : base::dumpJson(Body)},
+        m_timeoutMs);
     const auto *Failed = std::get_if<http::CallError>(&Outcome);
     if (!Failed)
       return readResponse(std::get<http::Response>(Outcome));
--- a/src/ctl/ctl.cc
+++ b/src/ctl/ctl.cc
@@ -81,7 +81,7 @@
   Text << In.rdbuf();
   if (!In)
     return Error{ErrorKind::NotFound, File + " cannot be read"};
-  Json J = Json::parse(Text.str(), nullptr, false);
+  Json J = base::parseJson(Text.str());
   if (J.is_discarded())
     return Error{ErrorKind::BadRequest, File + " is not valid JSON"};
   return J;
--- a/src/report/render.cc
+++ b/src/report/render.cc
@@ -97,7 +97,7 @@
     Out +=
         fmt::format("advice     {}\n", base::errorAnswer(*R.m_reason).m_advice);
   if (!R.m_answer.is_null())
-    Out += fmt::format("answer     {}\n", R.m_answer.dump());
+    Out += fmt::format("answer     {}\n", base::dumpJson(R.m_answer));
   return Out;
 }
 
@@ -110,7 +110,8 @@
   if (Old == New)
     return;
   if (!Old.is_object() || !New.is_object()) {
-    Out += fmt::format("{}: {} -> {}\n", Path, Old.dump(), New.dump());
+    Out += fmt::format("{}: {} -> {}\n", Path, base::dumpJson(Old),
+                       base::dumpJson(New));
     return;
   }
   Json Keys = Old;
@@ -190,10 +191,10 @@
   std::string Out =
       fmt::format("configuration version {}\n", P.m_configVersion);
   for (const model::ConfigRecord &R : P.m_records)
-    Out +=
-        fmt::format("{} {} version {} schema {} by {}: {}\n",
-                    base::nameOf(R.m_kind), R.m_name, R.m_version, R.m_schema,
-                    R.m_author.empty() ? "-" : R.m_author, R.m_body.dump());
+    Out += fmt::format("{} {} version {} schema {} by {}: {}\n",
+                       base::nameOf(R.m_kind), R.m_name, R.m_version,
+                       R.m_schema, R.m_author.empty() ? "-" : R.m_author,
+                       base::dumpJson(R.m_body));
   return Out;
 }
 
--- a/src/state/snapshot.cc
+++ b/src/state/snapshot.cc
@@ -1,6 +1,7 @@
 #include "state/state.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace pomelokeel::state {
 namespace {
@@ -8,6 +9,9 @@
 // Joins the chunks of one snapshot, or nothing if some are missing.
 std::optional<State> join(const std::vector<SnapshotChunk> &Chunks) {
   const int Count = Chunks.front().m_count;
+  // A damaged count must not decide how much memory is taken.
+  if (std::cmp_less(Chunks.size(), Count))
+    return std::nullopt;
   std::vector<const SnapshotChunk *> Ordered(Count > 0 ? Count : 0, nullptr);
   for (const SnapshotChunk &C : Chunks) {
     if (C.m_count != Count || C.m_index < 0 || C.m_index >= Count)
--- a/tests/scenario/fleet.cc
+++ b/tests/scenario/fleet.cc
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <fstream>
+#include <sstream>
 #include <thread>
 #include <utility>
 
@@ -19,6 +20,7 @@
 using base::Status;
 
 constexpr base::Millis StartTimeout = 15000;
+constexpr base::Millis CtlTimeout = 40000;
 
 std::string newAddress() {
   return "127.0.0.1:" + std::to_string(reservePort());
@@ -191,6 +193,29 @@
   return Json::parse(R.m_body, nullptr, false);
 }
 
+Fleet::CtlOutcome Fleet::ctl(std::string Arguments) const {
+  const std::string Mark = "{examples}";
+  if (const auto At = Arguments.find(Mark); At != std::string::npos)
+    Arguments.replace(At, Mark.size(), m_programs.m_examples);
+  std::vector<std::string> Command = {m_programs.m_pomelokeel, "ctl"};
+  for (const std::string &Address : entryAddresses()) {
+    Command.push_back("--entry");
+    Command.push_back(Address);
+  }
+  std::istringstream Words(Arguments);
+  for (std::string Word; Words >> Word;)
+    Command.push_back(Word);
+  const std::string File = m_programs.m_directory + "/ctl.out";
+  std::ofstream(File, std::ios::trunc).close();
+  Child Process(Command, File);
+  CtlOutcome Out;
+  Out.m_exitCode = Process.wait(CtlTimeout);
+  std::stringstream Text;
+  Text << std::ifstream(File).rdbuf();
+  Out.m_output = Text.str();
+  return Out;
+}
+
 std::string Fleet::httpAddress(const std::string &Name) const {
   const std::lock_guard Lock(m_mutex);
   const auto It = m_processes.find(Name);
--- a/tests/scenario/fleet.h
+++ b/tests/scenario/fleet.h
@@ -16,6 +16,7 @@
 struct Programs {
   std::string m_pomelokeel;
   std::string m_standin;
+  std::string m_examples;  ///< Folder of example records and jobs.
   std::string m_directory; ///< For settings and logs.
 };
 
@@ -54,6 +55,14 @@
                                 const base::Json &Body, int TimeoutMs,
                                 bool &Cut) const;
 
+  /// Runs `pomelokeel ctl` on all entries; `{examples}` in \p Arguments is
+  /// replaced.
+  struct CtlOutcome {
+    std::optional<int> m_exitCode;
+    std::string m_output;
+  };
+  CtlOutcome ctl(std::string Arguments) const;
+
   std::string httpAddress(const std::string &Name) const;
   pid_t pid(const std::string &Name) const;
   std::vector<std::string> entries() const;
--- a/tests/scenario/main.cc
+++ b/tests/scenario/main.cc
@@ -40,6 +40,7 @@
   std::string File;
   App.add_option("--pomelokeel", P.m_pomelokeel, "Program")->required();
   App.add_option("--standin", P.m_standin, "Stand-in program")->required();
+  App.add_option("--examples", P.m_examples, "Folder of examples");
   App.add_option("file", File, "Scenario")->required();
   CLI11_PARSE(App, Argc, Argv);
 
--- a/tests/scenario/runner.cc
+++ b/tests/scenario/runner.cc
@@ -92,6 +92,7 @@
       {"hold", &Runner::runHold},
       {"mark", &Runner::runMark},
       {"figure", &Runner::runFigure},
+      {"ctl", &Runner::runCtl},
       {"measure", &Runner::runMeasure},
       {"measure-config", &Runner::runMeasureConfig},
       {"check", &Runner::runCheck}};
@@ -416,6 +417,28 @@
   return base::success();
 }
 
+// ctl 'ARGUMENTS' 'EXPECTED' ... code=N: every expected text is in the output.
+// {job:NAME} stands for the job id of a caller.
+Status Runner::runCtl(const Step &S) {
+  std::string Arguments = S.argument(0);
+  for (const auto &[Name, C] : m_callers) {
+    const std::string Mark = "{job:" + Name + "}";
+    if (const auto At = Arguments.find(Mark); At != std::string::npos)
+      Arguments.replace(At, Mark.size(), C->view().m_job);
+  }
+  const auto Outcome = m_fleet.ctl(Arguments);
+  if (Outcome.m_exitCode.value_or(-1) != S.number("code", 0))
+    return failure(S, fmt::format("exit code {}: {}",
+                                  Outcome.m_exitCode.value_or(-1),
+                                  Outcome.m_output));
+  for (std::size_t I = 1; I < S.m_arguments.size(); ++I) {
+    if (Outcome.m_output.find(S.m_arguments[I]) == std::string::npos)
+      return failure(S, fmt::format("\"{}\" is not in: {}", S.m_arguments[I],
+                                    Outcome.m_output));
+  }
+  return base::success();
+}
+
 // measure PROCESS LABEL over=MS
 Status Runner::runMeasure(const Step &S) {
   const std::string Name = resolve(S.argument(0));
--- a/tests/scenario/runner.h
+++ b/tests/scenario/runner.h
@@ -50,6 +50,7 @@
   base::Status runHold(const Step &S);
   base::Status runMark(const Step &S);
   base::Status runFigure(const Step &S);
+  base::Status runCtl(const Step &S);
   base::Status runMeasure(const Step &S);
   base::Status runMeasureConfig(const Step &S);
   base::Status runCheck(const Step &S);
