--- a/tests/agent/tasks_test.cc
+++ b/tests/agent/tasks_test.cc
@@ -97,8 +97,11 @@
   EXPECT_EQ(S.send(Other), ErrorKind::Overloaded);
   Other.m_places[0].m_firstAccelerator = 7;
   EXPECT_EQ(S.send(Other), ErrorKind::OutOfRange);
-  S.run(3100);
+  // The start is read before timers run, as after a freeze of the process.
+  S.m_sim.node(0).m_frozenUntil = S.m_sim.now() + 2 * Lease;
+  S.run(Lease);
   EXPECT_EQ(S.send(command(CommandKind::Start)), ErrorKind::ReservationExpired);
+  S.run(2 * Lease);
   Other.m_places[0].m_firstAccelerator = 1;
   EXPECT_EQ(S.send(Other), std::nullopt);
 }
