--- a/tests/agent/fake_entry.h
+++ b/tests/agent/fake_entry.h
@@ -35,7 +35,7 @@
         "127.0.0.1:0", {},
         [this](const http::Request &, const http::Responder &Answer) {
           http::Response R;
-          R.m_body = base::encode(std::vector{m_self}).dump();
+          R.m_body = base::encode(model::MemberPage{{m_self}}).dump();
           Answer(R);
         });
     m_server = std::move(*Server);
