Close nng sockets on a thread that nothing waits for

Ruled out: callbacks of our own that block, they only take a short lock; a close from within a callback, the destructor never ran there. Conclusion: the mesh thread and the stop of a process no longer wait for a close beyond 500 ms; a close that hangs costs one thread until the process ends.

--- a/src/mesh/connection.cc
+++ b/src/mesh/connection.cc
@@ -12,9 +12,9 @@
 
 } // namespace
 
-std::shared_ptr<Connection> Connection::dial(const std::string &Address,
+std::unique_ptr<Connection> Connection::dial(const std::string &Address,
                                              Limits Limits) {
-  const std::shared_ptr<Connection> Out(new Connection(Limits));
+  std::unique_ptr<Connection> Out(new Connection(Limits));
   if (nng_push0_open(&Out->m_socket) != 0)
     return nullptr;
   if (nng_aio_alloc(&Out->m_aio, &Connection::onSent, Out.get()) != 0)
--- a/src/mesh/connection.h
+++ b/src/mesh/connection.h
@@ -16,7 +16,8 @@
 namespace pomelokeel::mesh::detail {
 
 /// One push socket that dials one peer, with a bounded queue. Thread-safe.
-/// The destructor closes the socket and drops what is queued.
+/// The destructor closes the socket, which may block (Closer), and drops what
+/// is queued.
 class Connection {
 public:
   struct Limits {
@@ -26,7 +27,7 @@
 
   /// Starts to dial \p Address (`host:port`) in the background. Returns null
   /// if nng refuses the address or has no resources.
-  static std::shared_ptr<Connection> dial(const std::string &Address,
+  static std::unique_ptr<Connection> dial(const std::string &Address,
                                           Limits Limits);
 
   Connection(const Connection &) = delete;
--- a/src/mesh/mesh.cc
+++ b/src/mesh/mesh.cc
@@ -1,8 +1,10 @@
 #include "mesh/mesh.h"
 
+#include "mesh/closer.h"
 #include "mesh/connection.h"
 
 #include <fmt/format.h>
+#include <glog/logging.h>
 #include <nng/nng.h>
 #include <nng/protocol/pipeline0/pull.h>
 
@@ -18,6 +20,7 @@
 
 using base::Error;
 using base::ErrorKind;
+using detail::Closer;
 using detail::Connection;
 using model::Message;
 using model::MessageKind;
@@ -28,6 +31,8 @@
 constexpr Millis IdleLinkMs = 60000;
 /// Peers without a link are forgotten after this silence.
 constexpr Millis ForgetPeerMs = 600000;
+/// For sockets to close at a stop.
+constexpr Millis CloseTimeoutMs = 500;
 /// Queued bytes per link, in messages of the largest size.
 constexpr std::size_t QueuedLargest = 2;
 
@@ -95,6 +100,7 @@
   void ping(const std::string &Address);
   void redial(const std::string &Address, Link &L, Millis Now);
   void dial(const std::string &Address, Link &L, Millis Now);
+  std::shared_ptr<Connection> share(std::unique_ptr<Connection> Dialled) const;
   Link *openLink(const std::string &Address, Millis Now);
   Peer &peer(const std::string &Address);
   void label(Peer &P, const std::string &Region);
@@ -117,8 +123,8 @@
   mutable std::mutex m_mutex;
   std::map<std::string, Link> m_links;
   std::map<std::string, Peer> m_peers;
-  /// Connections that the mesh thread closes, because closing may block.
-  std::vector<std::shared_ptr<Connection>> m_closing;
+  /// Closes connections once their last user is done.
+  std::shared_ptr<Closer> m_closer = std::make_shared<Closer>();
 };
 
 Error listenError(const std::string &Address, int Code) {
@@ -152,10 +158,13 @@
   if (!m_thread.joinable())
     return;
   m_thread.join();
-  nng_close(m_pull);
-  const std::lock_guard Lock(m_mutex);
-  m_links.clear();
-  m_closing.clear();
+  m_closer->add([Socket = m_pull] { nng_close(Socket); });
+  {
+    const std::lock_guard Lock(m_mutex);
+    m_links.clear();
+  }
+  if (!m_closer->finish(CloseTimeoutMs))
+    LOG(WARNING) << "event=socketsNotClosed process=" << m_settings.m_name;
 }
 
 void NngMesh::run() {
@@ -231,13 +240,11 @@
 
 void NngMesh::tick(Millis Now) {
   std::vector<std::string> Pings;
-  std::vector<std::shared_ptr<Connection>> Closing;
   {
     const std::lock_guard Lock(m_mutex);
     for (auto &[Address, L] : m_links)
       tickLink(Address, L, Now, Pings);
     forgetIdle(Now);
-    Closing.swap(m_closing);
   }
   for (const std::string &Address : Pings)
     ping(Address);
@@ -263,7 +270,6 @@
       ++It;
       continue;
     }
-    m_closing.push_back(std::move(L.m_connection));
     It = m_links.erase(It);
   }
   std::erase_if(m_peers, [&](const auto &Item) {
@@ -287,8 +293,6 @@
 // Needs m_mutex.
 void NngMesh::redial(const std::string &Address, Link &L, Millis Now) {
   ++m_redials;
-  if (L.m_connection)
-    m_closing.push_back(std::move(L.m_connection));
   dial(Address, L, Now);
 }
 
@@ -296,11 +300,24 @@
 void NngMesh::dial(const std::string &Address, Link &L, Millis Now) {
   L.m_provenAt = Now;
   L.m_pingedAt = 0;
-  L.m_connection = Connection::dial(
+  auto Dialled = Connection::dial(
       Address, {static_cast<std::size_t>(m_settings.m_sendQueue),
                 QueuedLargest * m_settings.m_maxMessageBytes});
-  if (L.m_connection)
-    L.m_connection->countTo(peer(Address).m_sent);
+  if (Dialled)
+    Dialled->countTo(peer(Address).m_sent);
+  L.m_connection = share(std::move(Dialled));
+}
+
+// The last user of the connection may be any thread, so its destructor runs on
+// the closer's.
+std::shared_ptr<Connection>
+NngMesh::share(std::unique_ptr<Connection> Dialled) const {
+  if (!Dialled)
+    return nullptr;
+  return {Dialled.release(), [Closer = m_closer](Connection *C) {
+            C->countTo(nullptr);
+            Closer->add([C] { delete C; });
+          }};
 }
 
 // Needs m_mutex.
@@ -366,7 +383,6 @@
   const auto It = m_links.find(Address);
   if (It == m_links.end())
     return;
-  m_closing.push_back(std::move(It->second.m_connection));
   m_links.erase(It);
 }
 
