--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,9 @@
 
 bench: build
 	$(BUILD)/bench/pomelokeel_bench
+	for file in bench/scenarios/*.scn; do \
+	  $(BUILD)/tests/scenario --pomelokeel $(BUILD)/pomelokeel --standin $(BUILD)/tests/standin $$file \
+	    | grep -E '^(figure|violation|failed)'; done
 
 SOURCES = $$(git ls-files '*.cc' '*.h')
 
