--- a/src/entry/process.cc
+++ b/src/entry/process.cc
@@ -94,7 +94,7 @@
 
   base::Status begin();
   void onRequest(const http::Request &R, http::Responder Respond);
-  void queueCall(ApiRequest Request, http::Responder Respond);
+  void queueCall(ApiRequest Request, const http::Responder &Respond);
   Ports ports();
   void pumpLog();
   void pumpMessages();
@@ -192,11 +192,11 @@
     Counted({200, m_counters.render(), "text/plain; version=0.0.4"});
     return;
   }
-  queueCall(std::move(*Request), std::move(Counted));
+  queueCall(std::move(*Request), Counted);
 }
 
 void EntryProcess::Impl::queueCall(ApiRequest Request,
-                                   http::Responder Respond) {
+                                   const http::Responder &Respond) {
   if (++m_queuedCalls <= m_settings.m_queueLength &&
       m_inputs.tryPush(ApiCall{std::move(Request), Respond}))
     return;
@@ -209,10 +209,10 @@
 Ports EntryProcess::Impl::ports() {
   Ports P;
   P.m_append = [this](AppendTag Tag, const std::string &Stream,
-                      std::vector<base::Json> Values) {
+                      const std::vector<base::Json> &Values) {
     ++m_counters.get("appends{stream=\"" + Stream + "\"}");
     return m_writer->submit(
-        Stream, std::move(Values),
+        Stream, Values,
         [this, Tag = std::move(Tag)](const logclient::AppendOutcome &Outcome) {
           // Fails only when the process ends.
           (void)m_inputs.push(AppendSettled{Tag, Outcome});
--- a/tests/agent/tasks_test.cc
+++ b/tests/agent/tasks_test.cc
@@ -288,14 +288,15 @@
                                              : CommandKind::Release;
       // Some commands are those of an earlier attempt or leader.
       const int Given = Sim.percent() < 15 ? std::max(1, Attempt - 1) : Attempt;
-      const std::uint64_t Epoch =
-          static_cast<std::uint64_t>(Given + (Sim.percent() < 10 ? 0 : 1));
+      const int LeadersSince = Sim.percent() < 10 ? 0 : 1;
+      const auto Epoch = static_cast<std::uint64_t>(Given) +
+                         static_cast<std::uint64_t>(LeadersSince);
       for (int To = 0; To < 3; ++To) {
         if (Kind == CommandKind::Stop && To != I)
           continue;
         Command C = command(Kind, 3, To);
         C.m_attempt = Given;
-        C.m_fence = static_cast<std::uint64_t>(10 * Given);
+        C.m_fence = std::uint64_t{10} * static_cast<std::uint64_t>(Given);
         C.m_spec.m_payload["runMs"] = 1000 + 50 * Sim.percent();
         Sim.toAgent(To, [&Sim, &Highest, C, To, Epoch] {
           const auto R = Sim.node(To).m_table->command(C, Epoch, Sim.now());
