--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,6 @@
 BUILD ?= build
+# Build targets; all if empty.
+TARGETS ?=
 PACKAGES = g++ cmake ninja-build make ccache clang-format clang-tidy python3 \
   libboost-dev libnng-dev libcli11-dev libgoogle-glog-dev nlohmann-json3-dev \
   libfmt-dev librapidcheck-dev libxxhash-dev libgtest-dev
@@ -16,7 +18,7 @@
 
 build: install
 	cmake -S . -B $(BUILD) -G Ninja $(CMAKE_FLAGS)
-	cmake --build $(BUILD)
+	cmake --build $(BUILD) $(if $(TARGETS),--target $(TARGETS))
 
 test: build
 	ctest --test-dir $(BUILD) --output-on-failure -j 5 $(CTEST_FLAGS)
