Decode the body of a record in one place of the fold

Twelve handlers of the fold repeated the same decoding and error return; the table of handlers now wraps them, and each handler takes its typed body.

--- a/src/state/state.cc
+++ b/src/state/state.cc
@@ -82,34 +82,25 @@
   Applied &m_applied;
 };
 
-Status applyMember(State &S, const Context &C) {
-  const auto Body = readBody<model::Member>(C.m_entry.m_record);
-  if (!Body)
-    return Body.error();
-  S.m_members[Body->m_name] = *Body;
+Status applyMember(State &S, const model::Member &Body, const Context &) {
+  S.m_members[Body.m_name] = Body;
   return base::success();
 }
 
-Status applyMemberLeft(State &S, const Context &C) {
-  const auto Body = readBody<model::Departure>(C.m_entry.m_record);
-  if (!Body)
-    return Body.error();
-  const auto It = S.m_members.find(Body->m_name);
-  if (It == S.m_members.end() ||
-      It->second.m_incarnation != Body->m_incarnation)
+Status applyMemberLeft(State &S, const model::Departure &Body,
+                       const Context &) {
+  const auto It = S.m_members.find(Body.m_name);
+  if (It == S.m_members.end() || It->second.m_incarnation != Body.m_incarnation)
     return Error{ErrorKind::NotFound, "not the current incarnation"};
   S.m_members.erase(It);
   return base::success();
 }
 
-Status applyWorker(State &S, const Context &C) {
-  const auto Body = readBody<model::Worker>(C.m_entry.m_record);
-  if (!Body)
-    return Body.error();
-  WorkerEntry &W = S.m_workers[Body->m_name];
-  if (W.m_worker.m_incarnation != Body->m_incarnation)
+Status applyWorker(State &S, const model::Worker &Body, const Context &C) {
+  WorkerEntry &W = S.m_workers[Body.m_name];
+  if (W.m_worker.m_incarnation != Body.m_incarnation)
     W.m_sinceOffset = C.m_entry.m_offset;
-  W.m_worker = *Body;
+  W.m_worker = Body;
   if (W.m_standing == model::WorkerStanding::Lost) {
     W.m_standing = model::WorkerStanding::Healthy;
     W.m_standingReason.clear();
@@ -117,13 +108,11 @@
   return base::success();
 }
 
-Status applyWorkerLeft(State &S, const Context &C) {
-  const auto Body = readBody<model::Departure>(C.m_entry.m_record);
-  if (!Body)
-    return Body.error();
-  const auto It = S.m_workers.find(Body->m_name);
+Status applyWorkerLeft(State &S, const model::Departure &Body,
+                       const Context &) {
+  const auto It = S.m_workers.find(Body.m_name);
   if (It == S.m_workers.end() ||
-      It->second.m_worker.m_incarnation != Body->m_incarnation)
+      It->second.m_worker.m_incarnation != Body.m_incarnation)
     return Error{ErrorKind::NotFound, "not the current incarnation"};
   S.m_workers.erase(It);
   return base::success();
@@ -175,22 +164,20 @@
   S.m_finishedOrder.push_back(J.m_id);
 }
 
-Status applySubmission(State &S, const Context &C) {
-  const auto Body = readBody<model::Submission>(C.m_entry.m_record);
-  if (!Body)
-    return Body.error();
-  C.m_applied.m_job = Body->m_job;
-  if (S.m_jobs.contains(Body->m_job))
+Status applySubmission(State &S, const model::Submission &Body,
+                       const Context &C) {
+  C.m_applied.m_job = Body.m_job;
+  if (S.m_jobs.contains(Body.m_job))
     return Error{ErrorKind::DuplicateTask, "job id exists"};
-  const std::string Key = jobKey(Body->m_spec.m_account, Body->m_spec.m_key);
+  const std::string Key = jobKey(Body.m_spec.m_account, Body.m_spec.m_key);
   if (S.m_jobByKey.contains(Key))
     return Error{ErrorKind::DuplicateTask, "idempotency key exists"};
   // A job that was admitted against an older configuration is still accepted
   // and finished here, because its submitter may have answered by then.
-  const Status Admitted = admit(S, Body->m_spec);
+  const Status Admitted = admit(S, Body.m_spec);
   model::Job J;
-  J.m_id = Body->m_job;
-  J.m_spec = Body->m_spec;
+  J.m_id = Body.m_job;
+  J.m_spec = Body.m_spec;
   J.m_offset = C.m_entry.m_offset;
   J.m_submittedMs = C.m_entry.m_timeMs;
   S.m_jobByKey[Key] = J.m_id;
@@ -224,11 +211,9 @@
   return Open;
 }
 
-Status applyCancel(State &S, const Context &C) {
-  const auto Body = readBody<model::CancelRequest>(C.m_entry.m_record);
-  if (!Body)
-    return Body.error();
-  const auto Open = findOpen(S, Body->m_job, C);
+Status applyCancel(State &S, const model::CancelRequest &Body,
+                   const Context &C) {
+  const auto Open = findOpen(S, Body.m_job, C);
   if (!Open)
     return Open.error();
   model::Job &J = **Open;
@@ -249,15 +234,12 @@
                 [&](Millis T) { return T < NowMs - ClaimWindow; });
 }
 
-Status applyClaim(State &S, const Context &C) {
-  const auto Body = readBody<model::LeaderClaim>(C.m_entry.m_record);
-  if (!Body)
-    return Body.error();
+Status applyClaim(State &S, const model::LeaderClaim &Body, const Context &C) {
   if (C.m_entry.m_record.m_epoch != S.m_epoch + 1)
     return Error{ErrorKind::StaleEpoch, "epoch is not the next one"};
   S.m_epoch = C.m_entry.m_record.m_epoch;
-  S.m_leader = Body->m_leader;
-  S.m_leaderIncarnation = Body->m_incarnation;
+  S.m_leader = Body.m_leader;
+  S.m_leaderIncarnation = Body.m_incarnation;
   forgetOldClaims(S, C.m_entry.m_timeMs);
   S.m_recentClaimsMs.push_back(C.m_entry.m_timeMs);
   return base::success();
@@ -265,49 +247,42 @@
 
 Status applyRenewal(State &, const Context &) { return base::success(); }
 
-Status applyStanding(State &S, const Context &C) {
-  const auto Body = readBody<model::StandingChange>(C.m_entry.m_record);
-  if (!Body)
-    return Body.error();
-  const auto It = S.m_workers.find(Body->m_worker);
+Status applyStanding(State &S, const model::StandingChange &Body,
+                     const Context &) {
+  const auto It = S.m_workers.find(Body.m_worker);
   if (It == S.m_workers.end())
     return Error{ErrorKind::NotFound, "no such worker"};
-  It->second.m_standing = Body->m_standing;
-  It->second.m_standingReason = Body->m_reason;
-  It->second.m_standingUntilMs = Body->m_untilMs;
+  It->second.m_standing = Body.m_standing;
+  It->second.m_standingReason = Body.m_reason;
+  It->second.m_standingUntilMs = Body.m_untilMs;
   return base::success();
 }
 
-Status applyPlacement(State &S, const Context &C) {
-  const auto Body = readBody<model::Placement>(C.m_entry.m_record);
-  if (!Body)
-    return Body.error();
-  const auto Open = findOpen(S, Body->m_job, C);
+Status applyPlacement(State &S, const model::Placement &Body,
+                      const Context &C) {
+  const auto Open = findOpen(S, Body.m_job, C);
   if (!Open)
     return Open.error();
   model::Job &J = **Open;
   if (J.m_phase != model::JobPhase::Waiting ||
-      Body->m_attempt != J.m_attempt + 1)
+      Body.m_attempt != J.m_attempt + 1)
     return Error{ErrorKind::StaleFence,
                  "the job does not wait for this attempt"};
   if (J.m_cancelRequested)
     return Error{ErrorKind::Cancelled, "cancelled before it was placed"};
-  if (std::cmp_not_equal(Body->m_places.size(), J.m_spec.m_members))
+  if (std::cmp_not_equal(Body.m_places.size(), J.m_spec.m_members))
     return Error{ErrorKind::BadRequest, "not one place for each member"};
   J.m_phase = model::JobPhase::Placed;
-  J.m_attempt = Body->m_attempt;
+  J.m_attempt = Body.m_attempt;
   J.m_fence = C.m_entry.m_offset;
-  J.m_places = Body->m_places;
+  J.m_places = Body.m_places;
   J.m_placedMs = C.m_entry.m_timeMs;
-  J.m_lastReason = Body->m_reason;
+  J.m_lastReason = Body.m_reason;
   return base::success();
 }
 
-Status applyStart(State &S, const Context &C) {
-  const auto Body = readBody<model::JobStart>(C.m_entry.m_record);
-  if (!Body)
-    return Body.error();
-  const auto Open = findAttempt(S, Body->m_job, Body->m_attempt, C);
+Status applyStart(State &S, const model::JobStart &Body, const Context &C) {
+  const auto Open = findAttempt(S, Body.m_job, Body.m_attempt, C);
   if (!Open)
     return Open.error();
   model::Job &J = **Open;
@@ -318,11 +293,8 @@
   return base::success();
 }
 
-Status applyRequeue(State &S, const Context &C) {
-  const auto Body = readBody<model::Requeue>(C.m_entry.m_record);
-  if (!Body)
-    return Body.error();
-  const auto Open = findAttempt(S, Body->m_job, Body->m_attempt, C);
+Status applyRequeue(State &S, const model::Requeue &Body, const Context &C) {
+  const auto Open = findAttempt(S, Body.m_job, Body.m_attempt, C);
   if (!Open)
     return Open.error();
   model::Job &J = **Open;
@@ -330,35 +302,52 @@
     return Error{ErrorKind::StaleFence, "the job waits already"};
   J.m_phase = model::JobPhase::Waiting;
   J.m_places.clear();
-  J.m_lastReason = Body->m_reason;
-  J.m_failures += Body->m_countsAsFailure ? 1 : 0;
-  J.m_preemptions += Body->m_preempted ? 1 : 0;
-  J.m_mayHaveRun = J.m_mayHaveRun || Body->m_mayHaveRun;
-  J.m_notBeforeMs = C.m_entry.m_timeMs + Body->m_backoffMs;
-  if (!Body->m_checkpoint.is_null())
-    J.m_checkpoint = Body->m_checkpoint;
+  J.m_lastReason = Body.m_reason;
+  J.m_failures += Body.m_countsAsFailure ? 1 : 0;
+  J.m_preemptions += Body.m_preempted ? 1 : 0;
+  J.m_mayHaveRun = J.m_mayHaveRun || Body.m_mayHaveRun;
+  J.m_notBeforeMs = C.m_entry.m_timeMs + Body.m_backoffMs;
+  if (!Body.m_checkpoint.is_null())
+    J.m_checkpoint = Body.m_checkpoint;
   return base::success();
 }
 
-Status applyFinish(State &S, const Context &C) {
-  const auto Body = readBody<model::Finish>(C.m_entry.m_record);
-  if (!Body)
-    return Body.error();
-  const auto Open = findAttempt(S, Body->m_job, Body->m_attempt, C);
+Status applyFinish(State &S, const model::Finish &Body, const Context &C) {
+  const auto Open = findAttempt(S, Body.m_job, Body.m_attempt, C);
   if (!Open)
     return Open.error();
-  finish(S, **Open, Body->m_result, C.m_entry.m_timeMs);
+  finish(S, **Open, Body.m_result, C.m_entry.m_timeMs);
   return base::success();
 }
 
 using Handler = Status (*)(State &, const Context &);
 
+// A Handler that decodes the body of the record and passes it to Apply.
+template <typename Body,
+          Status (*Apply)(State &, const Body &, const Context &)>
+Status decoded(State &S, const Context &C) {
+  const auto Read = readBody<Body>(C.m_entry.m_record);
+  if (!Read)
+    return Read.error();
+  return Apply(S, *Read, C);
+}
+
 // In the order of RecordKind.
 constexpr std::array<Handler, 14> Handlers = {
-    applyMember,  applyMemberLeft, applyWorker,    applyWorkerLeft,
-    applyConfig,  applySubmission, applyCancel,    applyClaim,
-    applyRenewal, applyStanding,   applyPlacement, applyStart,
-    applyRequeue, applyFinish};
+    decoded<model::Member, applyMember>,
+    decoded<model::Departure, applyMemberLeft>,
+    decoded<model::Worker, applyWorker>,
+    decoded<model::Departure, applyWorkerLeft>,
+    applyConfig,
+    decoded<model::Submission, applySubmission>,
+    decoded<model::CancelRequest, applyCancel>,
+    decoded<model::LeaderClaim, applyClaim>,
+    applyRenewal,
+    decoded<model::StandingChange, applyStanding>,
+    decoded<model::Placement, applyPlacement>,
+    decoded<model::JobStart, applyStart>,
+    decoded<model::Requeue, applyRequeue>,
+    decoded<model::Finish, applyFinish>};
 
 // Drops outcomes older than the retention, by log time, so that every entry
 // drops the same ones at the same offset.
