--- a/tests/scenario/fleet.cc
+++ b/tests/scenario/fleet.cc
@@ -52,8 +52,12 @@
 
 Status Fleet::addLog(const Step &S) {
   const std::string Address = newAddress();
-  std::vector<std::string> Command = {m_programs.m_standin, "log", "--listen",
-                                      Address};
+  std::vector<std::string> Command = {m_programs.m_standin,
+                                      "log",
+                                      "--listen",
+                                      Address,
+                                      "--file",
+                                      m_programs.m_directory + "/log.streams"};
   for (const auto &[Key, Value] : S.m_options) {
     Command.push_back("--" + Key);
     Command.push_back(Value);
--- a/tests/standin/log.cc
+++ b/tests/standin/log.cc
@@ -26,6 +26,8 @@
 LogStandin::LogStandin(const LogOptions &Options)
     : m_options(Options), m_tokens(Options.m_maxAppendsPerSecond),
       m_tokensMs(base::monotonicNow()) {
+  if (!m_options.m_file.empty())
+    load();
   start(Options.m_listen);
 }
 
@@ -130,10 +132,31 @@
 void LogStandin::store(const std::string &Name, const Json &Value) {
   Stream &S = m_streams[Name];
   S.m_entries.push_back({base::wallNow(), Value});
+  if (m_file.is_open())
+    m_file << Json{{"stream", Name},
+                   {"timeMs", S.m_entries.back().m_timeMs},
+                   {"value", Value}}
+                  .dump()
+           << std::endl; // Before the answer, so that a kill loses nothing.
   retain(S);
   wake(); // Answers long polls.
 }
 
+// A line that a kill left incomplete was never answered and is dropped.
+void LogStandin::load() {
+  std::ifstream In(m_options.m_file);
+  std::string Kept;
+  for (std::string Line; std::getline(In, Line);) {
+    const Json J = Json::parse(Line, nullptr, false);
+    if (!J.is_object())
+      break;
+    m_streams[J["stream"]].m_entries.push_back({J["timeMs"], J["value"]});
+    Kept += Line + '\n';
+  }
+  m_file.open(m_options.m_file, std::ios::trunc);
+  m_file << Kept << std::flush;
+}
+
 void LogStandin::retain(Stream &S) const {
   const Millis Oldest = m_options.m_retentionMs > 0
                             ? base::wallNow() - m_options.m_retentionMs
--- a/tests/standin/log.h
+++ b/tests/standin/log.h
@@ -3,6 +3,7 @@
 #include "standin/standin.h"
 
 #include <deque>
+#include <fstream>
 #include <list>
 
 namespace pomelokeel::standin {
@@ -12,6 +13,7 @@
   std::uint64_t m_retentionRecords = 0; ///< Per stream; 0 keeps all.
   Millis m_retentionMs = 0;             ///< 0 keeps all.
   int m_maxAppendsPerSecond = 400;
+  std::string m_file; ///< Keeps the streams over a restart; "" is memory only.
 };
 
 /// Faults in force. `POST /faults` replaces all of them.
@@ -87,6 +89,7 @@
   bool silent(std::uint64_t Connection) const;
   bool takeToken();
   void store(const std::string &Name, const Json &Value);
+  void load();
   void retain(Stream &S) const;
   http::Response page(const Poll &P);
   void finish(std::uint64_t Connection, const http::Responder &Answer,
@@ -95,6 +98,7 @@
   LogOptions m_options;
   LogFaults m_faults;
   std::map<std::string, Stream> m_streams;
+  std::ofstream m_file;
   std::list<Poll> m_polls;
   std::uint64_t m_lastConnection = 0;
   std::uint64_t m_lastSilent = 0; ///< Connections up to this one are silent.
--- a/tests/standin/log_test.cc
+++ b/tests/standin/log_test.cc
@@ -4,6 +4,9 @@
 
 #include <gtest/gtest.h>
 
+#include <cstdio>
+#include <fstream>
+
 using namespace pomelokeel;
 using namespace pomelokeel::standin;
 
@@ -52,6 +55,24 @@
   EXPECT_EQ(Held["records"][0]["value"], 3);
 }
 
+// The platform keeps what it acknowledged when its process is replaced.
+TEST_F(LogStandinTest, FileKeepsStreamsOverARestart) {
+  const std::string File = testing::TempDir() + "/log_restart.streams";
+  std::remove(File.c_str());
+  start({.m_file = File});
+  append(1);
+  append(2);
+  m_log.reset();
+  std::ofstream(File, std::ios::app) << "{\"stream\":\"s\",\"ti";
+  start({.m_file = File});
+  EXPECT_EQ(append(3)["first"], 2);
+  m_log.reset();
+  start({.m_file = File});
+  const Json All = call("GET", "/streams/s/records?from=0&max=9&waitMs=0");
+  ASSERT_EQ(All["records"].size(), 3U);
+  EXPECT_EQ(All["records"][2]["value"], 3);
+}
+
 TEST_F(LogStandinTest, RetentionByAgeDropsWithoutAppends) {
   start({.m_retentionMs = 50});
   append(1);
--- a/tests/standin/main.cc
+++ b/tests/standin/main.cc
@@ -54,6 +54,8 @@
                          "Age of values kept; 0 keeps all");
   LogCommand->add_option("--max-appends-per-second", Log.m_maxAppendsPerSecond,
                          "More get 429");
+  LogCommand->add_option("--file", Log.m_file,
+                         "Keeps the streams over a restart");
   LogCommand->callback([&] { serve(LogStandin(Log)); });
 
   CLI::App *WorkerCommand = App.add_subcommand("worker", "Worker");
