--- a/tests/scenario/process.cc
+++ b/tests/scenario/process.cc
@@ -16,8 +16,6 @@
 #include <thread>
 #include <utility>
 
-extern char **environ;
-
 namespace pomelokeel::scenario {
 namespace {
 
@@ -57,6 +55,7 @@
 Child::Child(const std::vector<std::string> &Command,
              const std::string &LogFile) {
   std::vector<char *> Arguments;
+  Arguments.reserve(Command.size() + 1);
   for (const std::string &Word : Command)
     Arguments.push_back(const_cast<char *>(Word.c_str()));
   Arguments.push_back(nullptr);
