--- a/src/entry/core.cc
+++ b/src/entry/core.cc
@@ -71,7 +71,8 @@
   }
   const base::Error &E = std::get<logclient::ReadFailed>(Event).m_error;
   if (m_replica.readable())
-    m_events.record("logUnreadable", {}, base::toString(E));
+    m_events.record("logUnreadable", {},
+                    fmt::format("error=\"{}\"", base::toString(E)));
   m_replica.readFailed(E);
 }
 
