Send gang heartbeats along a tree

Cause: the gang head beat each member by itself, also several on one worker, and each answered: 128 members on 16 workers cost the head's agent 104 KB/s of links (limit 13) and 3.5% of a core. Gang peers had no region label, so 51 KB/s of it counted as traffic to other regions. The first member on a worker stands for the others there, and relays stand for groups of workers in gangs on more than 13. A break is now noticed within two leases for each level instead of two, so the leader's proof by time and the bound of the gang simulation use the levels of the tree; for one level both are as before. Seen to fail: with a relay that speaks only for itself GangNode.RelaySpeaksForAllBelowIt and TaskTable.GangsAreAllOrNothing fail.

--- a/src/agent/core.cc
+++ b/src/agent/core.cc
@@ -169,7 +169,10 @@
   if (Note.m_address.empty())
     return;
   const Millis Silence = m_ports.m_mesh.silence(Note.m_address);
-  Millis &Redialled = m_redialledAt[Note.m_address];
+  const auto [Found, New] = m_redialledAt.try_emplace(Note.m_address);
+  if (New) // A job never spans regions.
+    m_ports.m_mesh.setRegion(Note.m_address, m_settings.m_region);
+  Millis &Redialled = Found->second;
   if (Silence > m_settings.m_gangLeaseMs / 2 &&
       Now - Redialled > m_settings.m_gangLeaseMs / 2) {
     m_ports.m_mesh.drop(Note.m_address);
--- a/src/agent/tasks.h
+++ b/src/agent/tasks.h
@@ -11,7 +11,6 @@
 #include <map>
 #include <optional>
 #include <string>
-#include <variant>
 #include <vector>
 
 namespace pomelokeel::agent {
@@ -178,7 +177,13 @@
     std::optional<std::string> m_stopReason;
     std::array<bool, CallKinds> m_inFlight{};
     std::array<Millis, CallKinds> m_nextAt{};
-    std::variant<std::monostate, GangHead, GangMember> m_gang;
+    std::optional<GangNode> m_gang;
+  };
+  /// A gang note between members on this worker.
+  struct LocalNote {
+    model::MessageKind m_kind = model::MessageKind::GangBeat;
+    std::uint64_t m_beat = 0;
+    model::GangNote m_note;
   };
   struct Forgetting {
     bool m_stopFirst = false;
@@ -226,6 +231,8 @@
   Millis gangLeaseEnd(const Task &T) const;
   void refuseBeat(const std::string &From, std::uint64_t RequestId,
                   const model::GangNote &Note);
+  void sendGang(const Task &T, GangSend Send);
+  void deliverLocal(Millis Now);
   void createGang(Task &T, bool Adopted, Millis Now);
 
   const TaskLimits m_limits;
@@ -243,6 +250,7 @@
   std::map<std::string, std::uint64_t> m_fences;   ///< Highest seen, by job.
   std::map<std::string, std::uint64_t> m_released; ///< Highest released fence.
   std::uint64_t m_forgottenFence = 0; ///< Highest one dropped from m_fences.
+  std::vector<LocalNote> m_localNotes;
   Effects m_effects;
 };
 
--- a/src/agent/tasks_timers.cc
+++ b/src/agent/tasks_timers.cc
@@ -28,13 +28,9 @@
 } // namespace
 
 void TaskTable::createGang(Task &T, bool Adopted, Millis Now) {
-  const int Members = static_cast<int>(T.m_record.m_places.size());
-  if (T.m_hold.m_member == 0)
-    T.m_gang.emplace<GangHead>(Members, m_limits.m_gang, T.m_startBy, Adopted,
-                               Now);
-  else
-    T.m_gang.emplace<GangMember>(T.m_hold.m_member, m_limits.m_gang,
-                                 T.m_startBy, Adopted, Now);
+  const int Member = T.m_hold.m_member;
+  T.m_gang.emplace(Member, model::gangLinks(T.m_record.m_places, Member),
+                   m_limits.m_gang, T.m_startBy, Adopted, Now);
 }
 
 // A task that was never released has not run and will not, so it ends here at
@@ -61,11 +57,7 @@
 }
 
 Millis TaskTable::gangLeaseEnd(const Task &T) const {
-  if (const auto *Head = std::get_if<GangHead>(&T.m_gang))
-    return Head->leaseEnd();
-  if (const auto *Member = std::get_if<GangMember>(&T.m_gang))
-    return Member->leaseEnd();
-  return Forever;
+  return T.m_gang ? T.m_gang->leaseEnd() : Forever;
 }
 
 Millis TaskTable::orphanEnd(const Task &T) const {
@@ -130,19 +122,10 @@
   else if (T.m_confirmed && T.m_seenAt >= 0)
     Own = OwnTask::Ready;
   GangStep Step;
-  if (auto *Head = std::get_if<GangHead>(&T.m_gang))
-    Step = Head->advance(Own, Now);
-  else if (auto *Member = std::get_if<GangMember>(&T.m_gang))
-    Step = Member->advance(Own, Now);
-  for (GangSend &S : Step.m_sends) {
-    const auto To = static_cast<std::size_t>(S.m_to);
-    if (To >= T.m_record.m_peers.size())
-      continue;
-    S.m_note.m_job = T.m_hold.m_job;
-    S.m_note.m_attempt = T.m_hold.m_attempt;
-    m_effects.m_notes.push_back(
-        {T.m_record.m_peers[To], S.m_kind, S.m_beat, std::move(S.m_note)});
-  }
+  if (T.m_gang)
+    Step = T.m_gang->advance(Own, Now);
+  for (GangSend &S : Step.m_sends)
+    sendGang(T, std::move(S));
   if (isEnded(T.m_hold))
     return;
   if (Step.m_stop)
@@ -156,6 +139,25 @@
   issue(T, std::move(Call), Now + RetryMs);
 }
 
+void TaskTable::sendGang(const Task &T, GangSend Send) {
+  const auto To = static_cast<std::size_t>(Send.m_to);
+  if (To >= T.m_record.m_peers.size() || To >= T.m_record.m_places.size())
+    return;
+  Send.m_note.m_job = T.m_hold.m_job;
+  Send.m_note.m_attempt = T.m_hold.m_attempt;
+  if (T.m_record.m_places[To].m_worker == m_limits.m_worker)
+    m_localNotes.push_back({Send.m_kind, Send.m_beat, std::move(Send.m_note)});
+  else
+    m_effects.m_notes.push_back({T.m_record.m_peers[To], Send.m_kind,
+                                 Send.m_beat, std::move(Send.m_note)});
+}
+
+// Answers to these notes go out with the next call of advance().
+void TaskTable::deliverLocal(Millis Now) {
+  for (const LocalNote &N : std::exchange(m_localNotes, {}))
+    onGang(N.m_kind, "", N.m_beat, N.m_note, Now);
+}
+
 void TaskTable::advanceTask(Task &T, Millis Now) {
   if (!isEnded(T.m_hold))
     advanceLive(T, Now);
@@ -196,6 +198,7 @@
       advanceTask(T, Now);
     ++It;
   }
+  deliverLocal(Now);
   advanceForgetting(Now);
   return std::exchange(m_effects, {});
 }
@@ -214,9 +217,11 @@
 void TaskTable::onGang(MessageKind Kind, const std::string &From,
                        std::uint64_t RequestId, const model::GangNote &Note,
                        Millis Now) {
-  const bool ToHead = Kind == MessageKind::GangReply;
-  const auto It = m_tasks.find(
-      model::taskId(Note.m_job, Note.m_attempt, ToHead ? 0 : Note.m_member));
+  const bool ToParent = Kind == MessageKind::GangReply;
+  const int Receiver = ToParent ? Note.m_parent : Note.m_member;
+  const int Sender = ToParent ? Note.m_member : Note.m_parent;
+  const auto It =
+      m_tasks.find(model::taskId(Note.m_job, Note.m_attempt, Receiver));
   if (It == m_tasks.end()) {
     if (Kind == MessageKind::GangBeat && m_listed)
       refuseBeat(From, RequestId, Note);
@@ -224,28 +229,32 @@
   }
   Task &T = It->second;
   // A restarted agent may have another address than the command told.
-  const auto Peer = static_cast<std::size_t>(ToHead ? Note.m_member : 0);
+  const auto Peer = static_cast<std::size_t>(Sender);
   if (Peer < T.m_record.m_peers.size() && !From.empty())
     T.m_record.m_peers[Peer] = From;
-  auto *Head = std::get_if<GangHead>(&T.m_gang);
-  auto *Member = std::get_if<GangMember>(&T.m_gang);
-  if (ToHead && Head != nullptr)
-    Head->onReply(Note.m_member, RequestId, Note, Now);
-  if (Kind == MessageKind::GangBeat && Member != nullptr)
-    Member->onBeat(RequestId, Note, Now);
-  if (Kind == MessageKind::GangStop && Member != nullptr)
-    Member->onStop(Note);
+  if (!T.m_gang)
+    return;
+  if (ToParent)
+    T.m_gang->onReply(RequestId, Note, Now);
+  if (Kind == MessageKind::GangBeat)
+    T.m_gang->onBeat(RequestId, Note, Now);
+  if (Kind == MessageKind::GangStop)
+    T.m_gang->onStop(Note);
 }
 
-// Tells a head at once that a member will never be ready.
+// Tells a parent at once that a member will never be ready.
 void TaskTable::refuseBeat(const std::string &From, std::uint64_t RequestId,
                            const model::GangNote &Note) {
   model::GangNote Answer;
   Answer.m_job = Note.m_job;
   Answer.m_attempt = Note.m_attempt;
   Answer.m_member = Note.m_member;
+  Answer.m_parent = Note.m_parent;
   Answer.m_stopped = true;
   Answer.m_reason = "the agent does not hold the task";
+  if (From.empty()) // from a member on this worker
+    return m_localNotes.push_back(
+        {MessageKind::GangReply, RequestId, std::move(Answer)});
   m_effects.m_notes.push_back(
       {From, MessageKind::GangReply, RequestId, std::move(Answer)});
 }
--- a/src/entry/attempts.cc
+++ b/src/entry/attempts.cc
@@ -1,5 +1,7 @@
 #include "entry/attempts.h"
 
+#include "model/gang.h"
+
 #include <algorithm>
 
 namespace pomelokeel::entry {
@@ -228,7 +230,10 @@
   if (A.m_members.size() < 2 || BrokenMs < 0)
     return false;
   const Millis BarrierMs = A.m_recordedStart ? 0 : A.m_class.m_startTimeoutMs;
-  return NowMs - BrokenMs >= 2 * T.m_gangLeaseMs + GangMarginMs + BarrierMs;
+  // News of the end go up the heartbeat tree and down again, by silence at
+  // worst.
+  const Millis LeasesMs = 2 * model::gangLevels(A.m_places) * T.m_gangLeaseMs;
+  return NowMs - BrokenMs >= LeasesMs + GangMarginMs + BarrierMs;
 }
 
 // Ends members by elapsed time.
--- a/src/model/message.h
+++ b/src/model/message.h
@@ -261,13 +261,15 @@
   }
 };
 
-/// Body of GangBeat (gang head to members), GangReply and GangStop.
+/// Body of GangBeat and GangStop (parent to child in the heartbeat tree of the
+/// gang, model/gang.h) and of GangReply (child to parent).
 struct GangNote {
   std::string m_job;
   int m_attempt = 0;
-  int m_member = 0;
+  int m_member = 0; ///< The child.
+  int m_parent = 0;
   bool m_ready = false;   ///< The member's task is paused at the start barrier.
-  bool m_release = false; ///< Head to members: all are ready, run.
+  bool m_release = false; ///< To the child: all are ready, run.
   bool m_stopped = false;
   bool m_done = false; ///< The member's task has succeeded.
   std::string m_reason;
@@ -276,6 +278,7 @@
     return std::tuple{base::required("job", &GangNote::m_job),
                       base::required("attempt", &GangNote::m_attempt),
                       base::required("member", &GangNote::m_member),
+                      base::optional("parent", &GangNote::m_parent),
                       base::optional("ready", &GangNote::m_ready),
                       base::optional("release", &GangNote::m_release),
                       base::optional("stopped", &GangNote::m_stopped),
