Replace a leader that departed or closed its links without delay

A departure in the log now leads to a claim at once, and a link that the leader's system closed and that cannot be opened again for 300 ms to one after that time. Frozen leaders and dead machines are still found by silence only. Both new times keep the backoff and the delay by rank where a claim could repeat, and a claim that is not read back waits for the whole timeout.

--- a/src/entry/core.cc
+++ b/src/entry/core.cc
@@ -215,7 +215,8 @@
 }
 
 void Core::tick(Millis NowMs) {
-  // After a shorter gap no other entry can have claimed the epoch.
+  // After a shorter gap a claim of another entry is unlikely. If there is one,
+  // agents and the fold refuse the older epoch.
   if (m_tickMs >= 0 && NowMs - m_tickMs > m_settings.m_leaderTimeoutMs) {
     m_events.record("resumed", {}, fmt::format("gapMs={}", NowMs - m_tickMs));
     m_replica.resumed(m_out.m_logBacklog());
--- a/src/entry/core_messages.cc
+++ b/src/entry/core_messages.cc
@@ -299,6 +299,9 @@
 
 void Core::tickMesh(Millis NowMs) {
   updatePeers(NowMs);
+  const Peer *Leader = leaderPeer();
+  m_leadership.leaderLink(Leader ? m_out.m_closedFor(Leader->m_address) : -1,
+                          NowMs);
   if (m_toldEpoch != state().m_epoch) {
     m_toldEpoch = state().m_epoch;
     m_leaderPongMs = -1;
--- a/src/entry/leadership.h
+++ b/src/entry/leadership.h
@@ -51,6 +51,12 @@
   /// The leader of the current epoch sent a heartbeat.
   void heardLeader(const state::State &S, Millis NowMs);
 
+  /// The leader closed its link \p ClosedForMs ago and it could not be opened
+  /// again, or -1.
+  void leaderLink(Millis ClosedForMs, Millis NowMs) {
+    m_election.leaderLink(ClosedForMs, NowMs);
+  }
+
   /// The entry \p Name sent a heartbeat.
   void heardMember(const std::string &Name, Millis NowMs) {
     m_election.heardMember(Name, NowMs);
--- a/src/entry/ports.h
+++ b/src/entry/ports.h
@@ -43,6 +43,9 @@
   std::function<void(const std::string &Address)> m_drop;
   /// Time since the last message from an address, or -1 if none came.
   std::function<base::Millis(const std::string &Address)> m_silence;
+  /// Time since the peer at an address closed the link, if the link could not
+  /// be opened again since then, or else -1.
+  std::function<base::Millis(const std::string &Address)> m_closedFor;
   std::function<void(const std::string &Address, const std::string &Region)>
       m_setRegion;
   /// Events of the log that were read, or are being read, and that the core has
--- a/src/entry/process.cc
+++ b/src/entry/process.cc
@@ -227,6 +227,9 @@
   P.m_silence = [this](const std::string &Address) {
     return m_mesh->silence(Address);
   };
+  P.m_closedFor = [this](const std::string &Address) {
+    return m_mesh->closedFor(Address);
+  };
   P.m_setRegion = [this](const std::string &Address,
                          const std::string &Region) {
     m_mesh->setRegion(Address, Region);
--- a/src/mesh/connection.cc
+++ b/src/mesh/connection.cc
@@ -19,6 +19,8 @@
     return nullptr;
   if (nng_aio_alloc(&Out->m_aio, &Connection::onSent, Out.get()) != 0)
     return nullptr;
+  for (const nng_pipe_ev Event : {NNG_PIPE_EV_ADD_POST, NNG_PIPE_EV_REM_POST})
+    nng_pipe_notify(Out->m_socket, Event, &Connection::onPipe, Out.get());
   nng_socket_set_ms(Out->m_socket, NNG_OPT_RECONNMINT, ReconnectMinMs);
   nng_socket_set_ms(Out->m_socket, NNG_OPT_RECONNMAXT, ReconnectMaxMs);
   const std::string Url = "tcp://" + Address;
@@ -28,8 +30,11 @@
 }
 
 Connection::~Connection() {
-  if (nng_socket_id(m_socket) > 0)
+  if (nng_socket_id(m_socket) > 0) {
+    for (const nng_pipe_ev Event : {NNG_PIPE_EV_ADD_POST, NNG_PIPE_EV_REM_POST})
+      nng_pipe_notify(m_socket, Event, nullptr, nullptr);
     nng_close(m_socket);
+  }
   if (m_aio != nullptr) {
     nng_aio_stop(m_aio);
     nng_aio_free(m_aio);
@@ -68,6 +73,13 @@
   nng_send_aio(m_socket, m_aio);
 }
 
+// A connection counts as established after the handshake of nng, which a
+// frozen peer does not complete.
+void Connection::onPipe(nng_pipe, nng_pipe_ev Event, void *Self) {
+  static_cast<Connection *>(Self)->m_closedAt =
+      Event == NNG_PIPE_EV_ADD_POST ? -1 : base::monotonicNow();
+}
+
 void Connection::onSent(void *Self) {
   static_cast<Connection *>(Self)->finishOne();
 }
--- a/src/mesh/connection.h
+++ b/src/mesh/connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/clock.h"
 #include "base/counters.h"
 
 #include <nng/nng.h>
@@ -41,10 +42,15 @@
   /// \p Sent from now on; it must outlive the connection.
   void countTo(base::Counter *Sent) { m_sent = Sent; }
 
+  /// Monotonic time at which the established connection ended, or -1 while it
+  /// is open and before the first one was established. Redialling goes on.
+  base::Millis closedAt() const { return m_closedAt; }
+
 private:
   explicit Connection(Limits Limits) : m_limits(Limits) {}
 
   static void onSent(void *Self);
+  static void onPipe(nng_pipe Pipe, nng_pipe_ev Event, void *Self);
   void finishOne();
   void sendNext(nng_msg *Next);
 
@@ -52,6 +58,7 @@
   nng_socket m_socket = NNG_SOCKET_INITIALIZER;
   nng_aio *m_aio = nullptr;
   std::atomic<base::Counter *> m_sent = nullptr;
+  std::atomic<base::Millis> m_closedAt = -1;
   std::mutex m_mutex;
   std::deque<nng_msg *> m_queue;
   std::size_t m_queuedBytes = 0; ///< Including the message being sent.
--- a/src/mesh/mesh.cc
+++ b/src/mesh/mesh.cc
@@ -83,6 +83,7 @@
   void keep(const std::string &Address) override;
   void drop(const std::string &Address) override;
   Millis silence(const std::string &Address) const override;
+  Millis closedFor(const std::string &Address) const override;
   void setRegion(const std::string &Address,
                  const std::string &Region) override;
   void stop() override { stopThread(); }
@@ -394,6 +395,15 @@
   return base::monotonicNow() - It->second.m_heardAt;
 }
 
+Millis NngMesh::closedFor(const std::string &Address) const {
+  const std::lock_guard Lock(m_mutex);
+  const auto It = m_links.find(Address);
+  if (It == m_links.end() || !It->second.m_connection)
+    return -1;
+  const Millis ClosedAt = It->second.m_connection->closedAt();
+  return ClosedAt < 0 ? -1 : base::monotonicNow() - ClosedAt;
+}
+
 void NngMesh::setRegion(const std::string &Address, const std::string &Region) {
   const std::lock_guard Lock(m_mutex);
   Peer &P = peer(Address);
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -69,6 +69,11 @@
   /// came.
   virtual Millis silence(const std::string &Address) const = 0;
 
+  /// Time since the peer closed its end of the link to \p Address, if the link
+  /// could not be opened again since then, or else -1. A peer that is frozen or
+  /// cut off does not close its end.
+  virtual Millis closedFor(const std::string &Address) const = 0;
+
   /// Labels counted bytes of \p Address with a region:
   /// `mesh_bytes_sent{region="..."}`.
   virtual void setRegion(const std::string &Address,
--- a/tests/entry/core_test.cc
+++ b/tests/entry/core_test.cc
@@ -34,6 +34,9 @@
     P.m_keep = [](const std::string &) {};
     P.m_drop = [](const std::string &) {};
     P.m_silence = [](const std::string &) { return Millis{0}; };
+    P.m_closedFor = [this](const std::string &) {
+      return m_closedAtMs < 0 ? Millis{-1} : m_nowMs - m_closedAtMs;
+    };
     P.m_setRegion = [](const std::string &, const std::string &) {};
     P.m_logBacklog = [this] { return m_backlog; };
     m_core = std::make_unique<Core>(m_settings, Self, P, m_clock, m_counters,
@@ -135,6 +138,7 @@
   std::uint64_t m_next = 0;
   Millis m_nowMs = 1000;
   std::size_t m_backlog = 1;
+  Millis m_closedAtMs = -1;
   bool m_writable = true;
   std::unique_ptr<Core> m_core;
 };
@@ -260,3 +264,37 @@
   EXPECT_TRUE(B.m_core->departed());
   EXPECT_TRUE(B.m_core->state().m_members.empty());
 }
+
+namespace {
+
+// A standby e1 whose leader e2 renews its leadership and has an open link.
+struct StandbyBench : Bench {
+  StandbyBench() {
+    run(100);
+    other(RecordKind::EntryAnnounced,
+          model::Member{"e2", "i2", "e2:1", "e2:2", "dc", "region"});
+    other(RecordKind::LeaderClaimed, model::LeaderClaim{"e2", "i2"},
+          m_core->state().m_epoch + 1);
+    run(100);
+  }
+};
+
+} // namespace
+
+// Guards the gap after a graceful stop of the leader.
+TEST(Core, ClaimsWhenTheDepartureOfTheLeaderIsRead) {
+  StandbyBench B;
+  ASSERT_FALSE(leads(B));
+  B.other(RecordKind::EntryLeft, model::Departure{"e2", "i2"});
+  B.run(100);
+  EXPECT_TRUE(leads(B));
+}
+
+// Guards the gap after the death of the leader.
+TEST(Core, ClaimsWhenTheLeaderClosedItsLink) {
+  StandbyBench B;
+  B.m_closedAtMs = B.m_nowMs;
+  // Shorter than the silence after two claims, which is twice 600 ms.
+  B.run(1000);
+  EXPECT_TRUE(leads(B));
+}
--- a/tests/mesh/mesh_test.cc
+++ b/tests/mesh/mesh_test.cc
@@ -213,6 +213,39 @@
   }));
 }
 
+// Guards the election: a peer that has ended shows as closed until it is back,
+// and one that is only silent never does.
+TEST(Mesh, TellsAPeerThatHasEndedFromASilentOne) {
+  Node A("a");
+  auto B = std::make_unique<Node>("b");
+  Node C("c");
+  Relay Silent(C.m_mesh->address());
+  const std::string Address = B->m_mesh->address();
+  const auto Exchange = [&](const std::string &To, Node &Target) {
+    return waitFor([&] {
+      A.m_mesh->send(To, note("one"));
+      return textOf(Target.next(50)) == "one";
+    });
+  };
+  EXPECT_EQ(A.m_mesh->closedFor(Address), -1);
+  A.m_mesh->keep(Address);
+  A.m_mesh->keep(Silent.address());
+  ASSERT_TRUE(Exchange(Address, *B));
+  ASSERT_TRUE(Exchange(Silent.address(), C));
+  EXPECT_EQ(A.m_mesh->closedFor(Address), -1);
+  Silent.silence();
+  B.reset();
+  Millis Closed = -1;
+  EXPECT_TRUE(waitFor([&] {
+    EXPECT_EQ(A.m_mesh->closedFor(Silent.address()), -1);
+    Closed = std::max(Closed, A.m_mesh->closedFor(Address));
+    return Closed >= LinkTimeout / 2;
+  }));
+  B = std::make_unique<Node>("b2", Address);
+  ASSERT_TRUE(B->m_mesh);
+  EXPECT_TRUE(waitFor([&] { return A.m_mesh->closedFor(Address) == -1; }));
+}
+
 // Guards against a TCP connection that stays open and carries nothing, in the
 // direction of the link that sends pings.
 TEST(Mesh, RedialsAConnectionThatWentSilent) {
