Tell a new leader of the attached agents without delay

Entries now pass all reports on when the leader changes, and a leader keeps early reports and digests until it has read its claim. The election itself was ruled out: the leader was there in time. Both tests fail without the two calls.

--- a/src/entry/core.cc
+++ b/src/entry/core.cc
@@ -234,6 +234,7 @@
     for (const model::AgentReport *R : m_relay.reports())
       m_leadership.onReport(state(), *R, NowMs);
   }
+  takeEarly(NowMs);
   m_submissions.tick(state(), NowMs);
   m_requests.tick(NowMs);
   if (m_stopping && NowMs >= m_stopDeadlineMs) {
--- a/src/entry/core.h
+++ b/src/entry/core.h
@@ -16,6 +16,7 @@
 #include <set>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace pomelokeel::entry {
 
@@ -95,7 +96,11 @@
   void onAgentReport(const model::Message &M, Millis NowMs);
   void onAttachedReport(const model::Message &M, const model::AgentReport &R,
                         Millis NowMs);
-  void onRelayedReport(const model::AgentReport &R, Millis NowMs);
+  void onRelayedReport(const model::Message &M, const model::AgentReport &R,
+                       Millis NowMs);
+  void keepEarly(const model::Message &M);
+  void takeEarly(Millis NowMs);
+  void passOnAll(Millis NowMs);
   void onCommand(const model::Message &M);
   void onCommandReply(const model::Message &M, Millis NowMs);
   void onDigest(const model::Message &M, Millis NowMs);
@@ -157,8 +162,10 @@
   std::uint64_t m_membersVersion = 1;
   std::map<std::string, std::uint64_t> m_membersTold; ///< By worker.
   std::uint64_t m_noticedConfig = 0; ///< Last version told to all agents.
-  std::uint64_t m_toldEpoch = 0;     ///< Epoch whose leader was told of agents.
-  Millis m_leaderPongMs = -1;        ///< When the leader last answered a ping.
+  /// Reports and digests for a leadership that this entry has not begun yet.
+  std::vector<model::Message> m_early;
+  std::uint64_t m_toldEpoch = 0; ///< Epoch whose leader was told of agents.
+  Millis m_leaderPongMs = -1;    ///< When the leader last answered a ping.
   std::uint64_t m_nextRequest = 1;
 
   Millis m_tickMs = -1;
--- a/src/entry/core_messages.cc
+++ b/src/entry/core_messages.cc
@@ -70,11 +70,35 @@
   if (M.m_from == R->m_worker.m_name)
     onAttachedReport(M, *R, NowMs);
   else
-    onRelayedReport(*R, NowMs);
+    onRelayedReport(M, *R, NowMs);
 }
 
-void Core::onRelayedReport(const model::AgentReport &R, Millis NowMs) {
-  m_leadership.onReport(state(), R, NowMs);
+void Core::onRelayedReport(const model::Message &M, const model::AgentReport &R,
+                           Millis NowMs) {
+  if (m_leadership.leads())
+    m_leadership.onReport(state(), R, NowMs);
+  else
+    keepEarly(M);
+}
+
+// Another entry may read the claim of this one first, and tells what it knows
+// of its agents only once.
+void Core::keepEarly(const model::Message &M) {
+  if (M.m_epoch >= state().m_epoch &&
+      m_early.size() < static_cast<std::size_t>(m_settings.m_queueLength))
+    m_early.push_back(M);
+}
+
+// Without a claim of this entry that has been read, an early message of the
+// current epoch was meant for another one.
+void Core::takeEarly(Millis NowMs) {
+  const std::vector<model::Message> Early = std::exchange(m_early, {});
+  for (const model::Message &M : Early) {
+    if (M.m_epoch > state().m_epoch)
+      m_early.push_back(M);
+    else if (M.m_epoch == state().m_epoch && m_leadership.leads())
+      onMessage(M, NowMs);
+  }
 }
 
 void Core::onAttachedReport(const model::Message &M,
@@ -171,6 +195,15 @@
       model::makeMessage(MessageKind::Report, state().m_leader, R));
 }
 
+// A new leader places nothing on a worker without a report. The next one of
+// each agent is passed on in any case: its last one may be out of date.
+void Core::passOnAll(Millis NowMs) {
+  if (m_leadership.leads())
+    return;
+  for (const model::AgentReport *R : m_relay.reports())
+    passOn(*R, NowMs);
+}
+
 bool Core::sendToLeader(model::Message M) {
   const Peer *Leader = leaderPeer();
   if (!Leader)
@@ -232,8 +265,10 @@
 // take different ways.
 void Core::onDigest(const model::Message &M, Millis NowMs) {
   const auto D = readBody<model::Digest>(M);
-  if (!D || !m_leadership.leads() || M.m_from == m_self.m_name)
+  if (!D || M.m_from == m_self.m_name)
     return;
+  if (!m_leadership.leads())
+    return keepEarly(M);
   m_relay.onDigest(M.m_from, M.m_replyAddress, *D, NowMs);
   m_leadership.onDigest(*D, NowMs);
 }
@@ -306,6 +341,7 @@
     m_toldEpoch = state().m_epoch;
     m_leaderPongMs = -1;
     m_relay.leaderChanged();
+    passOnAll(NowMs);
   }
   notifyAgents(NowMs);
   for (const std::string &Worker : m_relay.dropSilent(NowMs)) {
--- a/tests/entry/core_test.cc
+++ b/tests/entry/core_test.cc
@@ -298,3 +298,81 @@
   B.run(1000);
   EXPECT_TRUE(leads(B));
 }
+
+namespace {
+
+// A worker w1 with an agent that is attached to e3, a job class and an account.
+model::Worker announceFleet(Bench &B) {
+  B.other(RecordKind::EntryAnnounced,
+          model::Member{"e3", "i3", "e3:1", "e3:2", "dc", "region"});
+  model::Worker W;
+  W.m_name = "w1";
+  W.m_incarnation = "1";
+  W.m_agentAddress = "w1:1";
+  W.m_dataCentre = "dc";
+  W.m_region = "region";
+  W.m_rack = "rack";
+  W.m_cores = 8;
+  W.m_memoryMb = 65536;
+  W.m_slots = 4;
+  B.other(RecordKind::WorkerAnnounced, W);
+  B.other(RecordKind::ConfigPublished,
+          model::ConfigRecord{model::ConfigKind::JobClass, "batch", 1, 0, 2,
+                              "op", base::Json::object()});
+  B.other(RecordKind::ConfigPublished,
+          model::ConfigRecord{model::ConfigKind::Account,
+                              "acct",
+                              1,
+                              0,
+                              2,
+                              "op",
+                              {{"guarantee", base::Json::array()}}});
+  return W;
+}
+
+template <typename Body>
+void fromEntry3(Bench &B, MessageKind Kind, const Body &Content,
+                std::uint64_t Epoch) {
+  model::Message M = model::makeMessage(Kind, "e1", Content);
+  M.m_from = "e3";
+  M.m_replyAddress = "e3:1";
+  M.m_epoch = Epoch;
+  B.m_core->handle(mesh::Incoming{M, 0}, B.m_nowMs);
+}
+
+} // namespace
+
+// Guards urgent work after a change of leader against an entry that reads the
+// claim before the leader does: what it tells of its agents is not lost.
+TEST(Core, TakesReportsThatArriveBeforeItsClaimIsRead) {
+  StandbyBench B;
+  const model::Worker W = announceFleet(B);
+  const std::uint64_t Next = B.m_core->state().m_epoch + 1;
+  model::AgentReport Report;
+  Report.m_worker = W;
+  Report.m_sequence = 1;
+  model::Digest Digest;
+  Digest.m_agents.push_back({"w1", "1", 0});
+  fromEntry3(B, MessageKind::Digest, Digest, Next);
+  fromEntry3(B, MessageKind::Report, Report, Next);
+  B.other(RecordKind::EntryLeft, model::Departure{"e2", "i2"});
+  B.run(200);
+  ASSERT_TRUE(leads(B));
+  B.call(SubmitJob{spec(), 0});
+  B.run(200);
+  EXPECT_GT(B.sent(MessageKind::Command), 0U);
+}
+
+// Guards urgent work after a change of leader: the next leader does not wait
+// for the next report of each agent.
+TEST(Core, PassesReportsOnWhenTheLeaderChanges) {
+  StandbyBench B;
+  announceFleet(B);
+  B.agentSends(MessageKind::Attach);
+  B.run(100);
+  const auto Before = B.sent(MessageKind::Report);
+  B.other(RecordKind::LeaderClaimed, model::LeaderClaim{"e3", "i3"},
+          B.m_core->state().m_epoch + 1);
+  B.run(100);
+  EXPECT_EQ(B.sent(MessageKind::Report), Before + 1);
+}
