Test four faults of the leader that no test caught

Start and reserve commands without the incarnation, replies matched without the attempt, stray holds that do not block a worker, and planning while the log service is down passed all tests, because the simulation has another check behind each. The new tests play the agent by hand, so each fault shows alone.

--- a/tests/entry/leader_test.cc
+++ b/tests/entry/leader_test.cc
@@ -7,6 +7,7 @@
 
 using namespace pomelokeel;
 using model::Outcome;
+using sim::Agent;
 
 namespace {
 
@@ -261,6 +262,202 @@
 
 namespace {
 
+// A leader e1 with one worker w1, whose agent the test plays itself.
+class Solo {
+public:
+  Solo() {
+    for (const auto &[Kind, Name, Body] :
+         {std::tuple{model::ConfigKind::JobClass, "batch",
+                     base::Json{{"backoffMs", 200}}},
+          {model::ConfigKind::Account, "acct",
+           base::Json{{"guarantee", base::Json::array()}}}})
+      append(model::RecordKind::ConfigPublished,
+             model::ConfigRecord{Kind, Name, 1, 0, 2, "op", Body});
+    m_agent.m_name = "w1";
+    append(model::RecordKind::WorkerAnnounced, m_agent.worker());
+    append(model::RecordKind::LeaderClaimed, model::LeaderClaim{"e1", "i1"}, 1);
+    m_leader.start(m_state, m_nowMs);
+  }
+
+  template <typename Body>
+  void append(model::RecordKind Kind, const Body &B, std::uint64_t Epoch = 0) {
+    push(Kind, base::encode(B), Epoch);
+  }
+
+  void submit() {
+    model::JobSpec S;
+    S.m_key = "k";
+    S.m_account = "acct";
+    S.m_class = "batch";
+    S.m_members = 1;
+    S.m_accelerators = 8;
+    append(model::RecordKind::JobSubmitted, model::Submission{"j1", S});
+  }
+
+  void report(const std::vector<model::Hold> &Holds = {}) {
+    model::AgentReport R = m_agent.report();
+    R.m_holds = Holds;
+    take(m_leader.onReport(m_state, R, m_nowMs));
+  }
+
+  void reply(const model::Command &C, bool Accepted) {
+    model::CommandReply R;
+    R.m_kind = C.m_kind;
+    R.m_worker = "w1";
+    R.m_job = C.m_job;
+    R.m_attempt = C.m_attempt;
+    R.m_member = C.m_member;
+    R.m_accepted = Accepted;
+    if (!Accepted)
+      R.m_error = base::ErrorKind::Overloaded;
+    R.m_incarnation = m_agent.worker().m_incarnation;
+    R.m_sequence = m_agent.m_sequence;
+    take(m_leader.onReply(m_state, R, m_nowMs));
+  }
+
+  /// A step in which the leader reads its own records.
+  void step(bool LogAvailable = true) {
+    m_nowMs += sim::StepMs;
+    take(m_leader.tick(m_state, {m_nowMs, m_nowMs, LogAvailable}));
+    const std::vector<model::Record> Unread = std::exchange(m_unread, {});
+    for (const model::Record &R : Unread)
+      push(R.m_kind, R.m_body, m_state.m_epoch);
+  }
+
+  /// The last command of the kind, or null.
+  const model::Command *last(model::CommandKind Kind) const {
+    const auto It = std::ranges::find_if(
+        m_commands.rbegin(), m_commands.rend(),
+        [&](const model::Command &C) { return C.m_kind == Kind; });
+    return It == m_commands.rend() ? nullptr : &*It;
+  }
+
+  int attempt() const { return m_state.m_jobs.at("j1").m_attempt; }
+
+  Agent m_agent;
+  int m_plans = 0;
+  std::vector<model::Record> m_unread; ///< Written by the leader.
+
+private:
+  void push(model::RecordKind Kind, base::Json Body, std::uint64_t Epoch) {
+    model::LogEntry E;
+    E.m_offset = m_state.m_nextOffset;
+    E.m_timeMs = m_nowMs;
+    E.m_record.m_id = "r" + std::to_string(E.m_offset);
+    E.m_record.m_kind = Kind;
+    E.m_record.m_epoch = Epoch;
+    E.m_record.m_body = std::move(Body);
+    const auto Applied = state::apply(m_state, E);
+    EXPECT_TRUE(Applied.m_accepted) << base::nameOf(Kind);
+    take(m_leader.onApplied(m_state, E, Applied, m_nowMs));
+  }
+
+  void take(entry::Actions A) {
+    for (entry::AgentCommand &C : A.m_commands)
+      m_commands.push_back(std::move(C.m_command));
+    for (model::Record &R : A.m_records)
+      m_unread.push_back(std::move(R));
+  }
+
+  base::Millis m_nowMs = 100000;
+  state::State m_state;
+  base::Counters m_counters;
+  base::HybridClock m_clock;
+  base::EventLog m_events{"e1", 64, m_clock};
+  entry::Leader m_leader{{1500, sim::GangLeaseMs, 200},
+                         m_counters,
+                         m_events,
+                         [this](const sched::Snapshot &S) {
+                           ++m_plans;
+                           return sched::plan(S);
+                         }};
+  std::vector<model::Command> m_commands; ///< As sent.
+};
+
+} // namespace
+
+// Guards G5: an agent that restarted refuses what was meant for its
+// predecessor, because each command that starts work names the incarnation.
+TEST(Leader, CommandsThatStartWorkNameTheIncarnation) {
+  Solo L;
+  L.report();
+  L.submit();
+  L.step();
+  const model::Command *Reserve = L.last(model::CommandKind::Reserve);
+  ASSERT_TRUE(Reserve);
+  EXPECT_EQ(Reserve->m_incarnation, "i1");
+  L.reply(model::Command(*Reserve), true);
+  L.step();
+  const model::Command *Start = L.last(model::CommandKind::Start);
+  ASSERT_TRUE(Start);
+  EXPECT_EQ(Start->m_incarnation, "i1");
+}
+
+// Guards G2 and G4: a late answer to an earlier attempt on the same worker does
+// not count as the reservation of the current one.
+TEST(Leader, RepliesToAnEarlierAttemptDoNotCount) {
+  Solo L;
+  L.report();
+  L.submit();
+  L.step();
+  ASSERT_TRUE(L.last(model::CommandKind::Reserve));
+  const model::Command First = *L.last(model::CommandKind::Reserve);
+  L.reply(First, false);
+  for (int I = 0; I < 400 && L.attempt() == 1; ++I) {
+    L.report();
+    if (const model::Command *Stop = L.last(model::CommandKind::Stop))
+      L.reply(model::Command(*Stop), true);
+    L.step();
+  }
+  ASSERT_EQ(L.attempt(), 2);
+  L.reply(First, true);
+  L.step();
+  EXPECT_FALSE(L.last(model::CommandKind::Start));
+  ASSERT_EQ(L.last(model::CommandKind::Reserve)->m_attempt, 2);
+  L.reply(model::Command(*L.last(model::CommandKind::Reserve)), true);
+  L.step();
+  EXPECT_TRUE(L.last(model::CommandKind::Start));
+}
+
+// Guards against a placement on accelerators that a task of no current attempt
+// still uses.
+TEST(Leader, StrayTaskBlocksItsWorkerUntilItHasEnded) {
+  Solo L;
+  model::Hold Stray;
+  Stray.m_job = "gone";
+  Stray.m_attempt = 1;
+  Stray.m_state = model::HoldState::Running;
+  L.report({Stray});
+  EXPECT_TRUE(L.last(model::CommandKind::Stop));
+  L.submit();
+  for (int I = 0; I < 10; ++I)
+    L.step();
+  EXPECT_EQ(L.attempt(), 0);
+  L.report();
+  L.step();
+  EXPECT_EQ(L.attempt(), 1);
+}
+
+// Guards section 4.7: without the log nothing is planned, so that no event and
+// no reclaim tells of a decision that cannot be recorded.
+TEST(Leader, PlansNothingWhileTheLogIsDown) {
+  Solo L;
+  L.report();
+  L.submit();
+  const int Before = L.m_plans;
+  for (int I = 0; I < 10; ++I) {
+    L.step(false);
+    EXPECT_EQ(L.m_unread.size(), 0U);
+  }
+  EXPECT_EQ(L.m_plans, Before);
+  EXPECT_EQ(L.attempt(), 0);
+  L.step();
+  EXPECT_GT(L.m_plans, Before);
+  EXPECT_EQ(L.attempt(), 1);
+}
+
+namespace {
+
 sim::Faults allFaults() {
   sim::Faults F;
   F.m_lossPercent = 10;
