Count promises in the fold without the planner

Cause: the fold ran the planner's search with step limits for each account record, so two binaries with other limits could fold one log differently, and every change rebuilt the planner's view of the fleet. The fold now counts windows by a fixed rule of docs/design.md, section 4.6, and state no longer links sched.

Ruled out: a different rule for whole workers, because the planner could then assign an accepted set only by its limited search; the rule is the planner's greedy assignment on an idle fleet.

--- a/src/state/state.cc
+++ b/src/state/state.cc
@@ -1,6 +1,6 @@
 #include "state/state.h"
 
-#include "sched/sched.h"
+#include "state/promises.h"
 
 #include <algorithm>
 #include <array>
@@ -29,26 +29,6 @@
   return Out;
 }
 
-sched::WorkerView viewOf(const WorkerEntry &W) {
-  sched::WorkerView V;
-  V.m_name = W.m_worker.m_name;
-  V.m_dataCentre = W.m_worker.m_dataCentre;
-  V.m_region = W.m_worker.m_region;
-  V.m_rack = W.m_worker.m_rack;
-  V.m_accelerators = W.m_worker.m_accelerators;
-  V.m_slots = W.m_worker.m_slots;
-  V.m_cores = W.m_worker.m_cores;
-  V.m_memoryMb = W.m_worker.m_memoryMb;
-  return V;
-}
-
-std::vector<sched::WorkerView> workerViews(const State &S) {
-  std::vector<sched::WorkerView> Views;
-  for (const auto &[Name, W] : S.m_workers)
-    Views.push_back(viewOf(W));
-  return Views;
-}
-
 // Promises are checked against all announced workers, also those that are
 // down: a worker that is away for a while must not block unrelated changes.
 Status checkPromises(const State &S, const model::ConfigRecord &R) {
@@ -64,15 +44,18 @@
     if (auto Other = model::readAccount(Current))
       Accounts.push_back(*Other);
   }
-  const auto Check = sched::checkGuarantees(Accounts, workerViews(S), {});
-  if (Check.m_shortfalls.empty())
+  std::vector<const model::Worker *> Workers;
+  Workers.reserve(S.m_workers.size());
+  for (const auto &[Name, W] : S.m_workers)
+    Workers.push_back(&W.m_worker);
+  const auto Gap = findPromiseGap(Accounts, Workers);
+  if (!Gap)
     return base::success();
-  const sched::Shortfall &First = Check.m_shortfalls.front();
   return Error{
       ErrorKind::GuaranteeExceedsCapacity,
-      "the guarantees together need " + std::to_string(First.m_missingBlocks) +
-          " more blocks of " + std::to_string(First.m_blockSize) +
-          " adjacent accelerators for account \"" + First.m_account + "\""};
+      "the guarantees together need " + std::to_string(Gap->m_missingBlocks) +
+          " more blocks of " + std::to_string(Gap->m_blockSize) +
+          " adjacent accelerators for account \"" + Gap->m_account + '"'};
 }
 
 // What a record handler needs besides the state.
