Keep the keys of accounts with a slash apart

Cause: the fold looked up jobs by account + "/" + key, so account "a" with key "b/c" and account "a/b" with key "c" got each other's job. A "~" or "/" in the account is now written "~0" or "~1"; the key follows the first "/" unchanged.

Conclusion: every pair of account and key leads to its own job.

--- a/src/state/snapshot.cc
+++ b/src/state/snapshot.cc
@@ -27,6 +27,7 @@
   auto Parsed = base::parse<State>(Text);
   if (!Parsed || Parsed->m_nextOffset != Chunks.front().m_nextOffset)
     return std::nullopt;
+  indexKeys(*Parsed);
   return std::move(*Parsed);
 }
 
--- a/src/state/state.cc
+++ b/src/state/state.cc
@@ -17,8 +17,19 @@
   return std::string(base::nameOf(Kind)) + "/" + Name;
 }
 
+// The first "/" ends the account, so one in its name is escaped.
 std::string jobKey(const std::string &Account, const std::string &Key) {
-  return Account + "/" + Key;
+  std::string Out;
+  Out.reserve(Account.size() + 1 + Key.size());
+  for (const char C : Account) {
+    if (C == '~')
+      Out += "~0";
+    else if (C == '/')
+      Out += "~1";
+    else
+      Out += C;
+  }
+  return Out + '/' + Key;
 }
 
 // A record body of type Body, or the error that makes the fold ignore it.
@@ -363,6 +374,12 @@
 
 } // namespace
 
+void indexKeys(State &S) {
+  S.m_jobByKey.clear();
+  for (const auto &[Id, J] : S.m_jobs)
+    S.m_jobByKey[jobKey(J.m_spec.m_account, J.m_spec.m_key)] = Id;
+}
+
 Applied apply(State &S, const model::LogEntry &Entry, const Retention &Limits) {
   Applied Out;
   S.m_nextOffset = Entry.m_offset + 1;
--- a/src/state/state.h
+++ b/src/state/state.h
@@ -74,8 +74,10 @@
   std::map<std::string, model::Member> m_members;
   std::map<std::string, WorkerEntry> m_workers;
   std::map<std::string, model::Job> m_jobs;
-  std::map<std::string, std::string> m_jobByKey; ///< `account/key` to job id.
-  std::vector<std::string> m_finishedOrder;      ///< Job ids, for retention.
+  /// `account/key` to job id, with "~0" for "~" and "~1" for "/" in the
+  /// account.
+  std::map<std::string, std::string> m_jobByKey;
+  std::vector<std::string> m_finishedOrder; ///< Job ids, for retention.
 
   static constexpr auto fields() {
     return std::tuple{
@@ -139,6 +141,10 @@
 const model::Job *findByKey(const State &S, const std::string &Account,
                             const std::string &Key);
 
+/// Builds State.m_jobByKey from the jobs: an older version may have written it
+/// without escapes.
+void indexKeys(State &S);
+
 /// Checks a submission against the configuration in force: unknownAccount,
 /// unknownClass, quotaExceeded, canNeverRun and those of model::checkSpec.
 base::Status admit(const State &S, const model::JobSpec &Spec);
--- a/tests/state/state_test.cc
+++ b/tests/state/state_test.cc
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <array>
+
 using namespace pomelokeel;
 using base::ErrorKind;
 using base::Json;
@@ -140,6 +142,54 @@
   EXPECT_EQ(state::findByKey(L.m_state, "acct", "k1")->m_id, "j1");
 }
 
+// Guards G3 and G5 against two accounts that get each other's job because a
+// name or a key contains the separator.
+TEST(Fold, KeysOfAccountsWithSlashesAreDistinct) {
+  Log L = configuredLog();
+  const std::array Accounts = {"a", "a/b", "a~1b", "a~", "a/"};
+  const std::array Keys = {"b/c", "c", "/c", "1b/c", "~1b/c"};
+  for (const char *Account : Accounts)
+    L.publish(model::ConfigKind::Account, Account, 0, accountBody(1, 0));
+  const auto IdOf = [](const char *Account, const char *Key) {
+    return std::string(Account) + " " + Key;
+  };
+  for (const char *Account : Accounts) {
+    for (const char *Key : Keys) {
+      model::JobSpec S = spec(Key);
+      S.m_account = Account;
+      EXPECT_TRUE(L.append(RecordKind::JobSubmitted,
+                           model::Submission{IdOf(Account, Key), S})
+                      .m_accepted)
+          << IdOf(Account, Key);
+    }
+  }
+  for (const char *Account : Accounts) {
+    for (const char *Key : Keys) {
+      const model::Job *J = state::findByKey(L.m_state, Account, Key);
+      ASSERT_NE(J, nullptr);
+      EXPECT_EQ(J->m_id, IdOf(Account, Key));
+    }
+  }
+}
+
+// Guards G5 against a snapshot of an older version, which did not escape the
+// account: its jobs are still found by their keys.
+TEST(Snapshots, KeysWithoutEscapesAreRead) {
+  Log L = configuredLog();
+  L.publish(model::ConfigKind::Account, "a/b", 0, accountBody(1, 0));
+  model::JobSpec S = spec("c");
+  S.m_account = "a/b";
+  L.append(RecordKind::JobSubmitted, model::Submission{"j1", S});
+  L.m_state.m_jobByKey = {{"a/b/c", "j1"}};
+  state::SnapshotReader Reader;
+  for (auto &C : state::encodeSnapshot(L.m_state, "old"))
+    Reader.add(C);
+  const auto Loaded = Reader.newest();
+  ASSERT_TRUE(Loaded.has_value());
+  ASSERT_NE(state::findByKey(*Loaded, "a/b", "c"), nullptr);
+  EXPECT_EQ(state::findByKey(*Loaded, "a", "b/c"), nullptr);
+}
+
 TEST(Fold, OutcomeIsFinal) {
   Log L = configuredLog();
   L.append(RecordKind::JobSubmitted, model::Submission{"j1", spec("k1")});
