Restore a lost worker once per incarnation

Cause: a standby asked for an announcement at each report of a lost worker, each announcement made the worker healthy in the fold, and a leader that could not hear the standby recorded the loss again at once.

Fix: an announcement restores a lost worker only if its incarnation is new, the leader counts that as a sign of life, and a standby asks for an announcement only of a worker that the state does not contain. A known incarnation is restored by the leader when it hears it.

Ruled out: reports or digests that the leader ignores; where the leader can hear the standby, a restarted agent caused one change of standing also before.

--- a/src/entry/core_messages.cc
+++ b/src/entry/core_messages.cc
@@ -84,9 +84,9 @@
   const bool Known = m_relay.find(R.m_worker.m_name) != nullptr;
   // An agent that is attached already is relayed until it has moved.
   if (Refusal.empty() || Known) {
-    const auto It = state().m_workers.find(R.m_worker.m_name);
-    if (It == state().m_workers.end() ||
-        It->second.m_standing == model::WorkerStanding::Lost)
+    // The relay announces each incarnation once; the leader alone restores a
+    // lost worker whose incarnation is known.
+    if (!state().m_workers.contains(R.m_worker.m_name))
       m_relay.requestAnnouncement(R.m_worker.m_name);
     const ReportSteps Steps = m_relay.onReport(R, NowMs);
     if (Steps.m_attached) {
--- a/src/entry/leader.cc
+++ b/src/entry/leader.cc
@@ -99,6 +99,7 @@
   I.m_planDue = true;
   I.refreshConfig(S);
   I.settle(Entry);
+  I.noteWorker(S, Entry, Applied, NowMs);
   const auto Found = S.m_jobs.find(Applied.m_job);
   if (!Applied.m_accepted || Found == S.m_jobs.end())
     return Out;
--- a/src/entry/leader_impl.h
+++ b/src/entry/leader_impl.h
@@ -55,6 +55,8 @@
   void changeStanding(const std::string &Worker, model::WorkerStanding Standing,
                       const std::string &Reason, Millis UntilMs, Millis NowMs,
                       Actions &Out);
+  void noteWorker(const state::State &S, const model::LogEntry &Entry,
+                  const state::Applied &Applied, Millis NowMs);
   void checkWorkers(const state::State &S, Millis NowMs, Actions &Out);
   ViewInput viewInput(const state::State &S, Millis NowMs) const;
   void planPass(const state::State &S, Millis NowMs, Actions &Out);
--- a/src/entry/leader_records.cc
+++ b/src/entry/leader_records.cc
@@ -129,6 +129,19 @@
         Worker);
 }
 
+// A new incarnation is a sign of life: its agent was started before it was
+// announced, even if no report of it has arrived yet.
+void Leader::Impl::noteWorker(const state::State &S,
+                              const model::LogEntry &Entry,
+                              const state::Applied &Applied, Millis NowMs) {
+  const model::Record &R = Entry.m_record;
+  if (!Applied.m_accepted || R.m_kind != RecordKind::WorkerAnnounced)
+    return;
+  const auto W = S.m_workers.find(R.m_body.at("name").get<std::string>());
+  if (W != S.m_workers.end() && W->second.m_sinceOffset == Entry.m_offset)
+    m_live[W->first].m_heardMs = NowMs;
+}
+
 void Leader::Impl::checkWorkers(const state::State &S, Millis NowMs,
                                 Actions &Out) {
   Millis LimitMs = m_timing.m_agentTimeoutMs;
@@ -140,8 +153,7 @@
       Live.m_heardMs = NowMs;
     const bool Silent = NowMs - Live.m_heardMs >= LimitMs + LostMarginMs;
     const bool Lost = W.m_standing == WorkerStanding::Lost;
-    // Its agent may have been announced before the loss was recorded, so the
-    // announcement alone does not restore it.
+    // An announcement restores a lost worker only if its incarnation is new.
     if (Lost && Live.m_everHeard && !Silent)
       changeStanding(Name, WorkerStanding::Healthy, "heard again", 0, NowMs,
                      Out);
--- a/src/state/state.cc
+++ b/src/state/state.cc
@@ -92,9 +92,12 @@
 
 Status applyWorker(State &S, const model::Worker &Body, const Context &C) {
   WorkerEntry &W = S.m_workers[Body.m_name];
-  if (W.m_worker.m_incarnation != Body.m_incarnation)
-    W.m_sinceOffset = C.m_entry.m_offset;
+  const bool Restarted = W.m_worker.m_incarnation != Body.m_incarnation;
   W.m_worker = Body;
+  if (!Restarted)
+    return base::success();
+  W.m_sinceOffset = C.m_entry.m_offset;
+  // Only the leader knows whether it hears a known incarnation again.
   if (W.m_standing == model::WorkerStanding::Lost) {
     W.m_standing = model::WorkerStanding::Healthy;
     W.m_standingReason.clear();
--- a/tests/entry/leader_test.cc
+++ b/tests/entry/leader_test.cc
@@ -186,6 +186,30 @@
   EXPECT_EQ(F.m_runs["j1"][0], 1);
 }
 
+// Guards the log against a leader that records the loss of a worker again at
+// each announcement of an agent that it cannot hear yet.
+TEST(Leader, NewIncarnationOfALostWorkerIsASignOfLife) {
+  sim::Fleet F(1, 1, {});
+  F.m_agents["w1"].m_downUntilMs = F.m_nowMs + 3600000;
+  const auto Standing = [&] { return F.m_state.m_workers["w1"].m_standing; };
+  ASSERT_TRUE(F.runUntil(
+      [&] { return Standing() == model::WorkerStanding::Lost; }, 60000));
+  sim::Agent &A = F.m_agents["w1"];
+  F.append(sim::RecordKind::WorkerAnnounced, A.worker());
+  F.runFor(1000);
+  EXPECT_EQ(Standing(), model::WorkerStanding::Lost);
+  EXPECT_EQ(F.m_records["workerStandingChanged"], 1);
+  ++A.m_incarnation;
+  F.append(sim::RecordKind::WorkerAnnounced, A.worker());
+  F.runFor(3000);
+  EXPECT_EQ(Standing(), model::WorkerStanding::Healthy);
+  EXPECT_EQ(F.m_records["workerStandingChanged"], 1);
+  // Without a report it is lost again after its limit.
+  EXPECT_TRUE(F.runUntil(
+      [&] { return Standing() == model::WorkerStanding::Lost; }, 60000));
+  EXPECT_EQ(F.m_records["workerStandingChanged"], 2);
+}
+
 namespace {
 
 // A job j1 that fills the worker, and a planner that takes it back for j2.
--- a/tests/state/state_test.cc
+++ b/tests/state/state_test.cc
@@ -340,3 +340,22 @@
   L.append(RecordKind::WorkerAnnounced, W);
   EXPECT_EQ(L.m_state.m_workers.at("w2").m_sinceOffset, 3u);
 }
+
+// Guards against an announcement that restores a worker which the leader has
+// not heard again: the two would change its standing in turns.
+TEST(Fold, OnlyANewIncarnationRestoresALostWorker) {
+  Log L;
+  L.claim();
+  L.addWorker("w1");
+  L.append(RecordKind::WorkerStandingChanged,
+           model::StandingChange{"w1", model::WorkerStanding::Lost, "silent"},
+           1);
+  L.addWorker("w1");
+  const state::WorkerEntry &W = L.m_state.m_workers.at("w1");
+  EXPECT_EQ(W.m_standing, model::WorkerStanding::Lost);
+  model::Worker Restarted = W.m_worker;
+  Restarted.m_incarnation = "2";
+  L.append(RecordKind::WorkerAnnounced, Restarted);
+  EXPECT_EQ(W.m_standing, model::WorkerStanding::Healthy);
+  EXPECT_EQ(W.m_standingReason, "");
+}
