Remove workers that stay lost

Cause: nothing appended workerLeft, so a worker that never returned stayed in the state, in the capacity for promises and in the fleet that jobs are judged against.

The leader appends it for a worker that holds nothing and has been lost for 24 h of log time. A drained worker leaves when it is lost. The fold takes workerLeft only with the current epoch.

Ruled out: removal at the graceful stop of a draining agent, because the messages do not tell a stop from a drain and an agent that is only restarted reports the same.

--- a/src/entry/leader.h
+++ b/src/entry/leader.h
@@ -45,6 +45,9 @@
       3000; ///< Silence after which an agent gets no new work.
   Millis m_gangLeaseMs = 3000;
   Millis m_commandRetryMs = 500; ///< Repeats a command without reply.
+  /// Log time that a worker stays lost before it is removed. Jobs are judged as
+  /// impossible against all workers, so that a replacement must fit in.
+  Millis m_workerLeftMs = 24LL * 3600 * 1000;
 };
 
 /// Live view of the leader for reports.
--- a/src/entry/leader_impl.h
+++ b/src/entry/leader_impl.h
@@ -58,6 +58,7 @@
   void noteWorker(const state::State &S, const model::LogEntry &Entry,
                   const state::Applied &Applied, Millis NowMs);
   void checkWorkers(const state::State &S, Millis NowMs, Actions &Out);
+  void removeWorker(const state::WorkerEntry &W, Millis NowMs, Actions &Out);
   ViewInput viewInput(const state::State &S, Millis NowMs) const;
   void planPass(const state::State &S, Millis NowMs, Actions &Out);
   void place(const state::State &S, const sched::PlaceJob &P, Millis NowMs,
--- a/src/entry/leader_records.cc
+++ b/src/entry/leader_records.cc
@@ -41,17 +41,19 @@
 
 void Leader::Impl::settle(const model::LogEntry &Entry) {
   const model::Record &R = Entry.m_record;
-  if (R.m_epoch != m_epoch || !model::isLeaderKind(R.m_kind))
+  const bool Left = R.m_kind == RecordKind::WorkerLeft;
+  if (R.m_epoch != m_epoch || !(Left || model::isLeaderKind(R.m_kind)))
     return;
   const bool Standing = R.m_kind == RecordKind::WorkerStandingChanged;
-  const auto Name = R.m_body.find(Standing ? "worker" : "job");
+  const auto Name = R.m_body.find(Left ? "name" : Standing ? "worker" : "job");
   if (Name == R.m_body.end() || !Name->is_string())
     return;
+  const bool OfWorker = Left || Standing;
   const std::string Subject = Name->get<std::string>();
-  const auto It = m_pending.find(Standing ? workerKey(Subject) : Subject);
+  const auto It = m_pending.find(OfWorker ? workerKey(Subject) : Subject);
   if (It == m_pending.end() || It->second.m_record.m_kind != R.m_kind)
     return;
-  if (!Standing && R.m_body.value("attempt", 0) != It->second.m_attempt)
+  if (!OfWorker && R.m_body.value("attempt", 0) != It->second.m_attempt)
     return;
   m_pending.erase(It);
   m_pendingPlaces.erase(Subject);
@@ -135,13 +137,35 @@
                               const model::LogEntry &Entry,
                               const state::Applied &Applied, Millis NowMs) {
   const model::Record &R = Entry.m_record;
-  if (!Applied.m_accepted || R.m_kind != RecordKind::WorkerAnnounced)
+  if (!Applied.m_accepted)
+    return;
+  if (R.m_kind == RecordKind::WorkerLeft)
+    m_live.erase(R.m_body.at("name").get<std::string>());
+  if (R.m_kind != RecordKind::WorkerAnnounced)
     return;
   const auto W = S.m_workers.find(R.m_body.at("name").get<std::string>());
   if (W != S.m_workers.end() && W->second.m_sinceOffset == Entry.m_offset)
     m_live[W->first].m_heardMs = NowMs;
 }
 
+// A drained worker is not expected back. Its agent's last report does not tell
+// a stop from a drain, so it leaves once it is lost.
+void Leader::Impl::removeWorker(const state::WorkerEntry &W, Millis NowMs,
+                                Actions &Out) {
+  const std::string &Name = W.m_worker.m_name;
+  const bool Drained = m_config.m_draining.contains(Name);
+  // Leaders of an older version recorded a loss without a time.
+  const Millis DueMs = W.m_standingUntilMs > 0
+                           ? W.m_standingUntilMs
+                           : logTime(m_startMs) + m_timing.m_workerLeftMs;
+  if (!Drained && logTime(NowMs) < DueMs)
+    return;
+  const model::Departure Left{Name, W.m_worker.m_incarnation};
+  if (emit(RecordKind::WorkerLeft, workerKey(Name), 0, Left, NowMs, Out))
+    event("workerLeft", nullptr,
+          Drained ? "reason=\"lost while draining\"" : "reason=\"lost\"", Name);
+}
+
 void Leader::Impl::checkWorkers(const state::State &S, Millis NowMs,
                                 Actions &Out) {
   Millis LimitMs = m_timing.m_agentTimeoutMs;
@@ -160,7 +184,10 @@
     const auto Jobs = m_byWorker.find(Name);
     const bool Holds = Jobs != m_byWorker.end() && !Jobs->second.empty();
     if (Silent && !Holds && !Lost)
-      changeStanding(Name, WorkerStanding::Lost, "silent", 0, NowMs, Out);
+      changeStanding(Name, WorkerStanding::Lost, "silent",
+                     logTime(NowMs) + m_timing.m_workerLeftMs, NowMs, Out);
+    if (Silent && !Holds && Lost)
+      removeWorker(W, NowMs, Out);
   }
 }
 
--- a/src/state/state.cc
+++ b/src/state/state.cc
@@ -101,6 +101,7 @@
   if (W.m_standing == model::WorkerStanding::Lost) {
     W.m_standing = model::WorkerStanding::Healthy;
     W.m_standingReason.clear();
+    W.m_standingUntilMs = 0;
   }
   return base::success();
 }
@@ -366,8 +367,10 @@
 
 Status applyRecord(State &S, const Context &C) {
   const model::Record &R = C.m_entry.m_record;
+  // A leader that was frozen must not remove a worker that has returned.
   const bool NeedsEpoch =
-      model::isLeaderKind(R.m_kind) && R.m_kind != RecordKind::LeaderClaimed;
+      R.m_kind == RecordKind::WorkerLeft ||
+      (model::isLeaderKind(R.m_kind) && R.m_kind != RecordKind::LeaderClaimed);
   if (NeedsEpoch && R.m_epoch != S.m_epoch)
     return Error{ErrorKind::StaleEpoch, "epoch " + std::to_string(R.m_epoch) +
                                             " is not the current " +
--- a/src/state/state.h
+++ b/src/state/state.h
@@ -21,6 +21,8 @@
   std::uint64_t m_sinceOffset = 0; ///< First record of this incarnation.
   model::WorkerStanding m_standing = model::WorkerStanding::Healthy;
   std::string m_standingReason;
+  /// Log time at which the probation of a quarantined worker starts, or from
+  /// which a lost one may be removed; 0 is none.
   Millis m_standingUntilMs = 0;
 
   static constexpr auto fields() {
--- a/tests/entry/leader_test.cc
+++ b/tests/entry/leader_test.cc
@@ -210,6 +210,78 @@
   EXPECT_EQ(F.m_records["workerStandingChanged"], 2);
 }
 
+// Guards the state against workers that never return, and jobs against being
+// called impossible while a worker is replaced.
+TEST(Leader, LostWorkerLeavesAfterADay) {
+  constexpr base::Millis HourMs = 3600000;
+  sim::Fleet F(1, 1, {});
+  F.m_agents["w1"].m_downUntilMs = F.m_nowMs + 100 * HourMs;
+  const auto Present = [&] { return F.m_state.m_workers.contains("w1"); };
+  ASSERT_TRUE(F.runUntil(
+      [&] {
+        return F.m_state.m_workers["w1"].m_standing ==
+               model::WorkerStanding::Lost;
+      },
+      60000));
+  F.m_nowMs += 12 * HourMs;
+  F.runFor(30000);
+  // The time is counted from the loss, whoever leads.
+  F.claim(1);
+  F.m_nowMs += 11 * HourMs;
+  F.runFor(30000);
+  EXPECT_TRUE(Present());
+  F.m_nowMs += HourMs;
+  F.runFor(1000);
+  EXPECT_FALSE(Present());
+  EXPECT_EQ(F.m_records["workerLeft"], 1);
+  F.append(sim::RecordKind::WorkerAnnounced, F.m_agents["w1"].worker());
+  F.m_agents["w1"].m_downUntilMs = 0;
+  F.submit("j1", "batch");
+  EXPECT_TRUE(F.runUntil([&] { return F.finished("j1"); }, 5000));
+  EXPECT_EQ(F.outcome("j1"), Outcome::Completed);
+}
+
+// Guards the state against endpoints that were drained for good.
+TEST(Leader, DrainedWorkerLeavesWhenItIsLost) {
+  sim::Fleet F(2, 1, {});
+  F.append(
+      sim::RecordKind::ConfigPublished,
+      model::ConfigRecord{
+          model::ConfigKind::Drain, "w1", 1, 0, 2, "op", {{"draining", true}}});
+  F.runFor(60000);
+  EXPECT_EQ(F.m_state.m_workers.size(), 2U);
+  for (auto &[Name, A] : F.m_agents)
+    A.m_downUntilMs = F.m_nowMs + 3600000;
+  F.runFor(60000);
+  EXPECT_FALSE(F.m_state.m_workers.contains("w1"));
+  ASSERT_TRUE(F.m_state.m_workers.contains("w2"));
+  EXPECT_EQ(F.m_state.m_workers["w2"].m_standing, model::WorkerStanding::Lost);
+}
+
+// Guards running work: a worker that holds a job stays.
+TEST(Leader, WorkerThatHoldsAJobDoesNotLeave) {
+  sim::Fleet F(1, 1, {});
+  F.append(sim::RecordKind::ConfigPublished,
+           model::ConfigRecord{model::ConfigKind::JobClass,
+                               "long",
+                               1,
+                               0,
+                               2,
+                               "op",
+                               {{"orphanLimitMs", 7200000}}});
+  F.submit("j1", "long", 1, 8, 10800000);
+  ASSERT_TRUE(F.runUntil([&] { return F.m_runs.contains("j1"); }, 2000));
+  F.append(
+      sim::RecordKind::ConfigPublished,
+      model::ConfigRecord{
+          model::ConfigKind::Drain, "w1", 1, 0, 2, "op", {{"draining", true}}});
+  F.m_agents["w1"].m_cutUntilMs = F.m_nowMs + 360000000;
+  F.m_nowMs += 7100000;
+  F.runFor(30000);
+  EXPECT_FALSE(F.finished("j1"));
+  EXPECT_TRUE(F.m_state.m_workers.contains("w1"));
+}
+
 namespace {
 
 // A job j1 that fills the worker, and a planner that takes it back for j2.
--- a/tests/state/state_test.cc
+++ b/tests/state/state_test.cc
@@ -359,3 +359,22 @@
   EXPECT_EQ(W.m_standing, model::WorkerStanding::Healthy);
   EXPECT_EQ(W.m_standingReason, "");
 }
+
+// Guards a worker that has returned against a leader that was frozen, or that
+// saw only its earlier incarnation.
+TEST(Fold, WorkerIsRemovedOnlyByTheCurrentLeader) {
+  Log L;
+  L.claim();
+  L.addWorker("w1");
+  L.claim();
+  const auto Left = [&](const char *Incarnation, std::uint64_t Epoch) {
+    return L.append(RecordKind::WorkerLeft, model::Departure{"w1", Incarnation},
+                    Epoch);
+  };
+  EXPECT_EQ(Left("1", 0).m_error, ErrorKind::StaleEpoch);
+  EXPECT_EQ(Left("1", 1).m_error, ErrorKind::StaleEpoch);
+  EXPECT_EQ(Left("0", 2).m_error, ErrorKind::NotFound);
+  EXPECT_TRUE(L.m_state.m_workers.contains("w1"));
+  EXPECT_TRUE(Left("1", 2).m_accepted);
+  EXPECT_TRUE(L.m_state.m_workers.empty());
+}
