Keep a slot for each promised block

Cause: the guarantee check counted accelerators only, so jobs without accelerators that cannot be preempted could take all slots of a promised worker and its owner could not start there. Each block now also needs a slot on each of its workers that is free, its own account's or held by a preemptible job; a job that cannot be preempted goes to workers with spare slots first.

Ruled out: a bound by slots on an idle fleet too, because the count of promises in the fold would need it as well; a worker with fewer slots than accelerators counts one slot for each accelerator as long as one is left.

Conclusion: a placement leaves every promise with accelerators and slots.

--- a/src/sched/fleet.cc
+++ b/src/sched/fleet.cc
@@ -32,6 +32,7 @@
   N.m_accelerators = std::clamp(W.m_accelerators, 0, MaxAccelerators);
   N.m_all = maskOf(0, N.m_accelerators);
   N.m_free = N.m_all;
+  N.m_allSlots = W.m_slots;
   N.m_slots = W.m_slots;
   N.m_cores = W.m_cores;
   N.m_memoryMb = W.m_memoryMb;
--- a/src/sched/fleet.h
+++ b/src/sched/fleet.h
@@ -26,7 +26,8 @@
   Mask m_all = 0;  ///< Every accelerator.
   Mask m_free = 0; ///< Held by no job.
   int m_accelerators = 0;
-  int m_slots = 0;
+  int m_allSlots = 0;
+  int m_slots = 0; ///< Free ones.
   int m_cores = 0;
   int m_memoryMb = 0;
   int m_jobs = 0; ///< Members that run here.
--- a/src/sched/guarantee.cc
+++ b/src/sched/guarantee.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <bit>
+#include <limits>
 #include <map>
 #include <tuple>
 
@@ -112,7 +113,7 @@
     const Candidate &C = Out.back();
     Perfect += C.m_foreign == 0 && C.m_waste == 0 ? 1 : 0;
   }
-  return Perfect;
+  return std::min(Perfect, m_supply.slots(D.m_account, Worker));
 }
 
 // The best candidates, at least Count if there are as many. Only the account's
@@ -146,7 +147,9 @@
       break;
     if (OwnOnly && (C.m_own == 0 || C.m_foreign > 0))
       continue;
-    m_supply.remove(C.m_place);
+    if (m_supply.slots(D.m_account, C.m_place.m_worker) <= 0)
+      continue;
+    m_supply.remove(D.m_account, C.m_place);
     Out.m_blocks.push_back({D.m_account, D.m_size, {C.m_place}});
     ++Placed;
   }
@@ -200,7 +203,7 @@
   if (Best.empty())
     return false;
   for (const Place &P : Best)
-    m_supply.remove(P);
+    m_supply.remove(D.m_account, P);
   Out.m_blocks.push_back({D.m_account, D.m_size, std::move(Best)});
   return true;
 }
@@ -237,6 +240,7 @@
     }
     I = End;
   }
+  Out.m_slotsLeft = std::move(m_supply.m_slots);
   return Out;
 }
 
@@ -250,7 +254,13 @@
 }
 
 Promises::Promises(const Assignment &A, const Fleet &F)
-    : m_byWorker(F.m_nodes.size()) {
+    : m_slotsLeft(A.m_slotsLeft), m_byWorker(F.m_nodes.size()) {
+  // A worker with fewer slots than accelerators keeps one for all its blocks.
+  for (std::size_t I = 0; I < m_slotsLeft.size(); ++I) {
+    const Node &W = F.m_nodes[I];
+    if (W.m_allSlots < W.m_accelerators)
+      m_slotsLeft[I] = 0;
+  }
   for (const Block &B : A.m_blocks) {
     for (const Place &P : B.m_parts)
       m_byWorker[static_cast<std::size_t>(P.m_worker)].emplace_back(B.m_account,
@@ -286,10 +296,26 @@
 
 bool Promises::touchesOthers(const Holding &H) const {
   return std::any_of(H.m_places.begin(), H.m_places.end(), [&](const Place &P) {
-    return (P.mask() & toOthers(H.m_account, P.m_worker)) != 0;
+    if ((P.mask() & toOthers(H.m_account, P.m_worker)) != 0)
+      return true;
+    const auto Members =
+        std::count_if(H.m_places.begin(), H.m_places.end(),
+                      [&](const Place &Q) { return Q.m_worker == P.m_worker; });
+    return Members > slotsLeft(H.m_account, P.m_worker);
   });
 }
 
+int Promises::slotsLeft(int Account, int Worker) const {
+  if (toOthers(Account, Worker) == 0)
+    return std::numeric_limits<int>::max();
+  return m_slotsLeft[static_cast<std::size_t>(Worker)];
+}
+
+void Promises::takeSlots(const Holding &H) {
+  for (const Place &P : H.m_places)
+    --m_slotsLeft[static_cast<std::size_t>(P.m_worker)];
+}
+
 Assignment assignBlocks(const std::vector<model::Account> &Accounts,
                         const Fleet &F, int SearchSteps) {
   Assignment Out = Assigner(Accounts, F).greedy();
--- a/src/sched/guarantee.h
+++ b/src/sched/guarantee.h
@@ -18,6 +18,9 @@
 struct Assignment {
   std::vector<Block> m_blocks;
   std::vector<Shortfall> m_shortfalls;
+  /// By worker: slots beside those of the blocks that are free or held by a
+  /// preemptible job.
+  std::vector<int> m_slotsLeft;
 
   int missingAccelerators() const;
 };
@@ -44,10 +47,19 @@
   /// True if all accelerators of \p H lie in blocks of its own account.
   bool isInsideOwn(const Holding &H) const;
 
-  /// True if \p H lies partly in blocks of other accounts.
+  /// True if \p H lies partly in blocks of other accounts, or takes a slot
+  /// that one of them needs.
   bool touchesOthers(const Holding &H) const;
 
+  /// Slots of \p Worker that a job of \p Account may take for good without
+  /// touching the blocks of others.
+  int slotsLeft(int Account, int Worker) const;
+
+  /// Counts the slots of \p H, which is not preemptible, as taken.
+  void takeSlots(const Holding &H);
+
 private:
+  std::vector<int> m_slotsLeft;
   std::vector<std::vector<std::pair<int, Mask>>> m_byWorker;
 };
 
--- a/src/sched/pass.cc
+++ b/src/sched/pass.cc
@@ -8,6 +8,8 @@
 
 #include <algorithm>
 #include <bit>
+#include <unordered_map>
+#include <utility>
 
 namespace pomelokeel::sched::detail {
 namespace {
@@ -205,10 +207,15 @@
           needOf(J.m_spec), std::move(Places), false};
 }
 
-// Only a job that cannot be preempted takes accelerators away from a promise.
+// Only a job that cannot be preempted takes accelerators or slots away from a
+// promise.
 bool Pass::keepsGuarantees(const Holding &H) {
-  if (H.m_preemptible || !m_promises.touchesOthers(H))
+  if (H.m_preemptible)
     return true;
+  if (!m_promises.touchesOthers(H)) {
+    m_promises.takeSlots(H);
+    return true;
+  }
   m_fleet.add(H);
   Assignment After = assignBlocks(m_s.m_accounts, m_fleet, ShortSearch);
   m_fleet.release(H);
@@ -319,12 +326,20 @@
   // A job that cannot be preempted must not touch the promises of others if
   // there is another way, and a gang loses all its members with one of them.
   const bool AvoidsPromises = !J.m_preemptible || isLargeGang(J.m_spec);
-  if (AvoidsPromises && J.m_spec.m_accelerators > 0) {
+  if (AvoidsPromises && (!J.m_preemptible || J.m_spec.m_accelerators > 0)) {
     Request Unpromised = R;
+    std::unordered_map<int, Node> Slots;
     const int Account = m_fleet.accountIndex(J.m_spec.m_account);
-    for (std::size_t I = 0; I < Unpromised.m_blocked.size(); ++I)
-      Unpromised.m_blocked[I] |=
-          m_promises.toOthers(Account, static_cast<int>(I));
+    for (int I = 0; std::cmp_less(I, Unpromised.m_blocked.size()); ++I) {
+      const auto Index = static_cast<std::size_t>(I);
+      Unpromised.m_blocked[Index] |= m_promises.toOthers(Account, I);
+      const int Left = m_promises.slotsLeft(Account, I);
+      if (J.m_preemptible || Left >= J.m_spec.m_members)
+        continue;
+      Node &Bound = Slots[I] = m_fleet.m_nodes[Index];
+      Bound.m_slots = Left;
+    }
+    Unpromised.m_bounds.push_back(&Slots);
     if (placeOn(J, Unpromised))
       return true;
   }
@@ -334,7 +349,8 @@
     return false;
   std::string Reason =
       hasPlaces(m_fleet, R)
-          ? "the free accelerators that fit are needed to keep guarantees"
+          ? "the free accelerators or slots that fit are needed to keep "
+            "guarantees"
           : whyNoPlace(m_fleet, R);
   if (!R.m_bounds.empty())
     Reason += "; a waiting gang has a reservation";
--- a/src/sched/search.cc
+++ b/src/sched/search.cc
@@ -44,15 +44,14 @@
   return false;
 }
 
-// The greedy assignment finds every assignment if all accelerators are common
-// and all sizes are powers of two on single workers.
+// The greedy assignment finds every assignment if all accelerators are common,
+// no slot is held for good and all sizes are powers of two on single workers.
 bool isGreedyExact(const std::vector<Demand> &Demands, const Supply &S) {
   const bool Simple =
       std::all_of(Demands.begin(), Demands.end(), [](const Demand &D) {
         return !D.m_wholeWorkers && alignmentOf(D.m_size) == D.m_size;
       });
-  return Simple && std::all_of(S.m_own.begin(), S.m_own.end(),
-                               [](const auto &Own) { return Own.empty(); });
+  return Simple && !S.m_limited;
 }
 
 // Depth-first search over the blocks, one after another.
@@ -66,12 +65,14 @@
   }
 
   bool solve(std::size_t Unit);
+  const std::vector<int> &slotsLeft() const { return m_supply.m_slots; }
 
   std::vector<Block> m_blocks;
 
 private:
   /// What makes two workers interchangeable for the blocks that are left.
-  using Signature = std::tuple<Mask, std::vector<std::pair<int, Mask>>, int>;
+  using Signature = std::tuple<Mask, std::vector<std::pair<int, Mask>>, int,
+                               std::vector<std::pair<int, int>>, int>;
 
   bool solveOnWorkers(std::size_t Unit);
   bool solveWholeWorkers(std::size_t Unit);
@@ -89,7 +90,8 @@
 
 Search::Signature Search::signature(int Worker, int First) const {
   const auto Index = static_cast<std::size_t>(Worker);
-  return {m_supply.m_common[Index], m_supply.m_own[Index], First};
+  return {m_supply.m_common[Index], m_supply.m_own[Index],
+          m_supply.m_slots[Index], m_supply.m_ownSlots[Index], First};
 }
 
 // Blocks of equal demands are placed in ascending order, so that no set of
@@ -103,20 +105,21 @@
 
 bool Search::take(std::size_t Unit, std::vector<Place> Parts) {
   const Demand &D = m_units[Unit];
-  std::vector<std::tuple<std::size_t, Mask, std::vector<std::pair<int, Mask>>>>
-      Before;
+  std::vector<std::pair<std::size_t, Signature>> Before;
   for (const Place &P : Parts) {
     const auto Index = static_cast<std::size_t>(P.m_worker);
-    Before.emplace_back(Index, m_supply.m_common[Index], m_supply.m_own[Index]);
-    m_supply.remove(P);
+    Before.emplace_back(Index, signature(P.m_worker, 0));
+    m_supply.remove(D.m_account, P);
   }
   m_blocks.push_back({D.m_account, D.m_size, std::move(Parts)});
   if (solve(Unit + 1))
     return true;
   m_blocks.pop_back();
-  for (auto &[Index, Common, Own] : Before) {
-    m_supply.m_common[Index] = Common;
-    m_supply.m_own[Index] = std::move(Own);
+  for (auto &[Index, Was] : Before) {
+    m_supply.m_common[Index] = std::get<0>(Was);
+    m_supply.m_own[Index] = std::move(std::get<1>(Was));
+    m_supply.m_slots[Index] = std::get<2>(Was);
+    m_supply.m_ownSlots[Index] = std::move(std::get<3>(Was));
   }
   return false;
 }
@@ -208,7 +211,7 @@
   Search Found(F, std::move(S), Demands, MaxTries);
   if (!Found.solve(0))
     return std::nullopt;
-  return Assignment{std::move(Found.m_blocks), {}};
+  return Assignment{std::move(Found.m_blocks), {}, Found.slotsLeft()};
 }
 
 } // namespace pomelokeel::sched::detail
--- a/src/sched/supply.cc
+++ b/src/sched/supply.cc
@@ -13,36 +13,74 @@
   return Largest;
 }
 
+void addSlot(std::vector<std::pair<int, int>> &Slots, int Account) {
+  const auto It = std::find_if(Slots.begin(), Slots.end(), [&](const auto &S) {
+    return S.first == Account;
+  });
+  if (It == Slots.end())
+    Slots.emplace_back(Account, 1);
+  else
+    ++It->second;
+}
+
 } // namespace
 
 Supply::Supply(const Fleet &F)
-    : m_common(F.m_nodes.size()), m_own(F.m_nodes.size()) {
+    : m_common(F.m_nodes.size()), m_own(F.m_nodes.size()),
+      m_ownSlots(F.m_nodes.size()) {
+  std::vector<int> Held(F.m_nodes.size());
   for (std::size_t I = 0; I < F.m_nodes.size(); ++I)
     m_common[I] = F.m_nodes[I].m_healthy ? F.m_nodes[I].m_all : 0;
   for (const Holding &H : F.m_holdings) {
     if (H.m_preemptible)
       continue;
+    m_limited = true;
     for (const Place &P : H.m_places) {
       const auto Worker = static_cast<std::size_t>(P.m_worker);
+      ++Held[Worker];
+      if (H.m_account >= 0)
+        addSlot(m_ownSlots[Worker], H.m_account);
       m_common[Worker] &= ~P.mask();
       if (H.m_account >= 0 && F.m_nodes[Worker].m_healthy)
         m_own[Worker].emplace_back(H.m_account,
                                    P.mask() & F.m_nodes[Worker].m_all);
     }
   }
+  for (std::size_t I = 0; I < F.m_nodes.size(); ++I) {
+    const Node &W = F.m_nodes[I];
+    const bool Used = Held[I] > 0 && W.m_allSlots <= Held[I];
+    m_slots.push_back(
+        Used ? 0 : std::max(W.m_allSlots, W.m_accelerators) - Held[I]);
+  }
+}
+
+int Supply::slots(int Account, int Worker) const {
+  int Out = m_slots[static_cast<std::size_t>(Worker)];
+  for (const auto &[Owner, Held] : m_ownSlots[static_cast<std::size_t>(Worker)])
+    Out += Owner == Account ? Held : 0;
+  return Out;
 }
 
 Mask Supply::usable(int Account, int Worker) const {
+  if (slots(Account, Worker) <= 0)
+    return 0;
   Mask Out = m_common[static_cast<std::size_t>(Worker)];
   for (const auto &[Owner, Held] : m_own[static_cast<std::size_t>(Worker)])
     Out |= Owner == Account ? Held : 0;
   return Out;
 }
 
-void Supply::remove(const Place &P) {
+void Supply::remove(int Account, const Place &P) {
   m_common[static_cast<std::size_t>(P.m_worker)] &= ~P.mask();
   for (auto &[Owner, Held] : m_own[static_cast<std::size_t>(P.m_worker)])
     Held &= ~P.mask();
+  for (auto &[Owner, Held] : m_ownSlots[static_cast<std::size_t>(P.m_worker)]) {
+    if (Owner == Account && Held > 0) {
+      --Held;
+      return;
+    }
+  }
+  --m_slots[static_cast<std::size_t>(P.m_worker)];
 }
 
 // Larger blocks come first: a smaller one that is placed earlier could split
--- a/tests/sched/exhaustive.h
+++ b/tests/sched/exhaustive.h
@@ -21,10 +21,12 @@
     for (const model::Account &A : Accounts) {
       for (const model::BlockDemand &D : A.m_guarantee) {
         for (int I = 0; I < D.m_count; ++I)
-          m_units.push_back({usableBy(A.m_name, Running), D.m_size});
+          m_units.push_back({usableBy(A.m_name, Running), D.m_size,
+                             static_cast<std::size_t>(&A - Accounts.data())});
       }
     }
     m_taken.resize(Workers.size());
+    countSlots(Accounts, Running);
   }
 
   bool feasible() { return place(0); }
@@ -34,8 +36,41 @@
   struct Unit {
     Masks m_usable;
     int m_size = 0;
+    std::size_t m_account = 0;
   };
 
+  // Each block needs a slot on each of its workers.
+  void countSlots(const std::vector<model::Account> &Accounts,
+                  const std::vector<RunningView> &Running) {
+    m_ownSlots.resize(Accounts.size(), std::vector<int>(m_workers.size()));
+    for (std::size_t W = 0; W < m_workers.size(); ++W) {
+      int Held = 0;
+      for (const RunningView &R : Running) {
+        for (const model::MemberPlace &P : R.m_places) {
+          if (P.m_worker != m_workers[W].m_name || R.m_preemptible)
+            continue;
+          ++Held;
+          for (std::size_t A = 0; A < Accounts.size(); ++A)
+            m_ownSlots[A][W] += Accounts[A].m_name == R.m_account ? 1 : 0;
+        }
+      }
+      const int All = m_workers[W].m_slots;
+      const bool Full = Held > 0 && Held >= All;
+      m_slots.push_back(
+          Full ? 0 : std::max(All, m_workers[W].m_accelerators) - Held);
+    }
+  }
+
+  // Takes a slot and returns where from, or null.
+  int *takeSlot(std::size_t Account, std::size_t Worker) {
+    int &Own = m_ownSlots[Account][Worker];
+    int *From = Own > 0 ? &Own : &m_slots[Worker];
+    if (*From <= 0)
+      return nullptr;
+    --*From;
+    return From;
+  }
+
   Masks usableBy(const std::string &Account,
                  const std::vector<RunningView> &Running) const {
     Masks Out;
@@ -71,9 +106,13 @@
         const std::uint32_t Block = ((1U << U.m_size) - 1) << First;
         if ((U.m_usable[W] & ~m_taken[W] & Block) != Block)
           continue;
+        int *Slot = takeSlot(U.m_account, W);
+        if (Slot == nullptr)
+          continue;
         m_taken[W] |= Block;
         const bool Found = place(Index + 1);
         m_taken[W] &= ~Block;
+        ++*Slot;
         if (Found)
           return true;
       }
@@ -93,9 +132,13 @@
       const bool Matches = Covered == 0 || sameKind(V, m_workers[Last]);
       if (All == 0 || !Matches || (U.m_usable[W] & ~m_taken[W]) != All)
         continue;
+      int *Slot = takeSlot(U.m_account, W);
+      if (Slot == nullptr)
+        continue;
       m_taken[W] = All;
       const bool Found = placeRack(Index, W + 1, W, Covered + V.m_accelerators);
       m_taken[W] = 0;
+      ++*Slot;
       if (Found)
         return true;
     }
@@ -110,6 +153,8 @@
   const std::vector<WorkerView> &m_workers;
   std::vector<Unit> m_units;
   Masks m_taken;
+  std::vector<int> m_slots;                 ///< By worker.
+  std::vector<std::vector<int>> m_ownSlots; ///< By account and worker.
   int m_widest = 0;
 };
 
