--- a/src/state/state.cc
+++ b/src/state/state.cc
@@ -1,6 +1,6 @@
 #include "state/state.h"
 
-#include "sched/sched.h"
+#include "state/promises.h"
 
 #include <algorithm>
 #include <array>
@@ -17,8 +17,19 @@
   return std::string(base::nameOf(Kind)) + "/" + Name;
 }
 
+// The first "/" ends the account, so one in its name is escaped.
 std::string jobKey(const std::string &Account, const std::string &Key) {
-  return Account + "/" + Key;
+  std::string Out;
+  Out.reserve(Account.size() + 1 + Key.size());
+  for (const char C : Account) {
+    if (C == '~')
+      Out += "~0";
+    else if (C == '/')
+      Out += "~1";
+    else
+      Out += C;
+  }
+  return Out + '/' + Key;
 }
 
 // A record body of type Body, or the error that makes the fold ignore it.
@@ -29,26 +40,6 @@
   return Out;
 }
 
-sched::WorkerView viewOf(const WorkerEntry &W) {
-  sched::WorkerView V;
-  V.m_name = W.m_worker.m_name;
-  V.m_dataCentre = W.m_worker.m_dataCentre;
-  V.m_region = W.m_worker.m_region;
-  V.m_rack = W.m_worker.m_rack;
-  V.m_accelerators = W.m_worker.m_accelerators;
-  V.m_slots = W.m_worker.m_slots;
-  V.m_cores = W.m_worker.m_cores;
-  V.m_memoryMb = W.m_worker.m_memoryMb;
-  return V;
-}
-
-std::vector<sched::WorkerView> workerViews(const State &S) {
-  std::vector<sched::WorkerView> Views;
-  for (const auto &[Name, W] : S.m_workers)
-    Views.push_back(viewOf(W));
-  return Views;
-}
-
 // Promises are checked against all announced workers, also those that are
 // down: a worker that is away for a while must not block unrelated changes.
 Status checkPromises(const State &S, const model::ConfigRecord &R) {
@@ -64,15 +55,18 @@
     if (auto Other = model::readAccount(Current))
       Accounts.push_back(*Other);
   }
-  const auto Check = sched::checkGuarantees(Accounts, workerViews(S), {});
-  if (Check.m_shortfalls.empty())
+  std::vector<const model::Worker *> Workers;
+  Workers.reserve(S.m_workers.size());
+  for (const auto &[Name, W] : S.m_workers)
+    Workers.push_back(&W.m_worker);
+  const auto Gap = findPromiseGap(Accounts, Workers);
+  if (!Gap)
     return base::success();
-  const sched::Shortfall &First = Check.m_shortfalls.front();
   return Error{
       ErrorKind::GuaranteeExceedsCapacity,
-      "the guarantees together need " + std::to_string(First.m_missingBlocks) +
-          " more blocks of " + std::to_string(First.m_blockSize) +
-          " adjacent accelerators for account \"" + First.m_account + "\""};
+      "the guarantees together need " + std::to_string(Gap->m_missingBlocks) +
+          " more blocks of " + std::to_string(Gap->m_blockSize) +
+          " adjacent accelerators for account \"" + Gap->m_account + '"'};
 }
 
 // What a record handler needs besides the state.
@@ -98,12 +92,16 @@
 
 Status applyWorker(State &S, const model::Worker &Body, const Context &C) {
   WorkerEntry &W = S.m_workers[Body.m_name];
-  if (W.m_worker.m_incarnation != Body.m_incarnation)
-    W.m_sinceOffset = C.m_entry.m_offset;
+  const bool Restarted = W.m_worker.m_incarnation != Body.m_incarnation;
   W.m_worker = Body;
+  if (!Restarted)
+    return base::success();
+  W.m_sinceOffset = C.m_entry.m_offset;
+  // Only the leader knows whether it hears a known incarnation again.
   if (W.m_standing == model::WorkerStanding::Lost) {
     W.m_standing = model::WorkerStanding::Healthy;
     W.m_standingReason.clear();
+    W.m_standingUntilMs = 0;
   }
   return base::success();
 }
@@ -369,8 +367,10 @@
 
 Status applyRecord(State &S, const Context &C) {
   const model::Record &R = C.m_entry.m_record;
+  // A leader that was frozen must not remove a worker that has returned.
   const bool NeedsEpoch =
-      model::isLeaderKind(R.m_kind) && R.m_kind != RecordKind::LeaderClaimed;
+      R.m_kind == RecordKind::WorkerLeft ||
+      (model::isLeaderKind(R.m_kind) && R.m_kind != RecordKind::LeaderClaimed);
   if (NeedsEpoch && R.m_epoch != S.m_epoch)
     return Error{ErrorKind::StaleEpoch, "epoch " + std::to_string(R.m_epoch) +
                                             " is not the current " +
@@ -380,6 +380,12 @@
 
 } // namespace
 
+void indexKeys(State &S) {
+  S.m_jobByKey.clear();
+  for (const auto &[Id, J] : S.m_jobs)
+    S.m_jobByKey[jobKey(J.m_spec.m_account, J.m_spec.m_key)] = Id;
+}
+
 Applied apply(State &S, const model::LogEntry &Entry, const Retention &Limits) {
   Applied Out;
   S.m_nextOffset = Entry.m_offset + 1;
--- a/src/state/state.h
+++ b/src/state/state.h
@@ -21,6 +21,8 @@
   std::uint64_t m_sinceOffset = 0; ///< First record of this incarnation.
   model::WorkerStanding m_standing = model::WorkerStanding::Healthy;
   std::string m_standingReason;
+  /// Log time at which the probation of a quarantined worker starts, or from
+  /// which a lost one may be removed; 0 is none.
   Millis m_standingUntilMs = 0;
 
   static constexpr auto fields() {
@@ -74,8 +76,10 @@
   std::map<std::string, model::Member> m_members;
   std::map<std::string, WorkerEntry> m_workers;
   std::map<std::string, model::Job> m_jobs;
-  std::map<std::string, std::string> m_jobByKey; ///< `account/key` to job id.
-  std::vector<std::string> m_finishedOrder;      ///< Job ids, for retention.
+  /// `account/key` to job id, with "~0" for "~" and "~1" for "/" in the
+  /// account.
+  std::map<std::string, std::string> m_jobByKey;
+  std::vector<std::string> m_finishedOrder; ///< Job ids, for retention.
 
   static constexpr auto fields() {
     return std::tuple{
@@ -139,6 +143,10 @@
 const model::Job *findByKey(const State &S, const std::string &Account,
                             const std::string &Key);
 
+/// Builds State.m_jobByKey from the jobs: an older version may have written it
+/// without escapes.
+void indexKeys(State &S);
+
 /// Checks a submission against the configuration in force: unknownAccount,
 /// unknownClass, quotaExceeded, canNeverRun and those of model::checkSpec.
 base::Status admit(const State &S, const model::JobSpec &Spec);
--- a/tests/state/state_test.cc
+++ b/tests/state/state_test.cc
@@ -3,6 +3,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <array>
+
 using namespace pomelokeel;
 using base::ErrorKind;
 using base::Json;
@@ -140,6 +142,54 @@
   EXPECT_EQ(state::findByKey(L.m_state, "acct", "k1")->m_id, "j1");
 }
 
+// Guards G3 and G5 against two accounts that get each other's job because a
+// name or a key contains the separator.
+TEST(Fold, KeysOfAccountsWithSlashesAreDistinct) {
+  Log L = configuredLog();
+  const std::array Accounts = {"a", "a/b", "a~1b", "a~", "a/"};
+  const std::array Keys = {"b/c", "c", "/c", "1b/c", "~1b/c"};
+  for (const char *Account : Accounts)
+    L.publish(model::ConfigKind::Account, Account, 0, accountBody(1, 0));
+  const auto IdOf = [](const char *Account, const char *Key) {
+    return std::string(Account) + " " + Key;
+  };
+  for (const char *Account : Accounts) {
+    for (const char *Key : Keys) {
+      model::JobSpec S = spec(Key);
+      S.m_account = Account;
+      EXPECT_TRUE(L.append(RecordKind::JobSubmitted,
+                           model::Submission{IdOf(Account, Key), S})
+                      .m_accepted)
+          << IdOf(Account, Key);
+    }
+  }
+  for (const char *Account : Accounts) {
+    for (const char *Key : Keys) {
+      const model::Job *J = state::findByKey(L.m_state, Account, Key);
+      ASSERT_NE(J, nullptr);
+      EXPECT_EQ(J->m_id, IdOf(Account, Key));
+    }
+  }
+}
+
+// Guards G5 against a snapshot of an older version, which did not escape the
+// account: its jobs are still found by their keys.
+TEST(Snapshots, KeysWithoutEscapesAreRead) {
+  Log L = configuredLog();
+  L.publish(model::ConfigKind::Account, "a/b", 0, accountBody(1, 0));
+  model::JobSpec S = spec("c");
+  S.m_account = "a/b";
+  L.append(RecordKind::JobSubmitted, model::Submission{"j1", S});
+  L.m_state.m_jobByKey = {{"a/b/c", "j1"}};
+  state::SnapshotReader Reader;
+  for (auto &C : state::encodeSnapshot(L.m_state, "old"))
+    Reader.add(C);
+  const auto Loaded = Reader.newest();
+  ASSERT_TRUE(Loaded.has_value());
+  ASSERT_NE(state::findByKey(*Loaded, "a/b", "c"), nullptr);
+  EXPECT_EQ(state::findByKey(*Loaded, "a", "b/c"), nullptr);
+}
+
 TEST(Fold, OutcomeIsFinal) {
   Log L = configuredLog();
   L.append(RecordKind::JobSubmitted, model::Submission{"j1", spec("k1")});
@@ -290,3 +340,41 @@
   L.append(RecordKind::WorkerAnnounced, W);
   EXPECT_EQ(L.m_state.m_workers.at("w2").m_sinceOffset, 3u);
 }
+
+// Guards against an announcement that restores a worker which the leader has
+// not heard again: the two would change its standing in turns.
+TEST(Fold, OnlyANewIncarnationRestoresALostWorker) {
+  Log L;
+  L.claim();
+  L.addWorker("w1");
+  L.append(RecordKind::WorkerStandingChanged,
+           model::StandingChange{"w1", model::WorkerStanding::Lost, "silent"},
+           1);
+  L.addWorker("w1");
+  const state::WorkerEntry &W = L.m_state.m_workers.at("w1");
+  EXPECT_EQ(W.m_standing, model::WorkerStanding::Lost);
+  model::Worker Restarted = W.m_worker;
+  Restarted.m_incarnation = "2";
+  L.append(RecordKind::WorkerAnnounced, Restarted);
+  EXPECT_EQ(W.m_standing, model::WorkerStanding::Healthy);
+  EXPECT_EQ(W.m_standingReason, "");
+}
+
+// Guards a worker that has returned against a leader that was frozen, or that
+// saw only its earlier incarnation.
+TEST(Fold, WorkerIsRemovedOnlyByTheCurrentLeader) {
+  Log L;
+  L.claim();
+  L.addWorker("w1");
+  L.claim();
+  const auto Left = [&](const char *Incarnation, std::uint64_t Epoch) {
+    return L.append(RecordKind::WorkerLeft, model::Departure{"w1", Incarnation},
+                    Epoch);
+  };
+  EXPECT_EQ(Left("1", 0).m_error, ErrorKind::StaleEpoch);
+  EXPECT_EQ(Left("1", 1).m_error, ErrorKind::StaleEpoch);
+  EXPECT_EQ(Left("0", 2).m_error, ErrorKind::NotFound);
+  EXPECT_TRUE(L.m_state.m_workers.contains("w1"));
+  EXPECT_TRUE(Left("1", 2).m_accepted);
+  EXPECT_TRUE(L.m_state.m_workers.empty());
+}
