--- a/tests/entry/lost_worker_test.cc
+++ b/tests/entry/lost_worker_test.cc
@@ -74,6 +74,7 @@
     P.m_keep = [](const std::string &) {};
     P.m_drop = [](const std::string &) {};
     P.m_silence = [](const std::string &) { return Millis{0}; };
+    P.m_closedFor = [](const std::string &) { return Millis{-1}; };
     P.m_setRegion = [](const std::string &, const std::string &) {};
     P.m_logBacklog = [] { return std::size_t{1}; };
     N.m_core = std::make_unique<Core>(
