Let a process advertise another mesh address than it binds

Ruled out: telling the region in a first message, which would change the protocol between processes. Before: the new mesh test without the source address saw 127.0.0.1 instead of 127.0.7.1, and the settings test without the check accepted port 0. IPv6 hosts are not bound.

--- a/src/agent/process.cc
+++ b/src/agent/process.cc
@@ -41,6 +41,7 @@
   mesh::MeshSettings M;
   M.m_name = S.m_name;
   M.m_listen = S.m_meshListen;
+  M.m_advertise = S.m_meshAdvertise;
   M.m_sendQueue = LinkQueue;
   M.m_heartbeatMs = S.m_heartbeatMs;
   M.m_linkTimeoutMs = S.m_linkTimeoutMs;
--- a/src/entry/process.cc
+++ b/src/entry/process.cc
@@ -76,6 +76,7 @@
   mesh::MeshSettings M;
   M.m_name = S.m_name;
   M.m_listen = S.m_meshListen;
+  M.m_advertise = S.m_meshAdvertise;
   M.m_heartbeatMs = S.m_heartbeatMs;
   M.m_linkTimeoutMs = S.m_linkTimeoutMs;
   return M;
--- a/src/mesh/connection.cc
+++ b/src/mesh/connection.cc
@@ -1,5 +1,6 @@
 #include "mesh/connection.h"
 
+#include <arpa/inet.h>
 #include <nng/protocol/pipeline0/push.h>
 
 #include <cstring>
@@ -10,9 +11,21 @@
 constexpr nng_duration ReconnectMinMs = 50;
 constexpr nng_duration ReconnectMaxMs = 500;
 
+// Without this, the system chooses the source, and on a host with several
+// addresses a peer could not tell by it where a connection comes from.
+bool setSource(nng_dialer Dialer, const std::string &Host) {
+  nng_sockaddr Source{};
+  Source.s_in.sa_family = NNG_AF_INET;
+  if (::inet_pton(AF_INET, Host.c_str(), &Source.s_in.sa_addr) != 1 ||
+      Source.s_in.sa_addr == INADDR_ANY)
+    return true;
+  return nng_dialer_set_addr(Dialer, NNG_OPT_LOCADDR, &Source) == 0;
+}
+
 } // namespace
 
 std::unique_ptr<Connection> Connection::dial(const std::string &Address,
+                                             const std::string &SourceHost,
                                              Limits Limits) {
   std::unique_ptr<Connection> Out(new Connection(Limits));
   if (nng_push0_open(&Out->m_socket) != 0)
@@ -22,7 +35,10 @@
   nng_socket_set_ms(Out->m_socket, NNG_OPT_RECONNMINT, ReconnectMinMs);
   nng_socket_set_ms(Out->m_socket, NNG_OPT_RECONNMAXT, ReconnectMaxMs);
   const std::string Url = "tcp://" + Address;
-  if (nng_dial(Out->m_socket, Url.c_str(), nullptr, NNG_FLAG_NONBLOCK) != 0)
+  nng_dialer Dialer = NNG_DIALER_INITIALIZER;
+  if (nng_dialer_create(&Dialer, Out->m_socket, Url.c_str()) != 0 ||
+      !setSource(Dialer, SourceHost) ||
+      nng_dialer_start(Dialer, NNG_FLAG_NONBLOCK) != 0)
     return nullptr;
   return Out;
 }
--- a/src/mesh/connection.h
+++ b/src/mesh/connection.h
@@ -25,9 +25,11 @@
     std::size_t m_bytes = 0; ///< Of all queued messages.
   };
 
-  /// Starts to dial \p Address (`host:port`) in the background. Returns null
-  /// if nng refuses the address or has no resources.
+  /// Starts to dial \p Address (`host:port`) in the background, from the local
+  /// address \p SourceHost if that is a numeric IPv4 address other than
+  /// 0.0.0.0. Returns null if nng refuses an address or has no resources.
   static std::unique_ptr<Connection> dial(const std::string &Address,
+                                          const std::string &SourceHost,
                                           Limits Limits);
 
   Connection(const Connection &) = delete;
--- a/src/mesh/mesh.cc
+++ b/src/mesh/mesh.cc
@@ -117,6 +117,7 @@
   base::Counter &m_overflow;
   base::Counter &m_redials;
   nng_socket m_pull = NNG_SOCKET_INITIALIZER;
+  std::string m_host; ///< Of the listening address.
   std::string m_address;
   std::thread m_thread;
   std::atomic<bool> m_stopping = false;
@@ -148,7 +149,10 @@
   int Port = 0;
   nng_listener_get_int(Listener, NNG_OPT_TCP_BOUND_PORT, &Port);
   const auto Colon = m_settings.m_listen.rfind(':');
-  m_address = fmt::format("{}:{}", m_settings.m_listen.substr(0, Colon), Port);
+  m_host = m_settings.m_listen.substr(0, Colon);
+  m_address = m_settings.m_advertise.empty()
+                  ? fmt::format("{}:{}", m_host, Port)
+                  : m_settings.m_advertise;
   m_thread = std::thread([this] { run(); });
   return base::success();
 }
@@ -300,9 +304,10 @@
 void NngMesh::dial(const std::string &Address, Link &L, Millis Now) {
   L.m_provenAt = Now;
   L.m_pingedAt = 0;
-  auto Dialled = Connection::dial(
-      Address, {static_cast<std::size_t>(m_settings.m_sendQueue),
-                QueuedLargest * m_settings.m_maxMessageBytes});
+  auto Dialled =
+      Connection::dial(Address, m_host,
+                       {static_cast<std::size_t>(m_settings.m_sendQueue),
+                        QueuedLargest * m_settings.m_maxMessageBytes});
   if (Dialled)
     Dialled->countTo(peer(Address).m_sent);
   L.m_connection = share(std::move(Dialled));
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -19,7 +19,10 @@
 
 struct MeshSettings {
   std::string m_name;   ///< Process name, sender of all messages.
-  std::string m_listen; ///< `host:port`; port 0 is chosen by the system.
+  std::string m_listen; ///< `host:port`; port 0 is chosen by the system. The
+                        ///< host is the source of outgoing connections, unless
+                        ///< it is a name, IPv6 or 0.0.0.0.
+  std::string m_advertise; ///< Where peers dial; empty: the bound address.
   std::size_t m_maxMessageBytes = 4 * 1024 * 1024;
   int m_sendQueue = 256;         ///< Messages queued per link.
   Millis m_heartbeatMs = 500;    ///< Between pings on an open link.
@@ -50,7 +53,7 @@
 
   virtual ~Mesh() = default;
 
-  /// The bound `host:port`.
+  /// The `host:port` that peers dial: the advertised or the bound one.
   virtual std::string address() const = 0;
 
   /// Queues \p M for the process listening at \p Address, dialling if needed.
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -90,6 +90,18 @@
   return {ErrorKind::BadSettings, "\"" + std::string(Key) + "\" " + Problem};
 }
 
+// Port 0 is no address to dial.
+Status checkAdvertised(const std::string &Address) {
+  if (Address.empty())
+    return base::success();
+  const auto Split = splitAddress(Address);
+  if (!Split)
+    return keyError("meshAdvertise", Split.error().m_message);
+  if (Split->m_port == 0)
+    return keyError("meshAdvertise", "must name a port from 1 to 65535");
+  return base::success();
+}
+
 template <typename S, typename Durations, typename Counts, typename Addresses>
 Status checkTables(const S &Value, const Durations &Ds, const Counts &Cs,
                    const Addresses &As) {
@@ -110,7 +122,7 @@
     if (auto Split = splitAddress(Value.*(A.m_member)); !Split)
       return keyError(A.m_name, Split.error().m_message);
   }
-  return base::success();
+  return checkAdvertised(Value.m_meshAdvertise);
 }
 
 Status checkSettings(const EntrySettings &S) {
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -19,6 +19,7 @@
   std::string m_region;
   std::string m_httpListen;
   std::string m_meshListen;
+  std::string m_meshAdvertise; ///< Where peers dial; empty: the bound address.
   std::string m_logService;
   Millis m_logTimeoutMs = 2000;
   Millis m_leaderTimeoutMs = 1500;
@@ -43,6 +44,7 @@
         base::required("region", &EntrySettings::m_region),
         base::required("httpListen", &EntrySettings::m_httpListen),
         base::required("meshListen", &EntrySettings::m_meshListen),
+        base::optional("meshAdvertise", &EntrySettings::m_meshAdvertise),
         base::required("logService", &EntrySettings::m_logService),
         base::optional("logTimeoutMs", &EntrySettings::m_logTimeoutMs),
         base::optional("leaderTimeoutMs", &EntrySettings::m_leaderTimeoutMs),
@@ -70,7 +72,8 @@
   std::string m_rack;
   std::string m_httpListen;
   std::string m_meshListen;
-  std::string m_worker; ///< `host:port` of the worker's task interface.
+  std::string m_meshAdvertise; ///< Where peers dial; empty: the bound address.
+  std::string m_worker;        ///< `host:port` of the worker's task interface.
   std::vector<std::string>
       m_entries; ///< HTTP addresses of the balancer or entries.
   int m_cores = 0;
@@ -95,6 +98,7 @@
         base::required("rack", &AgentSettings::m_rack),
         base::required("httpListen", &AgentSettings::m_httpListen),
         base::required("meshListen", &AgentSettings::m_meshListen),
+        base::optional("meshAdvertise", &AgentSettings::m_meshAdvertise),
         base::required("worker", &AgentSettings::m_worker),
         base::required("entries", &AgentSettings::m_entries),
         base::required("cores", &AgentSettings::m_cores),
--- a/tests/mesh/mesh_test.cc
+++ b/tests/mesh/mesh_test.cc
@@ -38,10 +38,12 @@
 // A mesh with what it needs.
 struct Node {
   explicit Node(const std::string &Name, std::string Listen = "127.0.0.1:0",
-                int SendQueue = 64, std::size_t MaxBytes = 64 * 1024) {
+                int SendQueue = 64, std::size_t MaxBytes = 64 * 1024,
+                std::string Advertise = "") {
     mesh::MeshSettings S;
     S.m_name = Name;
     S.m_listen = std::move(Listen);
+    S.m_advertise = std::move(Advertise);
     S.m_heartbeatMs = 50;
     S.m_linkTimeoutMs = LinkTimeout;
     S.m_sendQueue = SendQueue;
@@ -105,6 +107,8 @@
   }
   void silence() { m_silentBelow = m_accepted.load(); }
   int accepted() const { return m_accepted; }
+  /// Host that opened the last connection; to be read after bytes passed.
+  std::string source() const { return m_source; }
 
 private:
   struct Pair {
@@ -122,6 +126,7 @@
     m_acceptor.async_accept(P.m_near, [this, &P](boost::system::error_code E) {
       if (E)
         return;
+      m_source = P.m_near.remote_endpoint().address().to_string();
       P.m_number = m_accepted++;
       boost::system::error_code Failed;
       P.m_far.connect(m_target, Failed);
@@ -151,6 +156,7 @@
   tcp::acceptor m_acceptor;
   tcp::endpoint m_target;
   std::list<Pair> m_pairs;
+  std::string m_source;
   std::atomic<int> m_accepted = 0;
   std::atomic<int> m_silentBelow = 0;
   std::thread m_thread;
@@ -196,6 +202,21 @@
   EXPECT_GT(A.m_counters.get("mesh_bytes_received{region=\"caribe\"}"), 0);
 }
 
+// Guards against peers that dial an address which only the process itself can
+// reach, and against a source that does not tell from which host it comes.
+TEST(Mesh, AnnouncesTheAdvertisedAddressAndDialsFromItsOwnHost) {
+  Node B("b");
+  Relay R(B.m_mesh->address());
+  Node A("a", "127.0.7.1:0", 64, 64 * 1024, "127.0.0.1:9");
+  ASSERT_TRUE(A.m_mesh && B.m_mesh);
+  EXPECT_EQ(A.m_mesh->address(), "127.0.0.1:9");
+  A.m_mesh->send(R.address(), note("one"));
+  const auto Got = B.next();
+  ASSERT_EQ(textOf(Got), "one");
+  EXPECT_EQ(Got->m_replyAddress, "127.0.0.1:9");
+  EXPECT_EQ(R.source(), "127.0.7.1");
+}
+
 // Guards against a link that stays bound to a process that is gone.
 TEST(Mesh, ReachesANewProcessAtTheSameAddress) {
   Node A("a");
--- a/tests/settings/settings_test.cc
+++ b/tests/settings/settings_test.cc
@@ -40,6 +40,7 @@
   };
   for (const Case &C : {Case{"leaderTimoutMs", 5}, Case{"leaderTimeoutMs", "5"},
                         Case{"leaderTimeoutMs", 0}, Case{"logService", "x"},
+                        Case{"meshAdvertise", "127.0.0.1:0"},
                         Case{"httpListen", "127.0.0.1:70000"}}) {
     base::Json J = validEntry();
     J[C.m_key] = C.m_value;
