Cut the link between regions in scenarios

Cause: the regions lose contact for an hour now and then, and no scenario cut the link for real processes. The runner now holds a TCP forwarder on a thread of its own; each region has a loopback host, and the steps link, cut, heal and traffic work on it.

--- a/tests/scenario/fleet.cc
+++ b/tests/scenario/fleet.cc
@@ -22,9 +22,7 @@
 constexpr base::Millis StartTimeout = 15000;
 constexpr base::Millis CtlTimeout = 40000;
 
-std::string newAddress() {
-  return "127.0.0.1:" + std::to_string(reservePort());
-}
+const char *const DefaultRegion = "nord-ovest";
 
 // Options of a step that are settings of the process: numbers stay numbers.
 void addOptions(Json &Settings, const Step &S) {
@@ -50,8 +48,43 @@
 
 Fleet::Fleet(Programs P) : m_programs(std::move(P)) {}
 
+bool Fleet::openLink() {
+  if (m_link || !m_processes.empty())
+    return false;
+  m_link.emplace();
+  return true;
+}
+
+std::string Fleet::newAddress(const std::string &Region) {
+  return (m_link ? m_link->hostOf(Region) : "127.0.0.1") + ":" +
+         std::to_string(reservePort());
+}
+
+// The address for HTTP requests to a process from a region.
+std::string Fleet::reachedFrom(const std::string &Name,
+                               const std::string &Region) {
+  const std::string Address = httpAddress(Name);
+  std::string Home;
+  {
+    const std::lock_guard Lock(m_mutex);
+    Home = m_processes.at(Name).m_region;
+  }
+  if (!m_link || Home == Region)
+    return Address;
+  return m_link->forward(Address, Home, Region);
+}
+
+void Fleet::setMesh(Json &Settings) {
+  const std::string Region = Settings["region"];
+  const std::string Address = newAddress(Region);
+  Settings["meshListen"] = Address;
+  if (m_link)
+    Settings["meshAdvertise"] = m_link->forward(Address, Region);
+}
+
 Status Fleet::addLog(const Step &S) {
-  const std::string Address = newAddress();
+  const std::string Region = S.option("region", DefaultRegion);
+  const std::string Address = newAddress(Region);
   std::vector<std::string> Command = {m_programs.m_standin,
                                       "log",
                                       "--listen",
@@ -59,21 +92,24 @@
                                       "--file",
                                       m_programs.m_directory + "/log.streams"};
   for (const auto &[Key, Value] : S.m_options) {
+    if (Key == "region")
+      continue;
     Command.push_back("--" + Key);
     Command.push_back(Value);
   }
-  return add("log", std::move(Command), Address);
+  return add("log", std::move(Command), Address, Region);
 }
 
 Status Fleet::addEntry(const Step &S) {
   const std::string Name = S.argument(0);
-  const std::string Address = newAddress();
+  const std::string Region = S.option("region", DefaultRegion);
+  const std::string Address = newAddress(Region);
   Json J = {{"name", Name},
             {"dataCentre", S.option("dc", "milano-a")},
-            {"region", S.option("region", "nord-ovest")},
+            {"region", Region},
             {"httpListen", Address},
-            {"meshListen", newAddress()},
-            {"logService", httpAddress("log")}};
+            {"logService", reachedFrom("log", Region)}};
+  setMesh(J);
   addOptions(J, S);
   {
     const std::lock_guard Lock(m_mutex);
@@ -82,29 +118,28 @@
   return add(
       Name,
       {m_programs.m_pomelokeel, "entry", "--settings", writeSettings(Name, J)},
-      Address);
+      Address, Region);
 }
 
 Status Fleet::addWorker(const Step &S, const std::string &Name) {
-  const std::string WorkerAddress = newAddress();
+  const std::string Region = S.option("region", DefaultRegion);
+  const std::string WorkerAddress = newAddress(Region);
   if (auto Added =
           add(Name + ".worker",
               {m_programs.m_standin, "worker", "--listen", WorkerAddress},
-              WorkerAddress);
+              WorkerAddress, Region);
       !Added)
     return Added;
-  const std::string Address = newAddress();
-  Json J = {{"name", Name},
-            {"dataCentre", S.option("dc", "milano-a")},
-            {"region", S.option("region", "nord-ovest")},
-            {"rack", S.option("rack", "rack-1")},
-            {"httpListen", Address},
-            {"meshListen", newAddress()},
-            {"worker", WorkerAddress},
-            {"entries", entryAddresses()},
-            {"cores", 32},
-            {"memoryMb", 65536},
-            {"accelerators", 8}};
+  std::vector<std::string> Entries;
+  for (const std::string &Entry : entries())
+    Entries.push_back(reachedFrom(Entry, Region));
+  const std::string Address = newAddress(Region);
+  Json J = {{"name", Name},          {"dataCentre", S.option("dc", "milano-a")},
+            {"region", Region},      {"rack", S.option("rack", "rack-1")},
+            {"httpListen", Address}, {"worker", WorkerAddress},
+            {"entries", Entries},    {"cores", 32},
+            {"memoryMb", 65536},     {"accelerators", 8}};
+  setMesh(J);
   addOptions(J, S);
   {
     const std::lock_guard Lock(m_mutex);
@@ -113,14 +148,14 @@
   return add(
       Name,
       {m_programs.m_pomelokeel, "agent", "--settings", writeSettings(Name, J)},
-      Address);
+      Address, Region);
 }
 
 Status Fleet::add(const std::string &Name, std::vector<std::string> Command,
-                  const std::string &Address) {
+                  const std::string &Address, const std::string &Region) {
   {
     const std::lock_guard Lock(m_mutex);
-    m_processes[Name] = {std::move(Command), Address, std::nullopt};
+    m_processes[Name] = {std::move(Command), Address, Region, std::nullopt};
   }
   return start(Name);
 }
--- a/tests/scenario/fleet.h
+++ b/tests/scenario/fleet.h
@@ -2,6 +2,7 @@
 
 #include "base/error.h"
 #include "base/fields.h"
+#include "scenario/link.h"
 #include "scenario/process.h"
 #include "scenario/step.h"
 
@@ -26,6 +27,11 @@
 public:
   explicit Fleet(Programs P);
 
+  /// Puts a link between the regions, with a loopback host for each. False if
+  /// there is one, or if processes were added.
+  bool openLink();
+  RegionLink *link() { return m_link ? &*m_link : nullptr; }
+
   base::Status addLog(const Step &S);
   base::Status addEntry(const Step &S);
   base::Status addWorker(const Step &S, const std::string &Name);
@@ -73,15 +79,20 @@
   struct Process {
     std::vector<std::string> m_command;
     std::string m_httpAddress;
+    std::string m_region;
     std::optional<Child> m_child;
   };
 
   base::Status add(const std::string &Name, std::vector<std::string> Command,
-                   const std::string &Address);
+                   const std::string &Address, const std::string &Region);
   std::string writeSettings(const std::string &Name, const base::Json &J) const;
   std::vector<std::string> entryAddresses() const;
+  std::string newAddress(const std::string &Region);
+  std::string reachedFrom(const std::string &Name, const std::string &Region);
+  void setMesh(base::Json &Settings);
 
   Programs m_programs;
+  std::optional<RegionLink> m_link;
   mutable std::mutex m_mutex;
   std::map<std::string, Process> m_processes;
   std::vector<std::string> m_entries;
--- a/tests/scenario/runner.cc
+++ b/tests/scenario/runner.cc
@@ -95,6 +95,10 @@
       {"ctl", &Runner::runCtl},
       {"measure", &Runner::runMeasure},
       {"measure-config", &Runner::runMeasureConfig},
+      {"link", &Runner::runLink},
+      {"cut", &Runner::runCut},
+      {"heal", &Runner::runHeal},
+      {"traffic", &Runner::runTraffic},
       {"check", &Runner::runCheck}};
   return Table;
 }
@@ -366,7 +370,8 @@
 }
 
 Status Runner::runAwaitLeader(const Step &S) {
-  const std::string Except = S.option("not") == "last" ? m_lastTarget : "";
+  const std::string Not = S.option("not");
+  const std::string Except = Not == "last" ? m_lastTarget : Not;
   return until(S, "no leader", [&] { return leader(Except).has_value(); });
 }
 
--- a/tests/scenario/runner.h
+++ b/tests/scenario/runner.h
@@ -54,6 +54,10 @@
   base::Status runMeasure(const Step &S);
   base::Status runMeasureConfig(const Step &S);
   base::Status runCheck(const Step &S);
+  base::Status runLink(const Step &S);
+  base::Status runCut(const Step &S);
+  base::Status runHeal(const Step &S);
+  base::Status runTraffic(const Step &S);
 
   /// Repeats \p Condition until it holds or the option `within` (ms) has
   /// passed.
@@ -82,6 +86,8 @@
   std::vector<Run> m_lostRuns; ///< Of workers that were killed.
   std::string m_lastTarget; ///< Process that was killed, frozen or terminated.
   Millis m_mark = 0;
+  std::uint64_t m_trafficBytes = 0; ///< At the last step traffic.
+  Millis m_trafficMs = 0;
   std::mutex m_mutex;
   std::vector<VersionSeen> m_versions;
   std::atomic<bool> m_stopping = false;
--- /dev/null
+++ b/tests/scenario/runner_link.cc
@@ -0,0 +1,79 @@
+#include "scenario/runner.h"
+
+#include <fmt/format.h>
+
+// Steps that concern the link between regions.
+namespace pomelokeel::scenario {
+namespace {
+
+using base::Error;
+using base::ErrorKind;
+using base::Status;
+
+constexpr double MsPerHour = 3600.0 * 1000.0;
+constexpr double BytesPerMb = 1e6;
+
+Error failure(const Step &S, const std::string &What) {
+  return {ErrorKind::BadRequest,
+          fmt::format("line {}: {}: {}", S.m_line, S.m_command, What)};
+}
+
+// Sets both directions, or only the first with oneway=true.
+Status setPassage(RegionLink *Link, const Step &S, Passage P) {
+  if (Link == nullptr)
+    return failure(S, "needs the step link");
+  const std::string First = S.argument(0);
+  const std::string Second = S.argument(1);
+  auto Outcome = Link->set(First, Second, P);
+  if (Outcome && S.option("oneway") != "true")
+    Outcome = Link->set(Second, First, P);
+  return Outcome ? Outcome : failure(S, Outcome.error().m_message);
+}
+
+} // namespace
+
+Status Runner::runLink(const Step &S) {
+  if (!m_fleet.openLink())
+    return failure(S, "must come before the processes, and once");
+  return base::success();
+}
+
+// cut REGION REGION [mode=silent|reset] [oneway=true]
+Status Runner::runCut(const Step &S) {
+  const std::string Mode = S.option("mode", "silent");
+  if (Mode != "silent" && Mode != "reset")
+    return failure(S, "unknown mode " + Mode);
+  m_mark = base::monotonicNow();
+  return setPassage(m_fleet.link(), S,
+                    Mode == "silent" ? Passage::Silent : Passage::Reset);
+}
+
+Status Runner::runHeal(const Step &S) {
+  m_mark = base::monotonicNow();
+  return setPassage(m_fleet.link(), S, Passage::Open);
+}
+
+// traffic LABEL [jobs=N]: what passed between regions since the last such step.
+Status Runner::runTraffic(const Step &S) {
+  const RegionLink *Link = m_fleet.link();
+  if (Link == nullptr)
+    return failure(S, "needs the step link");
+  const std::uint64_t Bytes = Link->bytes();
+  const Millis Now = base::monotonicNow();
+  const auto Passed = static_cast<double>(Bytes - m_trafficBytes);
+  const std::string Label = S.argument(0);
+  if (m_trafficMs > 0)
+    fmt::print("figure {}_between_regions {:.0f} bytes in {} ms\n"
+               "figure {}_between_regions_rate {:.3f} MB/hour\n",
+               Label, Passed, Now - m_trafficMs, Label,
+               Passed / BytesPerMb * MsPerHour /
+                   static_cast<double>(Now - m_trafficMs));
+  if (const long Jobs = S.number("jobs", 0); Jobs > 0)
+    fmt::print("figure {}_between_regions_per_job {:.0f} bytes\n", Label,
+               Passed / static_cast<double>(Jobs));
+  m_trafficBytes = Bytes;
+  m_trafficMs = Now;
+  return base::success();
+}
+
+} // namespace pomelokeel::scenario
