--- a/tests/state/promises_test.cc
+++ b/tests/state/promises_test.cc
@@ -48,6 +48,17 @@
   return S;
 }
 
+// Workers of any width, some beyond the accelerators that are counted.
+void widen(sched::Snapshot &S) {
+  for (sched::WorkerView &W : S.m_workers)
+    W.m_accelerators = sched::pick(0, 80);
+  for (model::Account &A : S.m_accounts) {
+    for (model::BlockDemand &D : A.m_guarantee)
+      D = {sched::pick(1, sched::pick(0, 1) == 0 ? 20 : 130),
+           sched::pick(1, 4)};
+  }
+}
+
 /// Applies records one after another.
 struct Log {
   template <typename Body>
@@ -76,7 +87,9 @@
   // Guards against an accepted promise that the planner reports as broken on
   // an idle fleet.
   for (int I = 0; I < 50; ++I) {
-    const sched::Snapshot S = idleFleet(I % 2 == 0 ? 5 : 12, 6);
+    sched::Snapshot S = idleFleet(I % 2 == 0 ? 5 : 12, 6);
+    if (I % 5 == 0)
+      widen(S);
     if (fits(S.m_accounts, S.m_workers))
       RC_ASSERT(sched::checkGuarantees(S.m_accounts, S.m_workers, {})
                     .m_shortfalls.empty());
