Check that no task runs on after the outcome of its job was told

Cause: region_cut did not notice an agent that ignores its orphan limit. check ended=true refuses a run that goes on for more than 1 s after the outcome, and region_cut has a payment alone on a worker of the region that is cut off, which must end as unknown and stop there. The checker's own test plants the violation. Found with it, on a trial scenario, and not repaired here: an old leader that is alone in a cut region reports a leader age of 0 to its agents, so a payment with an orphan limit of 5 s ran 18 s, 5.2 s of them after its caller was told unknown.

--- a/tests/scenario/checker.cc
+++ b/tests/scenario/checker.cc
@@ -77,6 +77,20 @@
   }
 }
 
+// An attempt counts as ended only when that is proven.
+void checkEnded(const History &H, const CheckLimits &Limits, Violations &Out) {
+  for (const CallerView &C : H.m_callers) {
+    if (!Limits.m_ended || C.m_told.empty() || C.m_job.empty())
+      continue;
+    for (const Run *R : runsOf(H, C.m_job)) {
+      const Millis After = endOf(*R) - C.m_told.front().m_atMs;
+      if (After > Limits.m_endedMs)
+        Out.push_back(fmt::format("G4 {}: {} ran {} ms after the outcome",
+                                  C.m_name, R->m_task, After));
+    }
+  }
+}
+
 // The stand-in echoes the payload, so each entry of the answer names its job.
 void checkAnswers(const History &H, Violations &Out) {
   for (const CallerView &C : H.m_callers) {
@@ -217,6 +231,7 @@
   checkOutcomes(H, Out);
   checkNotRun(H, Out);
   checkAtMostOnce(H, Out);
+  checkEnded(H, Limits, Out);
   checkAnswers(H, Out);
   checkGangs(H, Limits, Out);
   checkOverlap(H, Out);
--- a/tests/scenario/checker.h
+++ b/tests/scenario/checker.h
@@ -68,6 +68,8 @@
   Millis m_partialGangMs = 7000; ///< Twice the gang lease and a margin.
   Millis m_drainMs = 4000;       ///< "After a few seconds".
   bool m_uncut = false;          ///< G7: no call may be cut off.
+  bool m_ended = false;          ///< No task runs on after its job's outcome.
+  Millis m_endedMs = 1000;       ///< Within which the end may be recorded.
 };
 
 /// Returns one line for each violation of G2 to G8 and for
--- a/tests/scenario/checker_test.cc
+++ b/tests/scenario/checker_test.cc
@@ -115,4 +115,8 @@
   H = goodHistory();
   H.m_callers[1].m_cutCalls = 1;
   EXPECT_TRUE(finds(H, "G7 gang", {.m_uncut = true}));
+
+  H = goodHistory();
+  H.m_runs[0].m_endMs = 1100;
+  EXPECT_TRUE(finds(H, "G4 pay", {.m_ended = true}));
 }
--- a/tests/scenario/runner.cc
+++ b/tests/scenario/runner.cc
@@ -564,8 +564,8 @@
     const std::lock_guard Lock(m_mutex);
     H.m_versions = m_versions;
   }
-  CheckLimits Limits;
-  Limits.m_uncut = S.option("uncut") == "true";
+  const CheckLimits Limits{.m_uncut = S.option("uncut") == "true",
+                           .m_ended = S.option("ended") == "true"};
   const auto Violations = check(H, Limits);
   fmt::print("history: {} callers, {} runs, {} versions seen\n",
              H.m_callers.size(), H.m_runs.size(), H.m_versions.size());
