Send small heartbeats between complete reports of an agent

Cause: an agent sent its descriptor and all holds every second, as a map with field names, next to link pings, which cost an entry about 1 KB/s an agent. Now a report is sent when something changed and else every 10 s; in between a heartbeat names the last report, and an entry without it asks for it.

Ruled out: comparing reports by a hash of their content, because every change of a hold is noted already and the sequence is needed for command replies; a heartbeat in place of an expected report, because the leader would get a report older than the reply.

--- a/src/agent/attach.cc
+++ b/src/agent/attach.cc
@@ -68,7 +68,7 @@
 }
 
 // The entry may have heard the leader at any time up to the age it tells, and
-// the report at any time after it was sent, so the earlier of both counts.
+// the message at any time after it was sent, so the earlier of both counts.
 std::optional<Millis> Attachment::onAnswer(const std::string &From,
                                            std::uint64_t RequestId,
                                            const model::AttachAnswer &A,
@@ -90,7 +90,9 @@
   m_sent.erase(m_sent.begin(), std::next(Sent));
   m_answeredAt = Now;
   m_penalties.erase(From);
-  if (A.m_leaderAgeMs < 0 || A.m_leaderAgeMs > LeaderAgeLimitMs)
+  // An entry without the agent's report does not tell the leader of it.
+  if (A.m_reportWanted || A.m_leaderAgeMs < 0 ||
+      A.m_leaderAgeMs > LeaderAgeLimitMs)
     return std::nullopt;
   return SentAt - A.m_leaderAgeMs;
 }
--- a/src/agent/attach.h
+++ b/src/agent/attach.h
@@ -45,7 +45,7 @@
   /// The entry that reports go to, if any.
   const model::Member *entry() const { return m_entry ? &*m_entry : nullptr; }
 
-  /// A report was sent with this request id.
+  /// A report or heartbeat was sent with this request id.
   void onSent(std::uint64_t RequestId, Millis Now);
 
   /// An answer came from the process named \p From. Returns the time at which
@@ -78,7 +78,7 @@
   Millis m_nextLook = 0;
   Millis m_nextFind = 0;
   std::map<std::string, Penalty> m_penalties;
-  std::deque<std::pair<std::uint64_t, Millis>> m_sent; ///< Unanswered reports.
+  std::deque<std::pair<std::uint64_t, Millis>> m_sent; ///< Unanswered messages.
 };
 
 } // namespace pomelokeel::agent
--- a/src/agent/core.cc
+++ b/src/agent/core.cc
@@ -13,6 +13,11 @@
 /// Time for the last calls to the worker before the process exits.
 constexpr Millis ExitCallsMs = 1000;
 constexpr std::size_t MaxRedialled = 1024;
+/// Between complete reports if nothing changed.
+constexpr Millis ReportEveryMs = 10000;
+/// The same while a result waits for its release: the leader repeats a release
+/// that was lost when it sees the result in a newer report.
+constexpr Millis ResultEveryMs = 2000;
 constexpr Millis BeatsPerGangLease = 6;
 
 TaskLimits limitsOf(const settings::AgentSettings &S,
@@ -31,18 +36,11 @@
 
 AttachTiming timingOf(const settings::AgentSettings &S) {
   AttachTiming T;
-  // A report every heartbeat must have had the time to be answered.
+  // A message every heartbeat must have had the time to be answered.
   T.m_linkTimeoutMs = std::max(S.m_linkTimeoutMs, S.m_heartbeatMs + 1);
   return T;
 }
 
-template <typename Body> std::optional<Body> readBody(const Message &M) {
-  Body Out;
-  if (!base::decode(M.m_body, "", Out))
-    return std::nullopt;
-  return Out;
-}
-
 } // namespace
 
 Core::Core(const settings::AgentSettings &Settings, model::Worker Self,
@@ -113,13 +111,14 @@
 }
 
 void Core::onCommand(const Message &M, Millis Now) {
-  const auto C = readBody<model::Command>(M);
+  const auto C = model::readBody<model::Command>(M);
   if (!C) {
     ++m_ports.m_counters.get("agent_damaged_commands");
     return;
   }
   model::CommandReply Reply = m_table.command(*C, M.m_epoch, Now);
   Reply.m_sequence = m_sequence;
+  m_replied = true;
   ++m_ports.m_counters.get(Reply.m_accepted ? "agent_commands_accepted"
                                             : "agent_commands_refused");
   Message Out = model::makeMessage(MessageKind::CommandReply, M.m_from, Reply);
@@ -131,7 +130,7 @@
 // An entry that knows a lower configuration version than this agent has not
 // caught up, so its answer counts as a refusal.
 void Core::onAttachAnswer(const Message &M, Millis Now) {
-  auto A = readBody<model::AttachAnswer>(M);
+  auto A = model::readBody<model::AttachAnswer>(M);
   if (!A)
     return;
   m_table.observeEpoch(M.m_epoch);
@@ -147,7 +146,11 @@
   const model::Member *Entry = m_attachment.entry();
   if (Entry == nullptr || Entry->m_name != M.m_from)
     return;
-  m_acknowledged = std::max(m_acknowledged, M.m_requestId);
+  // A report that was sent after the heartbeat may have arrived since.
+  if (A->m_reportWanted)
+    m_changed = m_changed || M.m_requestId > m_reportRequest;
+  else
+    m_acknowledged = std::max(m_acknowledged, M.m_requestId);
   if (m_drainWanted == A->m_draining)
     return;
   m_drainWanted = A->m_draining;
@@ -158,7 +161,7 @@
 }
 
 void Core::onGangNote(const Message &M, Millis Now) {
-  const auto Note = readBody<model::GangNote>(M);
+  const auto Note = model::readBody<model::GangNote>(M);
   if (Note)
     m_table.onGang(M.m_kind, M.m_replyAddress, M.m_requestId, *Note, Now);
 }
@@ -208,17 +211,34 @@
   if (carryOut(Now))
     m_changed = true;
   if (m_changed)
-    m_changedAt = m_sequence + 1;
+    m_changedAt = m_request + 1;
   if (m_table.listed())
     attach(Now);
-  const bool Due = m_changed || Now >= m_nextReport;
+  const bool Due = m_changed || Now >= m_nextMessage;
   if (Due && m_table.listed() && m_attachment.entry() != nullptr)
-    report(MessageKind::Report, Now);
+    sendDue(Now);
   if (Due)
     publish();
   advanceStop(Now);
 }
 
+// A command that changed nothing gets its report with the next heartbeat.
+void Core::sendDue(Millis Now) {
+  if (m_changed || m_replied || Now - m_reportedAt >= reportInterval())
+    report(MessageKind::Report, Now);
+  else
+    heartbeat(Now);
+}
+
+Millis Core::reportInterval() const {
+  const auto Holds = m_table.holds();
+  const bool Result =
+      std::any_of(Holds.begin(), Holds.end(), [](const model::Hold &H) {
+        return H.m_state >= model::HoldState::Succeeded;
+      });
+  return Result ? ResultEveryMs : ReportEveryMs;
+}
+
 void Core::attach(Millis Now) {
   AttachStep Step = m_attachment.advance(Now);
   if (Step.m_left) {
@@ -231,7 +251,6 @@
   if (!Step.m_attached)
     return;
   const model::Member &Entry = *Step.m_attached;
-  m_ports.m_mesh.keep(Entry.m_meshAddress);
   m_ports.m_mesh.setRegion(Entry.m_meshAddress, Entry.m_region);
   m_ports.m_events.record("attaching", {"", "", m_settings.m_name},
                           "entry=" + Entry.m_name);
@@ -247,14 +266,29 @@
   R.m_workerReachable = m_reachable;
   R.m_configVersion = m_configVersion;
   R.m_sequence = ++m_sequence;
-  const model::Member &Entry = *m_attachment.entry();
-  Message M = model::makeMessage(Kind, Entry.m_name, R);
-  M.m_epoch = m_table.epoch();
-  M.m_requestId = m_sequence;
-  m_attachment.onSent(m_sequence, Now);
-  m_ports.m_mesh.send(Entry.m_meshAddress, std::move(M));
-  m_nextReport = Now + m_settings.m_heartbeatMs;
+  m_reportedAt = Now;
+  m_reportRequest = m_request + 1;
   m_changed = false;
+  m_replied = false;
+  sendToEntry(model::makeMessage(Kind, "", R), Now);
+}
+
+void Core::heartbeat(Millis Now) {
+  model::AgentHeartbeat H;
+  H.m_sequence = m_sequence;
+  H.m_incarnation = model::incarnationHash(m_self.m_incarnation);
+  H.m_configVersion = m_configVersion;
+  sendToEntry(model::makeMessage(MessageKind::AgentHeartbeat, "", H), Now);
+}
+
+// Reports and heartbeats are also the heartbeats of the link: an entry that
+// does not answer is left with its link, and Attach makes the entry dial anew.
+void Core::sendToEntry(Message M, Millis Now) {
+  M.m_epoch = m_table.epoch();
+  M.m_requestId = ++m_request;
+  m_attachment.onSent(m_request, Now);
+  m_ports.m_mesh.send(m_attachment.entry()->m_meshAddress, std::move(M));
+  m_nextMessage = Now + m_settings.m_heartbeatMs;
 }
 
 void Core::beginStop(Millis Now) {
--- a/src/entry/core.cc
+++ b/src/entry/core.cc
@@ -99,7 +99,7 @@
   case RecordKind::WorkerAnnounced:
     // The leader passes over reports of a worker that is not in the state.
     if (A.m_accepted)
-      m_relay.expectReport(R.m_body.value("name", ""));
+      m_relay.repeatReport(R.m_body.value("name", ""));
     break;
   case RecordKind::ConfigPublished:
     onAppliedConfig(Entry, A);
--- a/src/entry/core.h
+++ b/src/entry/core.h
@@ -95,13 +95,16 @@
   void onAgentReport(const model::Message &M, Millis NowMs);
   void onAttachedReport(const model::Message &M, const model::AgentReport &R,
                         Millis NowMs);
+  void onAgentHeartbeat(const model::Message &M, Millis NowMs);
   void onRelayedReport(const model::AgentReport &R, Millis NowMs);
   void onCommand(const model::Message &M);
   void onCommandReply(const model::Message &M, Millis NowMs);
   void onDigest(const model::Message &M, Millis NowMs);
+  std::string attachRefusal(Millis NowMs) const;
+  void requestAnnouncement(const std::string &Worker);
   void announceWorker(const model::Worker &W);
-  void answerAgent(const model::Message &M, const model::AgentReport &R,
-                   const std::string &Refusal, Millis NowMs);
+  void answerAgent(const model::Message &M, const std::string &Worker,
+                   const std::string &Refusal, bool ReportWanted, Millis NowMs);
   void notifyAgents(Millis NowMs);
   model::AttachAnswer attachAnswer(const std::string &Worker,
                                    Millis NowMs) const;
@@ -111,6 +114,7 @@
   void tickMesh(Millis NowMs);
   void tickDigests(Millis NowMs);
   void updatePeers(Millis NowMs);
+  void setPingIntervals();
   void dropLostMembers(Millis NowMs);
   const Peer *leaderPeer() const;
   Millis leaderAge(Millis NowMs) const;
--- a/src/entry/core_messages.cc
+++ b/src/entry/core_messages.cc
@@ -14,12 +14,8 @@
 // still runs announces itself again.
 constexpr Millis MemberLostMs = 600000;
 
-template <typename Body> std::optional<Body> readBody(const model::Message &M) {
-  Body Out;
-  if (!base::decode(M.m_body, "", Out))
-    return std::nullopt;
-  return Out;
-}
+// Ping interval between standbys, in heartbeat intervals.
+constexpr Millis StandbyPingFactor = 4;
 
 } // namespace
 
@@ -33,6 +29,9 @@
   case MessageKind::Report:
     onAgentReport(M, NowMs);
     break;
+  case MessageKind::AgentHeartbeat:
+    onAgentHeartbeat(M, NowMs);
+    break;
   case MessageKind::Command:
     onCommand(M);
     break;
@@ -49,7 +48,7 @@
 }
 
 void Core::onHeartbeat(const model::Message &M, Millis NowMs) {
-  const auto Beat = readBody<model::Heartbeat>(M);
+  const auto Beat = model::readBody<model::Heartbeat>(M);
   if (!Beat || Beat->m_role == "agent" || M.m_from == m_self.m_name)
     return;
   m_replica.heardPeer(Beat->m_appliedOffset, NowMs);
@@ -64,7 +63,7 @@
 }
 
 void Core::onAgentReport(const model::Message &M, Millis NowMs) {
-  const auto R = readBody<model::AgentReport>(M);
+  const auto R = model::readBody<model::AgentReport>(M);
   if (!R)
     return;
   if (M.m_from == R->m_worker.m_name)
@@ -79,15 +78,15 @@
 
 void Core::onAttachedReport(const model::Message &M,
                             const model::AgentReport &R, Millis NowMs) {
-  const std::string Refusal = m_stopping ? "this entry is shutting down"
-                                         : m_replica.attachRefusal(NowMs);
+  const std::string Refusal = attachRefusal(NowMs);
   const bool Known = m_relay.find(R.m_worker.m_name) != nullptr;
+  // The agent had no answer here for a while, or never was here: a connection
+  // to it that is still open may have gone silent.
+  if (M.m_kind == MessageKind::Attach)
+    m_out.m_drop(M.m_replyAddress);
   // An agent that is attached already is relayed until it has moved.
   if (Refusal.empty() || Known) {
-    const auto It = state().m_workers.find(R.m_worker.m_name);
-    if (It == state().m_workers.end() ||
-        It->second.m_standing == model::WorkerStanding::Lost)
-      m_relay.requestAnnouncement(R.m_worker.m_name);
+    requestAnnouncement(R.m_worker.m_name);
     const ReportSteps Steps = m_relay.onReport(R, NowMs);
     if (Steps.m_attached) {
       m_out.m_setRegion(R.m_worker.m_agentAddress, R.m_worker.m_region);
@@ -99,7 +98,34 @@
     if (Steps.m_passOn && passOn(R, NowMs))
       m_relay.passedOn(R.m_worker.m_name, NowMs);
   }
-  answerAgent(M, R, Refusal, NowMs);
+  answerAgent(M, R.m_worker.m_name, Refusal, false, NowMs);
+}
+
+void Core::onAgentHeartbeat(const model::Message &M, Millis NowMs) {
+  const auto H = model::readBody<model::AgentHeartbeat>(M);
+  if (!H)
+    return;
+  requestAnnouncement(M.m_from);
+  const HeartbeatSteps Steps = m_relay.onHeartbeat(M.m_from, *H, NowMs);
+  if (const model::AgentReport *R = m_relay.find(M.m_from)) {
+    if (Steps.m_announce)
+      announceWorker(R->m_worker);
+    if (Steps.m_passOn && passOn(*R, NowMs))
+      m_relay.passedOn(M.m_from, NowMs);
+  }
+  answerAgent(M, M.m_from, attachRefusal(NowMs), Steps.m_reportWanted, NowMs);
+}
+
+std::string Core::attachRefusal(Millis NowMs) const {
+  return m_stopping ? "this entry is shutting down"
+                    : m_replica.attachRefusal(NowMs);
+}
+
+void Core::requestAnnouncement(const std::string &Worker) {
+  const auto It = state().m_workers.find(Worker);
+  if (It == state().m_workers.end() ||
+      It->second.m_standing == model::WorkerStanding::Lost)
+    m_relay.requestAnnouncement(Worker);
 }
 
 void Core::announceWorker(const model::Worker &W) {
@@ -125,13 +151,14 @@
   return Out;
 }
 
-void Core::answerAgent(const model::Message &M, const model::AgentReport &R,
-                       const std::string &Refusal, Millis NowMs) {
-  const std::string &Worker = R.m_worker.m_name;
+void Core::answerAgent(const model::Message &M, const std::string &Worker,
+                       const std::string &Refusal, bool ReportWanted,
+                       Millis NowMs) {
   model::AttachAnswer Out = attachAnswer(Worker, NowMs);
   Out.m_accepted = Refusal.empty();
   Out.m_reason = Refusal;
-  // The list of entries is large and seldom changes, reports are frequent.
+  Out.m_reportWanted = ReportWanted;
+  // The list of entries is large and seldom changes, answers are frequent.
   const bool Attach = M.m_kind == MessageKind::Attach;
   if (Attach || m_membersTold[Worker] != m_membersVersion) {
     for (const auto &[Name, Member] : state().m_members)
@@ -139,7 +166,7 @@
     m_membersTold[Worker] = m_membersVersion;
   }
   model::Message Reply = model::makeMessage(
-      Attach ? MessageKind::Attached : MessageKind::ReportAck, M.m_from, Out);
+      Attach ? MessageKind::Attached : MessageKind::ReportAck, "", Out);
   Reply.m_epoch = state().m_epoch;
   Reply.m_requestId = M.m_requestId;
   if (!m_out.m_send(M.m_replyAddress, std::move(Reply)))
@@ -147,7 +174,7 @@
 }
 
 // Tells attached agents of a new configuration without waiting for their next
-// report.
+// message.
 void Core::notifyAgents(Millis NowMs) {
   if (m_noticedConfig == state().m_configVersion)
     return;
@@ -214,10 +241,10 @@
 }
 
 void Core::onCommandReply(const model::Message &M, Millis NowMs) {
-  const auto Reply = readBody<model::CommandReply>(M);
+  const auto Reply = model::readBody<model::CommandReply>(M);
   if (!Reply)
     return;
-  m_relay.expectReport(Reply->m_worker);
+  m_relay.expectReport(Reply->m_worker, Reply->m_sequence);
   if (m_leadership.leads()) {
     m_leadership.onReply(state(), *Reply, NowMs);
     return;
@@ -231,7 +258,7 @@
 // The entry need not be a member yet: its announcement and its first digest
 // take different ways.
 void Core::onDigest(const model::Message &M, Millis NowMs) {
-  const auto D = readBody<model::Digest>(M);
+  const auto D = model::readBody<model::Digest>(M);
   if (!D || !m_leadership.leads() || M.m_from == m_self.m_name)
     return;
   m_relay.onDigest(M.m_from, M.m_replyAddress, *D, NowMs);
@@ -272,8 +299,23 @@
       continue;
     m_peers[Name] = {M.m_meshAddress, NowMs};
     m_out.m_setRegion(M.m_meshAddress, M.m_region);
-    m_out.m_keep(M.m_meshAddress);
   }
+  setPingIntervals();
+}
+
+// The leader and the others watch each other closely. Between standbys only the
+// rank at a claim and the highest applied offset depend on pings. The rank
+// counts entries that were heard within twice the leader timeout.
+void Core::setPingIntervals() {
+  const std::string &Leader = state().m_leader;
+  const Millis Seldom =
+      std::max(m_settings.m_heartbeatMs,
+               std::min(StandbyPingFactor * m_settings.m_heartbeatMs,
+                        m_settings.m_leaderTimeoutMs));
+  const bool Close = Leader.empty() || Leader == m_self.m_name;
+  for (const auto &[Name, P] : m_peers)
+    m_out.m_keep(P.m_address,
+                 Close || Name == Leader ? m_settings.m_heartbeatMs : Seldom);
 }
 
 // Removes entries that were killed and not replaced under their name, so that
@@ -303,6 +345,7 @@
     m_toldEpoch = state().m_epoch;
     m_leaderPongMs = -1;
     m_relay.leaderChanged();
+    setPingIntervals();
   }
   notifyAgents(NowMs);
   for (const std::string &Worker : m_relay.dropSilent(NowMs)) {
--- a/src/entry/ports.h
+++ b/src/entry/ports.h
@@ -39,7 +39,8 @@
   std::function<bool()> m_logWritable;
   /// Sends a message to the process at a mesh address.
   std::function<bool(const std::string &Address, model::Message)> m_send;
-  std::function<void(const std::string &Address)> m_keep;
+  /// Keeps a link with pings at an interval, which may change.
+  std::function<void(const std::string &Address, base::Millis PingMs)> m_keep;
   std::function<void(const std::string &Address)> m_drop;
   /// Time since the last message from an address, or -1 if none came.
   std::function<base::Millis(const std::string &Address)> m_silence;
--- a/src/entry/process.cc
+++ b/src/entry/process.cc
@@ -222,7 +222,9 @@
   P.m_send = [this](const std::string &Address, model::Message M) {
     return m_mesh->send(Address, std::move(M));
   };
-  P.m_keep = [this](const std::string &Address) { m_mesh->keep(Address); };
+  P.m_keep = [this](const std::string &Address, Millis PingMs) {
+    m_mesh->keep(Address, PingMs);
+  };
   P.m_drop = [this](const std::string &Address) { m_mesh->drop(Address); };
   P.m_silence = [this](const std::string &Address) {
     return m_mesh->silence(Address);
--- a/src/entry/relay.cc
+++ b/src/entry/relay.cc
@@ -7,6 +7,10 @@
 namespace pomelokeel::entry {
 namespace {
 
+// A silent connection is redialled after the link timeout and up to one ping
+// interval, which may be longer than the first repetition takes.
+constexpr int DigestRepeats = 2;
+
 bool isEnded(model::HoldState State) {
   return State >= model::HoldState::Succeeded;
 }
@@ -42,19 +46,55 @@
   // name still runs elsewhere, the two do not overwrite each other forever.
   if (A.m_report.m_worker != R.m_worker)
     A.m_announceDue = true;
+  if (Steps.m_attached)
+    A.m_expectedAfter.reset();
   A.m_report = R;
   A.m_heardMs = NowMs;
   A.m_print = fingerprint(R);
   m_changed = m_changed || Steps.m_attached || A.m_silent;
   Steps.m_passOn = shouldPassOn(A, NowMs);
-  Steps.m_announce = A.m_announceDue && !A.m_announcing;
-  if (Steps.m_announce)
-    A.m_announcing = true;
+  Steps.m_announce = startAnnouncing(A);
   return Steps;
 }
 
+// A heartbeat of another incarnation is no sign of life of the agent whose
+// report is held here. One that names an older report was overtaken by it.
+HeartbeatSteps Relay::onHeartbeat(const std::string &Worker,
+                                  const model::AgentHeartbeat &H,
+                                  Millis NowMs) {
+  HeartbeatSteps Steps;
+  const auto It = m_agents.find(Worker);
+  if (It == m_agents.end() ||
+      model::incarnationHash(It->second.m_report.m_worker.m_incarnation) !=
+          H.m_incarnation) {
+    Steps.m_reportWanted = true;
+    return Steps;
+  }
+  Agent &A = It->second;
+  A.m_heardMs = NowMs;
+  A.m_report.m_configVersion =
+      std::max(A.m_report.m_configVersion, H.m_configVersion);
+  m_changed = m_changed || A.m_silent;
+  Steps.m_reportWanted = H.m_sequence > A.m_report.m_sequence;
+  Steps.m_passOn = !Steps.m_reportWanted && shouldPassOn(A, NowMs);
+  Steps.m_announce = startAnnouncing(A);
+  return Steps;
+}
+
+bool Relay::startAnnouncing(Agent &A) {
+  if (!A.m_announceDue || A.m_announcing)
+    return false;
+  A.m_announcing = true;
+  return true;
+}
+
+bool Relay::isExpected(const Agent &A) {
+  return A.m_expectedAfter && (A.m_report.m_sequence == 0 ||
+                               A.m_report.m_sequence > *A.m_expectedAfter);
+}
+
 bool Relay::shouldPassOn(const Agent &A, Millis NowMs) const {
-  if (!A.m_passedMs || A.m_passedPrint != A.m_print)
+  if (!A.m_passedMs || A.m_passedPrint != A.m_print || isExpected(A))
     return true;
   const Millis Interval =
       carriesResult(A.m_report) ? m_timing.m_resultMs : m_timing.m_reportMs;
@@ -67,9 +107,19 @@
     return;
   It->second.m_passedMs = NowMs;
   It->second.m_passedPrint = It->second.m_print;
+  if (isExpected(It->second))
+    It->second.m_expectedAfter.reset();
 }
 
-void Relay::expectReport(const std::string &Worker) {
+void Relay::expectReport(const std::string &Worker, std::uint64_t Sequence) {
+  const auto It = m_agents.find(Worker);
+  if (It == m_agents.end())
+    return;
+  auto &After = It->second.m_expectedAfter;
+  After = std::max(After.value_or(0), Sequence);
+}
+
+void Relay::repeatReport(const std::string &Worker) {
   const auto It = m_agents.find(Worker);
   if (It != m_agents.end())
     It->second.m_passedMs.reset();
@@ -105,17 +155,21 @@
   for (auto &[Name, A] : m_agents)
     m_changed = m_changed || A.m_silent != (NowMs - A.m_heardMs >=
                                             m_timing.m_agentTimeoutMs);
-  const Millis Interval =
-      m_changed ? m_timing.m_digestMs : m_timing.m_quietDigestMs;
+  Millis Interval = m_digestRepeats > 0 ? m_timing.m_repeatDigestMs
+                                        : m_timing.m_quietDigestMs;
+  if (m_changed)
+    Interval = m_timing.m_digestMs;
   if (m_digestMs && NowMs - *m_digestMs < Interval)
     return std::nullopt;
   model::Digest Out;
   for (auto &[Name, A] : m_agents) {
     const Millis Silent = NowMs - A.m_heardMs;
     A.m_silent = Silent >= m_timing.m_agentTimeoutMs;
-    Out.m_agents.push_back({Name, A.m_report.m_worker.m_incarnation, Silent});
+    Out.m_agents.push_back({Name, Silent});
   }
   m_digestMs = NowMs;
+  m_digestRepeats =
+      m_changed ? DigestRepeats : std::max(m_digestRepeats - 1, 0);
   m_changed = false;
   return Out;
 }
--- a/src/entry/relay.h
+++ b/src/entry/relay.h
@@ -18,14 +18,17 @@
 struct RelayTiming {
   Millis m_agentTimeoutMs = 3000; ///< Silence that is reported as a change.
   Millis m_digestMs = 500;        ///< Between digests if something changed.
-  Millis m_quietDigestMs = 2000;  ///< Between digests if nothing changed.
+  /// Between a digest that told a change and its repetitions, in case it was
+  /// lost with a connection that had gone silent.
+  Millis m_repeatDigestMs = 2000;
+  Millis m_quietDigestMs = 10000; ///< Between digests if nothing changed.
   Millis m_reportMs = 10000;      ///< Between unchanged reports.
   /// Between unchanged reports that carry a result: it waits at the agent until
   /// the leader has recorded it, and the relayed report may have been lost.
   Millis m_resultMs = 2000;
   Millis m_forgetMs = 30000; ///< Silence after which an agent is dropped.
   /// Age up to which a digest is still true while its entry is heard.
-  Millis m_listingMs = 6000;
+  Millis m_listingMs = 25000;
 };
 
 /// What to do with a message of an agent.
@@ -35,6 +38,13 @@
   bool m_announce = false; ///< Append workerAnnounced.
 };
 
+/// What to do with a heartbeat of an agent.
+struct HeartbeatSteps {
+  bool m_reportWanted = false; ///< The entry does not have the agent's report.
+  bool m_passOn = false;       ///< The leader must see the report held here.
+  bool m_announce = false;     ///< Append workerAnnounced.
+};
+
 /// Where to send a command for a worker.
 struct RelayRoute {
   bool m_local = false;  ///< The agent is attached to this entry.
@@ -51,12 +61,20 @@
   /// A message with a report arrived from the agent itself.
   ReportSteps onReport(const model::AgentReport &R, Millis NowMs);
 
+  /// A heartbeat of the agent of \p Worker arrived.
+  HeartbeatSteps onHeartbeat(const std::string &Worker,
+                             const model::AgentHeartbeat &H, Millis NowMs);
+
   /// The report of \p Worker was sent to the leader.
   void passedOn(const std::string &Worker, Millis NowMs);
 
-  /// The agent of \p Worker answered a command: its next report is passed on,
-  /// changed or not, because the leader compares both.
-  void expectReport(const std::string &Worker);
+  /// The agent of \p Worker answered a command: its first report after
+  /// \p Sequence is passed on, changed or not, because the leader compares
+  /// both.
+  void expectReport(const std::string &Worker, std::uint64_t Sequence);
+
+  /// The report of \p Worker is passed on once more, changed or not.
+  void repeatReport(const std::string &Worker);
 
   /// The log has no usable announcement of \p Worker: the next report asks for
   /// one.
@@ -112,6 +130,8 @@
     std::uint64_t m_print = 0;       ///< Of the latest report.
     std::uint64_t m_passedPrint = 0; ///< Of the one that was passed on.
     std::optional<Millis> m_passedMs;
+    /// A report after this sequence is due to the leader.
+    std::optional<std::uint64_t> m_expectedAfter;
     bool m_announceDue = true;
     bool m_announcing = false;
     bool m_silent = false; ///< As told in the last digest.
@@ -129,6 +149,8 @@
   };
 
   bool shouldPassOn(const Agent &A, Millis NowMs) const;
+  static bool isExpected(const Agent &A);
+  static bool startAnnouncing(Agent &A);
 
   RelayTiming m_timing;
   std::map<std::string, Agent> m_agents;
@@ -136,6 +158,7 @@
   std::map<std::string, Listing> m_listings; ///< By entry.
   std::optional<Millis> m_digestMs;          ///< When the last digest was made.
   bool m_changed = true;
+  int m_digestRepeats = 0; ///< Still due of the digest that told a change.
 };
 
 } // namespace pomelokeel::entry
--- a/src/mesh/mesh.cc
+++ b/src/mesh/mesh.cc
@@ -39,6 +39,7 @@
 struct Link {
   std::shared_ptr<Connection> m_connection;
   bool m_kept = false;
+  Millis m_pingMs = 0; ///< Between pings if kept.
   Millis m_usedAt = 0;
   Millis m_pingedAt = 0;
   /// Last proof that the link works, or when it was dialled.
@@ -80,7 +81,7 @@
   base::Status listen();
   std::string address() const override { return m_address; }
   bool send(const std::string &Address, Message M) override;
-  void keep(const std::string &Address) override;
+  void keep(const std::string &Address, Millis PingMs) override;
   void drop(const std::string &Address) override;
   Millis silence(const std::string &Address) const override;
   void setRegion(const std::string &Address,
@@ -254,9 +255,11 @@
                        std::vector<std::string> &Pings) {
   if (!L.m_kept)
     return;
-  if (Now - L.m_provenAt > m_settings.m_linkTimeoutMs)
+  const Millis Timeout =
+      m_settings.m_linkTimeoutMs + (L.m_pingMs - m_settings.m_heartbeatMs);
+  if (Now - L.m_provenAt > Timeout)
     redial(Address, L, Now);
-  if (Now - L.m_pingedAt < m_settings.m_heartbeatMs)
+  if (Now - L.m_pingedAt < L.m_pingMs)
     return;
   L.m_pingedAt = Now;
   ++L.m_pings;
@@ -368,12 +371,16 @@
   return false;
 }
 
-void NngMesh::keep(const std::string &Address) {
+// A shorter interval starts with a new timeout, because the last pong may be as
+// old as the former one allowed.
+void NngMesh::keep(const std::string &Address, Millis PingMs) {
   const Millis Now = base::monotonicNow();
+  const Millis Interval = std::max(PingMs, m_settings.m_heartbeatMs);
   const std::lock_guard Lock(m_mutex);
   Link *L = openLink(Address, Now);
-  if (L == nullptr || L->m_kept)
+  if (L == nullptr || (L->m_kept && L->m_pingMs == Interval))
     return;
+  L->m_pingMs = Interval;
   L->m_kept = true;
   L->m_provenAt = Now;
 }
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -36,7 +36,7 @@
 /// Sends and receives messages. Thread-safe.
 ///
 /// A link is a connection that this process dialled to a peer's listening
-/// address. Ping and Pong of the link itself are answered inside the mesh; a
+/// address. Ping and Pong of a kept link are answered inside the mesh; a kept
 /// link that gets no Pong for the link timeout is closed and dialled anew.
 /// Pings and pongs carry Heartbeat, which is also delivered to the receive ring
 /// for the core thread.
@@ -59,8 +59,11 @@
   /// replyAddress and stamp.
   virtual bool send(const std::string &Address, model::Message M) = 0;
 
-  /// Keeps an open link with heartbeats to \p Address until drop().
-  virtual void keep(const std::string &Address) = 0;
+  /// Keeps an open link to \p Address until drop(), with pings every \p PingMs,
+  /// or every heartbeat interval if that is 0. The link timeout grows by what
+  /// the interval exceeds that of heartbeats. May be called again to change the
+  /// interval.
+  virtual void keep(const std::string &Address, Millis PingMs = 0) = 0;
 
   /// Closes the link to \p Address.
   virtual void drop(const std::string &Address) = 0;
--- a/tests/agent/attach_test.cc
+++ b/tests/agent/attach_test.cc
@@ -93,3 +93,20 @@
   EXPECT_EQ(A.onAnswer("near", 9, answer(true, 0), 2010), std::nullopt);
   EXPECT_EQ(A.onAnswer("far", 3, answer(true, 0), 2010), std::nullopt);
 }
+
+// Guards against an orphan limit that is put off by an entry that cannot tell
+// the leader of the agent, because it has restarted.
+TEST(Attachment, AnswerWithoutTheReportIsNoLeaderContact) {
+  Attachment A = attachment();
+  A.setMembers(All);
+  A.advance(0);
+  model::AttachAnswer Wants = answer(true, 0);
+  Wants.m_reportWanted = true;
+  A.onSent(1, 100);
+  EXPECT_FALSE(A.onAnswer("near", 1, Wants, 110).has_value());
+  A.onSent(2, 1900);
+  EXPECT_FALSE(A.onAnswer("near", 2, Wants, 1910).has_value());
+  EXPECT_FALSE(A.advance(2200).m_left.has_value());
+  A.onSent(3, 2900);
+  EXPECT_EQ(A.onAnswer("near", 3, answer(true, 0), 2910), 2900);
+}
--- a/tests/mesh/mesh_test.cc
+++ b/tests/mesh/mesh_test.cc
@@ -234,6 +234,48 @@
   EXPECT_GE(R.accepted(), 2);
 }
 
+// Guards against a link with seldom pings that is redialled between them, and
+// against one whose shorter interval has no effect.
+TEST(Mesh, PingsAtTheIntervalOfTheLink) {
+  constexpr Millis Seldom = 2 * LinkTimeout;
+  Node A("a");
+  Node B("b");
+  const std::string Address = B.m_mesh->address();
+  A.m_mesh->keep(Address, Seldom);
+  const auto Ping = [&] {
+    const auto In = B.m_received.pop(std::chrono::milliseconds(20));
+    return In && In->m_message.m_kind == MessageKind::Ping;
+  };
+  ASSERT_TRUE(waitFor(Ping));
+  const Millis First = base::monotonicNow();
+  ASSERT_TRUE(waitFor(Ping));
+  EXPECT_GE(base::monotonicNow() - First, Seldom - LinkTimeout / 2);
+  EXPECT_EQ(A.m_counters.get("mesh_redials"), 0);
+  A.m_mesh->keep(Address);
+  const Millis Closer = base::monotonicNow();
+  for (int I = 0; I < 4; ++I)
+    ASSERT_TRUE(waitFor(Ping));
+  EXPECT_LT(base::monotonicNow() - Closer, 3 * Seldom);
+}
+
+// Guards against a silent connection that is never noticed because pings on it
+// are seldom.
+TEST(Mesh, RedialsASilentConnectionWithSeldomPings) {
+  Node A("a");
+  Node B("b");
+  Relay R(B.m_mesh->address());
+  A.m_mesh->keep(R.address(), LinkTimeout / 2);
+  ASSERT_TRUE(waitFor([&] {
+    A.m_mesh->send(R.address(), note("one"));
+    return textOf(B.next(50)) == "one";
+  }));
+  R.silence();
+  EXPECT_TRUE(waitFor([&] {
+    A.m_mesh->send(R.address(), note("two"));
+    return textOf(B.next(20)) == "two";
+  }));
+}
+
 TEST(Mesh, OversizedMessageIsRefusedAndDoesNotStopTheLink) {
   Node A("a", "127.0.0.1:0", 64, 1024 * 1024);
   Node B("b", "127.0.0.1:0", 64, 4096);
