Leave stamp and region out of pings and agent heartbeats

These messages cause no event whose order matters.

Ruled out: seldom pings from the leader to standbys, because a link of the leader that went silent would be redialled later.

The test of a lost report passed without its mechanism, because the report was repeated for its result; it now loses the report of a task that begins to run. The test of changes at once has a deadline below that repetition.

--- a/src/agent/process.cc
+++ b/src/agent/process.cc
@@ -99,7 +99,7 @@
   auto Mesh = mesh::Mesh::start(
       meshSettings(m_settings), m_clock, m_counters, m_received, [this] {
         const Core *C = m_started;
-        return model::Heartbeat{"agent", m_settings.m_region, 0,
+        return model::Heartbeat{"agent", 0,
                                 C == nullptr ? 0 : C->configVersion()};
       });
   if (!Mesh)
--- a/src/entry/core.cc
+++ b/src/entry/core.cc
@@ -279,7 +279,6 @@
 model::Heartbeat Core::heartbeat() const {
   model::Heartbeat H;
   H.m_role = m_leadership.leads() ? "leader" : "standby";
-  H.m_region = m_self.m_region;
   H.m_appliedOffset = m_replica.nextOffset();
   H.m_configVersion = state().m_configVersion;
   return H;
--- a/src/mesh/mesh.cc
+++ b/src/mesh/mesh.cc
@@ -62,6 +62,13 @@
   return (std::uint64_t{L.m_pings} << 32) | L.m_ponged;
 }
 
+// Most messages are pings and heartbeats. They cause no event whose order
+// matters; the stamp would be a quarter of their bytes.
+bool carriesStamp(MessageKind Kind) {
+  return Kind != MessageKind::Ping && Kind != MessageKind::Pong &&
+         Kind != MessageKind::AgentHeartbeat;
+}
+
 class NngMesh final : public Mesh {
 public:
   NngMesh(MeshSettings Settings, base::HybridClock &Clock,
@@ -197,7 +204,8 @@
     ++m_damaged;
     return;
   }
-  m_clock.observe(Decoded->m_stamp);
+  if (carriesStamp(Decoded->m_kind))
+    m_clock.observe(Decoded->m_stamp);
   noteArrival(*Decoded, Bytes);
   if (Decoded->m_kind == MessageKind::Ping &&
       !Decoded->m_replyAddress.empty()) {
@@ -356,7 +364,8 @@
 bool NngMesh::sendEncoded(const std::string &Address, Message &M) {
   M.m_from = m_settings.m_name;
   M.m_replyAddress = m_address;
-  M.m_stamp = m_clock.tick();
+  if (carriesStamp(M.m_kind))
+    M.m_stamp = m_clock.tick();
   const std::vector<std::uint8_t> Bytes = model::encodeMessage(M);
   std::shared_ptr<Connection> Target;
   if (Bytes.size() <= m_settings.m_maxMessageBytes) {
--- a/src/mesh/mesh.h
+++ b/src/mesh/mesh.h
@@ -55,8 +55,8 @@
 
   /// Queues \p M for the process listening at \p Address, dialling if needed.
   /// Returns false if the queue of the link is full or the mesh stops; the
-  /// message is then lost. Delivery is not guaranteed in any case. Sets from,
-  /// replyAddress and stamp.
+  /// message is then lost. Delivery is not guaranteed in any case. Sets from
+  /// and replyAddress, and the stamp except in pings and heartbeats.
   virtual bool send(const std::string &Address, model::Message M) = 0;
 
   /// Keeps an open link to \p Address until drop(), with pings every \p PingMs,
--- a/src/model/message.h
+++ b/src/model/message.h
@@ -66,14 +66,12 @@
 /// Body of Ping and Pong.
 struct Heartbeat {
   std::string m_role; ///< "leader", "standby" or "agent".
-  std::string m_region;
   std::uint64_t m_appliedOffset = 0;
   std::uint64_t m_configVersion = 0;
 
   static constexpr auto fields() {
     return std::tuple{
         base::required("role", &Heartbeat::m_role),
-        base::optional("region", &Heartbeat::m_region),
         base::optional("appliedOffset", &Heartbeat::m_appliedOffset),
         base::optional("configVersion", &Heartbeat::m_configVersion)};
   }
--- a/tests/agent/agent_test.cc
+++ b/tests/agent/agent_test.cc
@@ -27,6 +27,8 @@
 /// Shorter than the interval of unchanged reports (10 s), so that what arrives
 /// within it was not a periodic report.
 constexpr Millis SoonMs = 3000;
+/// Shorter than the interval of reports with a result (2 s).
+constexpr Millis AtOnceMs = 1500;
 
 settings::AgentSettings settingsFor(const std::string &Name,
                                     const standin::WorkerStandin &Worker,
@@ -148,25 +150,24 @@
   ASSERT_TRUE(heartbeatsFor(SoonMs));
   EXPECT_EQ(m_entry.report("w1")->m_sequence, Sequence);
   ASSERT_TRUE(m_entry.accepts("w1", command(CommandKind::Stop)));
-  EXPECT_TRUE(m_entry.sees("w1", "j1", HoldState::Stopped, SoonMs));
+  EXPECT_TRUE(m_entry.sees("w1", "j1", HoldState::Stopped, AtOnceMs));
 }
 
 // Guards against a change that the entry learns 10 s late because its report
 // was lost.
 TEST_F(AgentTest, RepeatsALostReport) {
-  run("j1", 60000);
-  ASSERT_TRUE(heartbeatsFor(0));
+  ASSERT_TRUE(m_entry.accepts("w1", command(CommandKind::Reserve)));
   m_entry.m_loseReports = true;
-  ASSERT_TRUE(m_entry.accepts("w1", command(CommandKind::Stop)));
+  ASSERT_TRUE(m_entry.accepts("w1", command(CommandKind::Start)));
   ASSERT_TRUE(eventually([&] {
     const auto Holds = m_agent->status().m_holds;
-    return Holds.size() == 1 && Holds[0].m_state == HoldState::Stopped;
+    return Holds.size() == 1 && Holds[0].m_state == HoldState::Running;
   }));
-  // The report of the last change precedes the next heartbeat.
-  ASSERT_TRUE(heartbeatsFor(0));
+  // The report of the last change precedes the next heartbeat but one.
+  ASSERT_TRUE(heartbeatsFor(m_settings.m_heartbeatMs));
   EXPECT_GT(m_entry.m_lostReports, 0);
   m_entry.m_loseReports = false;
-  EXPECT_TRUE(m_entry.sees("w1", "j1", HoldState::Stopped, SoonMs));
+  EXPECT_TRUE(m_entry.sees("w1", "j1", HoldState::Running, SoonMs));
 }
 
 // Guards against an entry that has restarted under its address and knows
--- a/tests/agent/fake_entry.h
+++ b/tests/agent/fake_entry.h
@@ -27,7 +27,7 @@
     S.m_heartbeatMs = 100;
     S.m_linkTimeoutMs = 1000;
     auto Mesh = mesh::Mesh::start(S, m_clock, m_counters, m_received, [] {
-      return model::Heartbeat{"leader", "pacifico", 1, 1};
+      return model::Heartbeat{"leader", 1, 1};
     });
     m_mesh = std::move(*Mesh);
     m_self = {Name, "i", m_mesh->address(), "", "dc1", "pacifico"};
--- a/tests/mesh/mesh_test.cc
+++ b/tests/mesh/mesh_test.cc
@@ -47,7 +47,7 @@
     S.m_sendQueue = SendQueue;
     S.m_maxMessageBytes = MaxBytes;
     auto Started = mesh::Mesh::start(S, m_clock, m_counters, m_received, [] {
-      return model::Heartbeat{"agent", "pacifico", 7, 3};
+      return model::Heartbeat{"agent", 7, 3};
     });
     if (Started)
       m_mesh = std::move(*Started);
@@ -184,6 +184,7 @@
   const auto Got = B.next();
   ASSERT_EQ(textOf(Got), "one");
   EXPECT_EQ(Got->m_from, "a");
+  EXPECT_GT(Got->m_stamp.m_wall, 0);
   EXPECT_EQ(Got->m_replyAddress, A.m_mesh->address());
   ASSERT_TRUE(B.m_mesh->send(Got->m_replyAddress, note("two")));
   EXPECT_EQ(textOf(A.next()), "two");
