--- a/src/entry/core.cc
+++ b/src/entry/core.cc
@@ -100,7 +100,7 @@
   case RecordKind::WorkerAnnounced:
     // The leader passes over reports of a worker that is not in the state.
     if (A.m_accepted)
-      m_relay.expectReport(R.m_body.value("name", ""));
+      m_relay.repeatReport(R.m_body.value("name", ""));
     break;
   case RecordKind::ConfigPublished:
     onAppliedConfig(Entry, A);
@@ -282,7 +282,6 @@
 model::Heartbeat Core::heartbeat() const {
   model::Heartbeat H;
   H.m_role = m_leadership.leads() ? "leader" : "standby";
-  H.m_region = m_self.m_region;
   H.m_appliedOffset = m_replica.nextOffset();
   H.m_configVersion = state().m_configVersion;
   return H;
--- a/src/mesh/mesh.cc
+++ b/src/mesh/mesh.cc
@@ -39,6 +39,7 @@
 struct Link {
   std::shared_ptr<Connection> m_connection;
   bool m_kept = false;
+  Millis m_pingMs = 0; ///< Between pings if kept.
   Millis m_usedAt = 0;
   Millis m_pingedAt = 0;
   /// Last proof that the link works, or when it was dialled.
@@ -61,6 +62,13 @@
   return (std::uint64_t{L.m_pings} << 32) | L.m_ponged;
 }
 
+// Most messages are pings and heartbeats. They cause no event whose order
+// matters; the stamp would be a quarter of their bytes.
+bool carriesStamp(MessageKind Kind) {
+  return Kind != MessageKind::Ping && Kind != MessageKind::Pong &&
+         Kind != MessageKind::AgentHeartbeat;
+}
+
 class NngMesh final : public Mesh {
 public:
   NngMesh(MeshSettings Settings, base::HybridClock &Clock,
@@ -80,7 +88,7 @@
   base::Status listen();
   std::string address() const override { return m_address; }
   bool send(const std::string &Address, Message M) override;
-  void keep(const std::string &Address) override;
+  void keep(const std::string &Address, Millis PingMs) override;
   void drop(const std::string &Address) override;
   Millis silence(const std::string &Address) const override;
   Millis closedFor(const std::string &Address) const override;
@@ -201,7 +209,8 @@
     ++m_damaged;
     return;
   }
-  m_clock.observe(Decoded->m_stamp);
+  if (carriesStamp(Decoded->m_kind))
+    m_clock.observe(Decoded->m_stamp);
   noteArrival(*Decoded, Bytes);
   if (Decoded->m_kind == MessageKind::Ping &&
       !Decoded->m_replyAddress.empty()) {
@@ -259,9 +268,11 @@
                        std::vector<std::string> &Pings) {
   if (!L.m_kept)
     return;
-  if (Now - L.m_provenAt > m_settings.m_linkTimeoutMs)
+  const Millis Timeout =
+      m_settings.m_linkTimeoutMs + (L.m_pingMs - m_settings.m_heartbeatMs);
+  if (Now - L.m_provenAt > Timeout)
     redial(Address, L, Now);
-  if (Now - L.m_pingedAt < m_settings.m_heartbeatMs)
+  if (Now - L.m_pingedAt < L.m_pingMs)
     return;
   L.m_pingedAt = Now;
   ++L.m_pings;
@@ -359,7 +370,8 @@
 bool NngMesh::sendEncoded(const std::string &Address, Message &M) {
   M.m_from = m_settings.m_name;
   M.m_replyAddress = m_address;
-  M.m_stamp = m_clock.tick();
+  if (carriesStamp(M.m_kind))
+    M.m_stamp = m_clock.tick();
   const std::vector<std::uint8_t> Bytes = model::encodeMessage(M);
   std::shared_ptr<Connection> Target;
   if (Bytes.size() <= m_settings.m_maxMessageBytes) {
@@ -374,12 +386,16 @@
   return false;
 }
 
-void NngMesh::keep(const std::string &Address) {
+// A shorter interval starts with a new timeout, because the last pong may be as
+// old as the former one allowed.
+void NngMesh::keep(const std::string &Address, Millis PingMs) {
   const Millis Now = base::monotonicNow();
+  const Millis Interval = std::max(PingMs, m_settings.m_heartbeatMs);
   const std::lock_guard Lock(m_mutex);
   Link *L = openLink(Address, Now);
-  if (L == nullptr || L->m_kept)
+  if (L == nullptr || (L->m_kept && L->m_pingMs == Interval))
     return;
+  L->m_pingMs = Interval;
   L->m_kept = true;
   L->m_provenAt = Now;
 }
--- a/tests/entry/lost_worker_test.cc
+++ b/tests/entry/lost_worker_test.cc
@@ -71,7 +71,7 @@
     P.m_send = [](const std::string &, const model::Message &) {
       return false;
     };
-    P.m_keep = [](const std::string &) {};
+    P.m_keep = [](const std::string &, Millis) {};
     P.m_drop = [](const std::string &) {};
     P.m_silence = [](const std::string &) { return Millis{0}; };
     P.m_closedFor = [](const std::string &) { return Millis{-1}; };
