Correct run times by the trend of the class as well

Cause: one factor per class and account leaves every declaration's own error in place, so that reservations and backfill trust declarations that are off by a factor of 8. The correction now also depends on the declared time, by a running regression per class; the mean moves by 1/8 instead of 1/4 a run.

--- a/src/sched/estimates.cc
+++ b/src/sched/estimates.cc
@@ -8,39 +8,70 @@
 
 constexpr double MinFactor = 1.0 / 8;
 constexpr double MaxFactor = 8.0;
-// Weight of the newest run in the moving average of log factors.
-constexpr double LearningRate = 0.25;
+// Runs over which the means of an account, and the trend of a class, are taken.
+constexpr int MeanMemory = 8;
+constexpr int TrendMemory = 64;
+// Runs with a variance of 1 that speak for a correction which is the same for
+// all declared run times, before others have been seen.
+constexpr double TrendPrior = 4;
 
 std::string factorKey(const std::string &Class, const std::string &Account) {
   return Class + "/" + Account;
 }
 
+// Moves a mean towards a new value.
+void average(double &Mean, double Value, int Count, int Memory) {
+  Mean += (Value - Mean) / std::min(Count, Memory);
+}
+
 } // namespace
 
 Millis RunTimeEstimates::estimate(const std::string &Class,
                                   const std::string &Account,
                                   Millis DeclaredMs) const {
-  const auto It = m_factors.find(factorKey(Class, Account));
-  if (It == m_factors.end())
+  const auto It = m_levels.find(factorKey(Class, Account));
+  if (It == m_levels.end() || DeclaredMs <= 0)
     return DeclaredMs;
-  return std::llround(static_cast<double>(DeclaredMs) * It->second);
+  const Level &L = It->second;
+  const auto Declared = static_cast<double>(DeclaredMs);
+  const double Factor =
+      std::exp(L.m_logFactor + m_trends.at(Class).slope() *
+                                   (std::log(Declared) - L.m_logDeclared));
+  return std::llround(Declared * std::clamp(Factor, MinFactor, MaxFactor));
 }
 
+// Averages logarithms: a run of half the declared time and one of twice as
+// much cancel out.
 void RunTimeEstimates::learn(const std::string &Class,
                              const std::string &Account, Millis DeclaredMs,
                              Millis ActualMs) {
   if (DeclaredMs <= 0 || ActualMs < 0)
     return;
-  const double Seen = std::clamp(static_cast<double>(ActualMs) /
-                                     static_cast<double>(DeclaredMs),
-                                 MinFactor, MaxFactor);
-  const auto [It, New] = m_factors.emplace(factorKey(Class, Account), Seen);
-  if (New)
-    return;
-  // Averages logarithms: a run of half the declared time and one of twice as
-  // much cancel out.
-  It->second = std::exp((1 - LearningRate) * std::log(It->second) +
-                        LearningRate * std::log(Seen));
+  const double LogDeclared = std::log(static_cast<double>(DeclaredMs));
+  const double LogFactor = std::log(std::clamp(
+      static_cast<double>(ActualMs) / static_cast<double>(DeclaredMs),
+      MinFactor, MaxFactor));
+  Level &L = m_levels[factorKey(Class, Account)];
+  ++L.m_runs;
+  average(L.m_logDeclared, LogDeclared, L.m_runs, MeanMemory);
+  average(L.m_logFactor, LogFactor, L.m_runs, MeanMemory);
+  Trend &T = m_trends[Class];
+  ++T.m_runs;
+  const double Declared = LogDeclared - T.m_logDeclared;
+  average(T.m_logDeclared, LogDeclared, T.m_runs, TrendMemory);
+  average(T.m_logFactor, LogFactor, T.m_runs, TrendMemory);
+  // Deviations from the old mean times those from the new one, as in the
+  // method of Welford for running variances.
+  average(T.m_variance, Declared * (LogDeclared - T.m_logDeclared), T.m_runs,
+          TrendMemory);
+  average(T.m_covariance, Declared * (LogFactor - T.m_logFactor), T.m_runs,
+          TrendMemory);
+}
+
+double RunTimeEstimates::Trend::slope() const {
+  const int Runs = std::min(m_runs, TrendMemory);
+  return std::clamp(Runs * m_covariance / (Runs * m_variance + TrendPrior),
+                    -1.0, 0.0);
 }
 
 } // namespace pomelokeel::sched
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -134,7 +134,9 @@
                                const std::vector<WorkerView> &Workers,
                                const std::vector<RunningView> &Running);
 
-/// Learned corrections of declared run times, per class and account.
+/// Learned corrections of declared run times, per class and account. Jobs
+/// declared longer than usual for their class are corrected downwards and
+/// others upwards, as far as earlier runs of the class show this trend.
 class RunTimeEstimates {
 public:
   /// Corrected run time of a job declared with \p DeclaredMs.
@@ -146,7 +148,24 @@
              Millis DeclaredMs, Millis ActualMs);
 
 private:
-  std::map<std::string, double> m_factors; ///< By `class/account`.
+  /// Mean declared time and mean correction, as logarithms.
+  struct Level {
+    int m_runs = 0;
+    double m_logDeclared = 0;
+    double m_logFactor = 0;
+  };
+  /// How the correction changes with the declared time.
+  struct Trend {
+    int m_runs = 0;
+    double m_logDeclared = 0;
+    double m_logFactor = 0;
+    double m_variance = 0; ///< Of the declared time.
+    double m_covariance = 0;
+
+    double slope() const;
+  };
+  std::map<std::string, Level> m_levels; ///< By `class/account`.
+  std::map<std::string, Trend> m_trends; ///< By class.
 };
 
 /// Finds workers that fail the tasks of different jobs one after another.
--- a/tests/sched/sched_test.cc
+++ b/tests/sched/sched_test.cc
@@ -193,6 +193,22 @@
   EXPECT_EQ(E.estimate("c", "other", 1000), 1000);
 }
 
+TEST(RunTimeEstimates, trustsLongDeclarationsLess) {
+  // Guards against a plan that believes a declaration far from all earlier runs
+  // of the class, and against one that ignores declarations that were right.
+  RunTimeEstimates E;
+  for (int I = 0; I < 40; ++I) {
+    E.learn("alike", "a", 1000, 2000);
+    E.learn("alike", "a", 4000, 2000);
+    E.learn("true", "a", 1000, 1000);
+    E.learn("true", "a", 4000, 4000);
+  }
+  EXPECT_NEAR(static_cast<double>(E.estimate("alike", "a", 1000)), 2000, 200);
+  EXPECT_NEAR(static_cast<double>(E.estimate("alike", "a", 4000)), 2000, 200);
+  EXPECT_EQ(E.estimate("true", "a", 4000), 4000);
+  EXPECT_EQ(E.estimate("alike", "a", 1000000), 125000);
+}
+
 TEST(FailureTracker, quarantinesAWorkerThatFailsDifferentJobs) {
   // Guards against a broken worker that drains the queue.
   FailureTracker T;
