--- a/tests/sched/generators.h
+++ b/tests/sched/generators.h
@@ -71,6 +71,7 @@
             const std::vector<WorkerView> &Workers, int Most) {
   static constexpr int Sizes[] = {1, 2, 4};
   std::map<std::string, std::vector<bool>> Used;
+  std::map<std::string, int> Members;
   std::vector<RunningView> Out;
   for (int I = pick(0, Most); I > 0; --I) {
     const WorkerView &W = Workers[static_cast<std::size_t>(
@@ -79,13 +80,15 @@
     const int First = Size * pick(0, 8 / Size - 1);
     std::vector<bool> &Taken = Used[W.m_name];
     Taken.resize(16);
-    bool Fits = First + Size <= W.m_accelerators;
+    bool Fits =
+        First + Size <= W.m_accelerators && Members[W.m_name] < W.m_slots;
     for (int A = First; A < First + Size; ++A)
       Fits = Fits && !Taken[static_cast<std::size_t>(A)];
     if (!Fits)
       continue;
     for (int A = First; A < First + Size; ++A)
       Taken[static_cast<std::size_t>(A)] = true;
+    ++Members[W.m_name];
     RunningView R;
     R.m_id = "run" + std::to_string(I);
     R.m_account = pickName(Accounts);
