Spare jobs that lay inside their own blocks when the pass began

Cause: a placement that cannot be preempted may move the assignment of blocks during a pass, and a later reclaim of the pass then stopped a job that lay inside its own account's blocks at the start.

--- a/src/sched/pass.cc
+++ b/src/sched/pass.cc
@@ -72,6 +72,7 @@
   const double Share = overdueShare(S.m_rule);
   for (std::size_t I = 0; I < S.m_running.size(); ++I) {
     m_reclaiming.push_back(S.m_running[I].m_reclaiming);
+    m_insideOwn.push_back(m_promises.isInsideOwn(m_fleet.m_holdings[I]));
     m_ends.push_back(
         {expectedEnd(S.m_running[I], S.m_nowMs, Share), static_cast<int>(I)});
   }
@@ -266,8 +267,8 @@
   const int Account = m_fleet.accountIndex(J.m_spec.m_account);
   if (!isEntitled(J))
     return false;
-  const ReclaimChoice Choice =
-      chooseReclaim(m_fleet, m_promises, Account, R, m_reclaiming, m_s.m_rule);
+  const ReclaimChoice Choice = chooseReclaim(
+      m_fleet, m_promises, Account, R, m_reclaiming, m_insideOwn, m_s.m_rule);
   if (Choice.m_holdings.empty())
     return false;
   for (const int I : Choice.m_holdings) {
--- a/src/sched/pass.h
+++ b/src/sched/pass.h
@@ -51,6 +51,9 @@
   std::vector<int> m_inUse;       ///< Accelerators by account.
   std::vector<int> m_guaranteed;  ///< Accelerators by account.
   std::vector<bool> m_reclaiming; ///< By running job.
+  /// By running job: whether it lay in its own account's blocks when the pass
+  /// began. Later assignments of the pass must not expose it to reclaims.
+  std::vector<bool> m_insideOwn;
   /// By worker: blocks that the account has waiting work for.
   std::vector<std::vector<std::pair<int, Mask>>> m_claims;
   std::vector<Mask> m_pending; ///< Accelerators kept for reclaiming jobs.
--- a/src/sched/reclaim.cc
+++ b/src/sched/reclaim.cc
@@ -10,11 +10,13 @@
 // Victims on the account's blocks. Jobs without accelerators count as well:
 // they hold slots, cores and memory that the blocks are of no use without.
 Victims possibleVictims(const Fleet &F, const Promises &P, int Account,
-                        const std::vector<bool> &Reclaiming) {
+                        const std::vector<bool> &Reclaiming,
+                        const std::vector<bool> &Protected) {
   Victims Out(F.m_nodes.size());
   for (std::size_t I = 0; I < Reclaiming.size(); ++I) {
     const Holding &H = F.m_holdings[I];
-    if (!H.m_preemptible || H.m_account == Account || P.isInsideOwn(H))
+    if (!H.m_preemptible || H.m_account == Account || Protected[I] ||
+        P.isInsideOwn(H))
       continue;
     for (const Place &At : H.m_places) {
       const Mask Promised = P.toAccount(Account, At.m_worker);
@@ -96,8 +98,10 @@
 
 ReclaimChoice chooseReclaim(const Fleet &F, const Promises &P, int Account,
                             Request R, const std::vector<bool> &Reclaiming,
+                            const std::vector<bool> &Protected,
                             const model::PlacementRule &Rule) {
-  const Victims Possible = possibleVictims(F, P, Account, Reclaiming);
+  const Victims Possible =
+      possibleVictims(F, P, Account, Reclaiming, Protected);
   std::vector<Node> Nodes = F.m_nodes;
   if (R.m_blocked.empty())
     R.m_blocked.resize(Nodes.size());
