--- a/src/mesh/connection.cc
+++ b/src/mesh/connection.cc
@@ -26,8 +26,10 @@
 
 std::unique_ptr<Connection> Connection::dial(const std::string &Address,
                                              const std::string &SourceHost,
-                                             Limits Limits) {
+                                             Limits Limits,
+                                             base::Millis ClosedAt) {
   std::unique_ptr<Connection> Out(new Connection(Limits));
+  Out->m_closedAt = ClosedAt;
   if (nng_push0_open(&Out->m_socket) != 0)
     return nullptr;
   if (nng_aio_alloc(&Out->m_aio, &Connection::onSent, Out.get()) != 0)
--- a/src/mesh/connection.h
+++ b/src/mesh/connection.h
@@ -29,9 +29,10 @@
   /// Starts to dial \p Address (`host:port`) in the background, from the local
   /// address \p SourceHost if that is a numeric IPv4 address other than
   /// 0.0.0.0. Returns null if nng refuses an address or has no resources.
+  /// \p ClosedAt is that of the connection that this one replaces, or -1.
   static std::unique_ptr<Connection> dial(const std::string &Address,
                                           const std::string &SourceHost,
-                                          Limits Limits);
+                                          Limits Limits, base::Millis ClosedAt);
 
   Connection(const Connection &) = delete;
   Connection &operator=(const Connection &) = delete;
