Confirm a leader before its agents count it as heard

Cause: an entry that leads told its agents an age of 0 of the leader, always. A leader that is cut off with its region does not read the newer claim, so its agents never reached their orphan limit, while the new leader counted the attempts as ended. A payment ran 5.3 s after its caller was told unknown. Now a leader counts as heard only since it surely was not replaced: by a read of the log's end, or in an outage by pongs of all other entries that have read no more of the log. Standbys add the age that the leader tells. Ruled out: only reads of the log, because a plain outage of the log service would end tasks; pings as proof, because one may wait in a cut link.

--- a/src/entry/core.cc
+++ b/src/entry/core.cc
@@ -279,11 +279,13 @@
                                    m_self.m_name, m_self.m_incarnation})));
 }
 
-model::Heartbeat Core::heartbeat() const {
+model::Heartbeat Core::heartbeat(Millis NowMs) const {
   model::Heartbeat H;
   H.m_role = m_leadership.leads() ? "leader" : "standby";
   H.m_appliedOffset = m_replica.nextOffset();
   H.m_configVersion = state().m_configVersion;
+  if (m_leadership.leads())
+    H.m_leaderAgeMs = confirmedAge(NowMs);
   return H;
 }
 
--- a/src/entry/core.h
+++ b/src/entry/core.h
@@ -67,7 +67,7 @@
   bool departed() const { return m_departed; }
 
   /// What pings and pongs tell.
-  model::Heartbeat heartbeat() const;
+  model::Heartbeat heartbeat(Millis NowMs) const;
 
   const state::State &state() const { return m_replica.state(); }
 
@@ -123,6 +123,7 @@
   void dropLostMembers(Millis NowMs);
   const Peer *leaderPeer() const;
   Millis leaderAge(Millis NowMs) const;
+  Millis confirmedAge(Millis NowMs) const;
 
   // Requests; core_requests.cc.
   void onCall(ApiCall Call, Millis NowMs);
@@ -170,6 +171,9 @@
   std::vector<model::Message> m_early;
   std::uint64_t m_toldEpoch = 0; ///< Epoch whose leader was told of agents.
   Millis m_leaderPongMs = -1;    ///< When the leader last answered a ping.
+  Millis m_leaderPongAgeMs = 0;  ///< Age that this answer told.
+  /// By member: when it last told that it has read no more of the log.
+  std::map<std::string, Millis> m_notAheadMs;
   std::uint64_t m_nextRequest = 1;
 
   Millis m_tickMs = -1;
--- a/src/entry/core_messages.cc
+++ b/src/entry/core_messages.cc
@@ -53,13 +53,20 @@
     return;
   m_replica.heardPeer(Beat->m_appliedOffset, NowMs);
   m_leadership.heardMember(M.m_from, NowMs);
+  // A ping may have waited in a link that was cut, a pong answers a recent
+  // ping.
+  if (M.m_kind == MessageKind::Pong &&
+      Beat->m_appliedOffset <= m_replica.nextOffset())
+    m_notAheadMs[M.m_from] = NowMs;
   if (M.m_from != state().m_leader || Beat->m_role != "leader")
     return;
   m_leadership.heardLeader(state(), NowMs);
   // Only a pong proves that the leader can hear this entry, and with it the
   // agents whose orphan limit depends on that.
-  if (M.m_kind == MessageKind::Pong)
+  if (M.m_kind == MessageKind::Pong && Beat->m_leaderAgeMs >= 0) {
     m_leaderPongMs = NowMs;
+    m_leaderPongAgeMs = Beat->m_leaderAgeMs;
+  }
 }
 
 void Core::onAgentReport(const model::Message &M, Millis NowMs) {
@@ -398,8 +405,29 @@
 
 Millis Core::leaderAge(Millis NowMs) const {
   if (m_leadership.leads())
-    return 0;
-  return m_leaderPongMs < 0 ? -1 : NowMs - m_leaderPongMs;
+    return confirmedAge(NowMs);
+  return m_leaderPongMs < 0 ? -1 : NowMs - m_leaderPongMs + m_leaderPongAgeMs;
+}
+
+// Time since this leader was surely not replaced, or -1. A leader that is cut
+// off from the log does not read a newer claim, and without this its agents
+// would run tasks beyond the orphan limit after which the new leader counts
+// them as ended. In an outage of the log service nobody can claim: then the
+// other entries have read no more of the log either.
+Millis Core::confirmedAge(Millis NowMs) const {
+  const Millis ReadMs = m_replica.endReadAge(NowMs);
+  Millis PeersMs = -1;
+  for (const auto &[Name, Member] : state().m_members) {
+    if (Name == m_self.m_name)
+      continue;
+    const auto It = m_notAheadMs.find(Name);
+    if (It == m_notAheadMs.end())
+      return ReadMs;
+    PeersMs = std::max(PeersMs, NowMs - It->second);
+  }
+  if (ReadMs < 0 || PeersMs < 0)
+    return std::max(ReadMs, PeersMs);
+  return std::min(ReadMs, PeersMs);
 }
 
 } // namespace pomelokeel::entry
--- a/src/entry/core_requests.cc
+++ b/src/entry/core_requests.cc
@@ -234,7 +234,7 @@
   Out.m_incarnation = m_self.m_incarnation;
   Out.m_dataCentre = m_self.m_dataCentre;
   Out.m_region = m_self.m_region;
-  Out.m_role = heartbeat().m_role;
+  Out.m_role = heartbeat(NowMs).m_role;
   Out.m_notReadyReason = m_replica.notReadyReason();
   Out.m_ready = m_replica.ready();
   Out.m_stopping = m_stopping;
--- a/src/entry/process.cc
+++ b/src/entry/process.cc
@@ -273,7 +273,7 @@
     if (NowMs >= NextTickMs) {
       m_core->tick(NowMs);
       NextTickMs = NowMs + Core::TickMs;
-      m_beat.set(m_core->heartbeat(), NowMs);
+      m_beat.set(m_core->heartbeat(NowMs), NowMs);
     }
     stepCore(std::move(Input));
   }
--- a/src/model/message.h
+++ b/src/model/message.h
@@ -68,12 +68,15 @@
   std::string m_role; ///< "leader", "standby" or "agent".
   std::uint64_t m_appliedOffset = 0;
   std::uint64_t m_configVersion = 0;
+  /// Of a leader: time since it was surely not replaced, or -1.
+  Millis m_leaderAgeMs = -1;
 
   static constexpr auto fields() {
     return std::tuple{
         base::required("role", &Heartbeat::m_role),
         base::optional("appliedOffset", &Heartbeat::m_appliedOffset),
-        base::optional("configVersion", &Heartbeat::m_configVersion)};
+        base::optional("configVersion", &Heartbeat::m_configVersion),
+        base::optional("leaderAgeMs", &Heartbeat::m_leaderAgeMs)};
   }
 };
 
