Share the fleet of scenarios and run more of them at once

Cause: 23 scenarios began with the same 12 lines, and since a scenario took 3 of 5 slots of ctest only one ran at a time: the suite grew from 181 to 409 s with build.

--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 	cmake --build $(BUILD) $(if $(TARGETS),--target $(TARGETS))
 
 test: build
-	ctest --test-dir $(BUILD) --output-on-failure -j 5 $(CTEST_FLAGS)
+	ctest --test-dir $(BUILD) --output-on-failure -j 8 $(CTEST_FLAGS)
 
 demo: build
 	examples/demo.sh $(BUILD)
--- a/src/entry/process.h
+++ b/src/entry/process.h
@@ -19,6 +19,7 @@
 
   /// The bound `host:port`.
   std::string httpAddress() const;
+  /// The `host:port` that peers dial.
   std::string meshAddress() const;
 
   /// Graceful stop: takes no new jobs, answers the requests in flight within
--- a/src/model/record.h
+++ b/src/model/record.h
@@ -114,7 +114,9 @@
   std::string m_worker;
   WorkerStanding m_standing = WorkerStanding::Healthy;
   std::string m_reason;
-  Millis m_untilMs = 0; ///< Log time at which probation starts; 0 is none.
+  /// Log time at which probation starts, or for a lost worker, from which on
+  /// it may leave; 0 is none.
+  Millis m_untilMs = 0;
 
   static constexpr auto fields() {
     return std::tuple{base::required("worker", &StandingChange::m_worker),
--- a/tests/entry/core_test.cc
+++ b/tests/entry/core_test.cc
@@ -162,7 +162,9 @@
   std::unique_ptr<Core> m_core;
 };
 
-bool leads(const Bench &B) { return B.m_core->heartbeat(B.m_nowMs).m_role == "leader"; }
+bool leads(const Bench &B) {
+  return B.m_core->heartbeat(B.m_nowMs).m_role == "leader";
+}
 
 bool contains(const http::Response &R, const std::string &Text) {
   return R.m_body.find(Text) != std::string::npos;
--- a/tests/model/gang_test.cc
+++ b/tests/model/gang_test.cc
@@ -11,7 +11,8 @@
 // \p Workers workers with \p PerWorker members each.
 std::vector<MemberPlace> places(int Workers, int PerWorker) {
   std::vector<MemberPlace> Out;
-  Out.reserve(static_cast<std::size_t>(Workers * PerWorker));
+  Out.reserve(static_cast<std::size_t>(Workers) *
+              static_cast<std::size_t>(PerWorker));
   for (int I = 0; I < Workers * PerWorker; ++I)
     Out.push_back({"w" + std::to_string(I / PerWorker), I % PerWorker, 1});
   return Out;
--- a/tests/scenario/main.cc
+++ b/tests/scenario/main.cc
@@ -5,8 +5,6 @@
 
 #include <cstdio>
 #include <filesystem>
-#include <fstream>
-#include <sstream>
 #include <stdlib.h>
 
 namespace {
@@ -20,12 +18,7 @@
 }
 
 base::Status runFile(const std::string &File, scenario::Programs P) {
-  std::ifstream In(File);
-  std::stringstream Text;
-  Text << In.rdbuf();
-  if (!In)
-    return base::Error{base::ErrorKind::NotFound, File + " cannot be read"};
-  const auto Steps = scenario::parseScenario(Text.str());
+  const auto Steps = scenario::loadScenario(File);
   if (!Steps)
     return Steps.error();
   scenario::Runner R(std::move(P));
--- a/tests/scenario/step.cc
+++ b/tests/scenario/step.cc
@@ -1,6 +1,6 @@
 #include "scenario/step.h"
 
-#include <sstream>
+#include <fstream>
 
 namespace pomelokeel::scenario {
 namespace {
@@ -61,19 +61,30 @@
   return It == m_options.end() ? Default : std::stol(It->second);
 }
 
-base::Result<std::vector<Step>> parseScenario(const std::string &Text) {
+base::Result<std::vector<Step>>
+loadScenario(const std::filesystem::path &File) {
+  std::ifstream In(File);
+  if (!In)
+    return base::Error{base::ErrorKind::NotFound,
+                       File.string() + " cannot be read"};
   std::vector<Step> Steps;
-  std::istringstream In(Text);
   std::string Line;
   for (int Number = 1; std::getline(In, Line); ++Number) {
     std::vector<Word> Words;
     if (!splitWords(Line, Words))
       return base::Error{base::ErrorKind::BadRequest,
-                         "line " + std::to_string(Number) +
+                         File.string() + ":" + std::to_string(Number) +
                              ": quote is not closed"};
     if (Words.empty() || Words.front().m_text.front() == '#')
       continue;
     Steps.push_back(makeStep(Number, Words));
+    if (Steps.back().m_command != "include")
+      continue;
+    auto Included = loadScenario(File.parent_path() / Steps.back().argument(0));
+    if (!Included)
+      return Included;
+    Steps.pop_back();
+    Steps.insert(Steps.end(), Included->begin(), Included->end());
   }
   return Steps;
 }
--- a/tests/scenario/step.h
+++ b/tests/scenario/step.h
@@ -2,6 +2,7 @@
 
 #include "base/error.h"
 
+#include <filesystem>
 #include <map>
 #include <string>
 #include <vector>
@@ -25,9 +26,10 @@
   long number(const std::string &Name, long Default) const;
 };
 
-/// Parses a scenario. Empty lines and lines that start with # are skipped;
+/// Reads a scenario. Empty lines and lines that start with # are skipped;
 /// words in single quotes may contain spaces and are always plain arguments.
-/// Error: badRequest, naming the line.
-base::Result<std::vector<Step>> parseScenario(const std::string &Text);
+/// `include FILE` stands for the steps of a file beside it. Errors: notFound,
+/// badRequest, naming file and line.
+base::Result<std::vector<Step>> loadScenario(const std::filesystem::path &File);
 
 } // namespace pomelokeel::scenario
