Use the task table's check of ended holds in the agent core

Cause: the agent core wrote the comparison of hold states again that tasks.h has as isEnded(). Behaviour is the same. Ruled out for now: one isEnded() in model for agent, attempts.cc and relay.cc as well, which rebuilds everything. All 329 tests, format and lint of the file pass.

--- a/src/agent/core.cc
+++ b/src/agent/core.cc
@@ -235,10 +235,7 @@
 
 Millis Core::reportInterval() const {
   const auto Holds = m_table.holds();
-  const bool Result =
-      std::any_of(Holds.begin(), Holds.end(), [](const model::Hold &H) {
-        return H.m_state >= model::HoldState::Succeeded;
-      });
+  const bool Result = std::any_of(Holds.begin(), Holds.end(), isEnded);
   return Result ? ResultEveryMs : ReportEveryMs;
 }
 
