--- a/src/base/clock.cc
+++ b/src/base/clock.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <chrono>
 
+#include <time.h>
+
 namespace pomelokeel::base {
 
 Millis monotonicNow() {
@@ -11,6 +13,15 @@
       .count();
 }
 
+Millis bootNow() {
+  constexpr Millis MsPerSecond = 1000;
+  constexpr Millis NsPerMs = 1000000;
+  timespec T{};
+  if (clock_gettime(CLOCK_BOOTTIME, &T) != 0)
+    return monotonicNow();
+  return T.tv_sec * MsPerSecond + T.tv_nsec / NsPerMs;
+}
+
 Millis wallNow() {
   using namespace std::chrono;
   return duration_cast<milliseconds>(system_clock::now().time_since_epoch())
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -14,6 +14,9 @@
 /// Monotonic time. Continues while a process is stopped.
 Millis monotonicNow();
 
+/// Monotonic time that also counts while the machine is suspended.
+Millis bootNow();
+
 /// Wall clock time since the Unix epoch. Only for display and event stamps.
 Millis wallNow();
 
--- a/src/base/events.cc
+++ b/src/base/events.cc
@@ -30,8 +30,9 @@
 } // namespace
 
 EventLog::EventLog(std::string Process, std::size_t Capacity,
-                   HybridClock &Clock)
-    : m_process(std::move(Process)), m_clock(Clock), m_events(Capacity) {}
+                   HybridClock &Clock, LineSink Sink)
+    : m_process(std::move(Process)), m_clock(Clock), m_events(Capacity),
+      m_sink(std::move(Sink)) {}
 
 void EventLog::record(const std::string &Name, const EventSubject &Subject,
                       const std::string &Detail) {
@@ -43,7 +44,10 @@
           Subject.m_account,
           Subject.m_worker,
           Detail};
-  LOG(INFO) << logLine(E);
+  if (m_sink)
+    m_sink(Name, logLine(E));
+  else
+    LOG(INFO) << logLine(E);
   const std::lock_guard Lock(m_mutex);
   E.m_sequence = m_next++;
   m_events.push_back(std::move(E));
--- a/src/base/events.h
+++ b/src/base/events.h
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <mutex>
 #include <string>
 #include <vector>
@@ -56,11 +57,17 @@
   std::string m_worker;
 };
 
+/// Takes the line of an event and its name.
+using LineSink =
+    std::function<void(const std::string &Name, const std::string &Line)>;
+
 /// Bounded ring of events of one process. Writes each event to the log as one
-/// line of key=value pairs as well. Thread-safe.
+/// line of key=value pairs as well, by glog unless a sink is given.
+/// Thread-safe if the sink is.
 class EventLog {
 public:
-  EventLog(std::string Process, std::size_t Capacity, HybridClock &Clock);
+  EventLog(std::string Process, std::size_t Capacity, HybridClock &Clock,
+           LineSink Sink = nullptr);
 
   void record(const std::string &Name, const EventSubject &Subject,
               const std::string &Detail = "");
@@ -72,6 +79,7 @@
   std::string m_process;
   HybridClock &m_clock;
   boost::circular_buffer<Event> m_events;
+  LineSink m_sink;
   std::uint64_t m_next = 0;
 };
 
--- /dev/null
+++ b/src/batch/leader.cc
@@ -0,0 +1,294 @@
+#include "batch/leader.h"
+
+#include "base/compact.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <string_view>
+#include <utility>
+
+namespace pomelokeel::batch {
+namespace {
+
+constexpr std::string_view SpecPrefix = "spec/";
+constexpr std::string_view StatePrefix = "state/";
+
+/// Longest time between two looks at what could be started. Changes cause one
+/// at once; this covers what only time changes (quarantine, silence).
+constexpr Millis ScheduleEveryMs = 250;
+
+std::string keyOf(std::string_view Prefix, const std::string &Id) {
+  return std::string(Prefix) + Id;
+}
+
+template <typename T> std::string pack(const T &Value) {
+  return base::dumpJson(base::encodeCompact(Value));
+}
+
+template <typename T> base::Status unpack(const KeyedRecord &R, T &Out) {
+  const base::Json J = base::parseJson(R.m_value);
+  if (J.is_discarded())
+    return base::Error{base::ErrorKind::BadRequest, "not valid JSON"};
+  return base::decodeCompact(J, "", Out);
+}
+
+} // namespace
+
+Leader::Leader(const Timing &T, LeaderPorts &Ports, base::Counters &Counters,
+               std::uint64_t Epoch, Millis Now, Millis Wall)
+    : m_timing(T), m_ports(Ports), m_counters(Counters), m_epoch(Epoch),
+      m_startedAt(Now), m_confirmedAt(Now),
+      m_journal(Epoch, [this](const JournalBatch &B) { m_ports.append(B); }) {
+  m_ports.event("leadershipTaken", "",
+                fmt::format("epoch={} wall={}", Epoch, Wall));
+}
+
+base::Status Leader::load(const std::vector<KeyedRecord> &Records) {
+  base::Status Out = base::success();
+  auto Keep = [&](const KeyedRecord &R, const base::Status &S) {
+    if (S || !Out)
+      return;
+    Out = base::Error{base::ErrorKind::Internal,
+                      R.m_key + ": " + S.error().m_message};
+  };
+  std::map<std::string, Progress> States;
+  for (const KeyedRecord &R : Records) {
+    if (R.m_key.starts_with(StatePrefix)) {
+      Progress P;
+      if (auto S = unpack(R, P); S)
+        States[R.m_key.substr(StatePrefix.size())] = std::move(P);
+      else
+        Keep(R, S);
+      continue;
+    }
+    if (!R.m_key.starts_with(SpecPrefix))
+      continue;
+    Job J;
+    if (auto S = unpack(R, J.m_spec); S)
+      m_jobs[J.m_spec.m_id] = std::move(J);
+    else
+      Keep(R, S);
+  }
+  for (auto &[Id, J] : m_jobs) {
+    J.m_specStored = true;
+    J.m_acceptedAt = m_startedAt;
+    if (const auto It = States.find(Id); It != States.end())
+      J.m_progress = std::move(It->second);
+    J.m_shown = J.m_progress.m_phase;
+    // The journal does not say which orders were sent, so all may have been.
+    for (Occurrence &O : J.m_progress.m_occurrences) {
+      for (auto &Tasks : O) {
+        for (Task &T : Tasks) {
+          T.m_startSentAt = T.m_placedAt = T.m_seenAt = m_startedAt;
+          if (isEnded(J.m_progress.m_phase) && T.m_phase == TaskPhase::Placed)
+            T.m_stop = StopReason::Cancelled;
+        }
+      }
+    }
+  }
+  m_ports.event(
+      "journalLoaded", "",
+      fmt::format("records={} jobs={}", Records.size(), m_jobs.size()));
+  return Out;
+}
+
+void Leader::configure(const Config &C) {
+  m_guarantees = guaranteesOf(C);
+  m_scheduleWanted = true;
+}
+
+void Leader::setEntries(std::vector<std::string> Entries) {
+  m_entries = std::move(Entries);
+  ++m_entriesVersion;
+}
+
+void Leader::handle(const CallerRequest &R, Millis Now, Millis Wall,
+                    CallerAnswer Answer) {
+  if (!confirmed(Now) && R.m_kind != CallerRequestKind::Submit) {
+    CallerReply Out;
+    Out.m_verdict = Verdict::Unavailable;
+    Out.m_reason = "leadership is not confirmed";
+    return Answer(std::move(Out));
+  }
+  switch (R.m_kind) {
+  case CallerRequestKind::Submit:
+    submit(R, Now, Wall, std::move(Answer));
+    break;
+  case CallerRequestKind::Query:
+    query(R, Answer);
+    break;
+  case CallerRequestKind::Cancel:
+    cancel(R, Now, Wall, std::move(Answer));
+    break;
+  case CallerRequestKind::CountPending:
+    countPending(R, Answer);
+    break;
+  }
+  settle(Now);
+}
+
+void Leader::report(const AgentReport &R, Millis Now, Millis Wall,
+                    AgentAnswer Answer) {
+  AgentView &A = m_agents[R.m_agent];
+  const bool Reborn = A.m_incarnation != R.m_incarnation;
+  if (Reborn || R.m_sequence > A.m_sequence) {
+    if (Reborn)
+      m_ports.event(
+          "agentSeen", "",
+          fmt::format("agent={} incarnation={}", R.m_agent, R.m_incarnation));
+    if (Reborn)
+      A.m_entriesTold = 0;
+    A.m_name = R.m_agent;
+    A.m_incarnation = R.m_incarnation;
+    A.m_sequence = R.m_sequence;
+    A.m_heardAt = Now;
+    A.m_unhealthy = R.m_unhealthy;
+    if (R.m_worker) {
+      const std::string Before = A.m_worker.m_life;
+      const bool WasDraining = A.m_worker.m_draining;
+      A.m_worker = *R.m_worker;
+      if (!Before.empty() && Before != A.m_worker.m_life) {
+        adopt(R, Before);
+        lose(A.m_name, Before, "workerRestarted", Now, Wall);
+      }
+      if (A.m_worker.m_draining && !WasDraining)
+        m_ports.event("workerDraining", "",
+                      fmt::format("agent={} remainingMs={}", A.m_name,
+                                  A.m_worker.m_remainingMs));
+    }
+    A.m_runs = R.m_runs;
+    matchRuns(A, Now);
+    for (const EndReport &E : R.m_ends)
+      takeEnd(A, E, Now, Wall);
+    std::erase_if(A.m_ends, [&](const auto &Known) {
+      return std::none_of(
+          R.m_ends.begin(), R.m_ends.end(), [&](const EndReport &E) {
+            return Known.first == std::tuple(E.m_task, E.m_run, E.m_number);
+          });
+    });
+    m_scheduleWanted = true;
+  }
+  A.m_parked.push_back({Now + m_timing.m_parkMs, R.m_waits, std::move(Answer)});
+  settle(Now);
+}
+
+void Leader::appended(AppendOutcome Outcome, Millis Now) {
+  m_counters.get(fmt::format("journal_appends{{outcome=\"{}\"}}",
+                             static_cast<int>(Outcome)))++;
+  m_journal.onOutcome(Outcome, Now);
+  if (Outcome == AppendOutcome::Done) {
+    for (const auto &[Id, Phase] : m_flushedPhases) {
+      if (const auto It = m_jobs.find(Id); It != m_jobs.end()) {
+        It->second.m_shown = Phase;
+        It->second.m_specStored = true;
+      }
+    }
+    m_flushedPhases.clear();
+  } else if (m_journal.withdrawable()) {
+    withdrawSubmissions();
+  }
+  settle(Now);
+}
+
+void Leader::advance(Millis Now, Millis Wall) {
+  addOccurrences(Wall);
+  loseSilent(Now, Wall);
+  watchRuns(Now);
+  purge(Wall);
+  m_journal.advance(Now);
+  if (Now - m_scheduledAt >= ScheduleEveryMs)
+    m_scheduleWanted = true;
+  settle(Now);
+}
+
+// An order that was sent to the life before may have started its run in the
+// new one, where it must not run beside another.
+void Leader::adopt(const AgentReport &R, const std::string &Before) {
+  for (const RunReport &Run : R.m_runs) {
+    const auto Name = parseTaskName(Run.m_task);
+    Task *T = Name ? find(*Name) : nullptr;
+    if (T == nullptr || T->m_phase != TaskPhase::Placed ||
+        T->m_run != Run.m_run || T->m_agent != R.m_agent || T->m_life != Before)
+      continue;
+    T->m_life = R.m_worker->m_life;
+    changed(m_jobs[Name->m_job]);
+    m_ports.event("runAdopted", Name->m_job,
+                  fmt::format("task={} run={} life={}", Run.m_task, Run.m_run,
+                              T->m_life));
+  }
+}
+
+std::pair<std::size_t, std::size_t> Leader::agentsHeard(Millis Now) const {
+  std::size_t Heard = 0;
+  for (const auto &[Name, A] : m_agents)
+    Heard += Now - A.m_heardAt < m_timing.m_silentMs ? 1 : 0;
+  return {Heard, m_agents.size()};
+}
+
+void Leader::resign() {
+  for (auto &W : m_waiters) {
+    CallerReply Out;
+    Out.m_verdict = Verdict::Unknown;
+    Out.m_reason = "the leader has changed";
+    W.m_answer(std::move(Out));
+  }
+  m_waiters.clear();
+  for (auto &[Name, A] : m_agents) {
+    for (auto &P : A.m_parked)
+      P.m_answer({});
+    A.m_parked.clear();
+  }
+}
+
+void Leader::changed(Job &J) {
+  J.m_batch = m_journal.nextBatch();
+  m_dirty.insert(J.m_spec.m_id);
+  m_scheduleWanted = true;
+}
+
+void Leader::settle(Millis Now) {
+  if (m_scheduleWanted && confirmed(Now))
+    schedule(Now);
+  flush(Now);
+  answerWaiters(Now);
+  answerAgents(Now);
+}
+
+void Leader::flush(Millis Now) {
+  if (m_journal.busy() || (m_dirty.empty() && m_dropped.empty()))
+    return;
+  std::vector<KeyedRecord> Records;
+  for (const std::string &Id : m_dirty) {
+    const auto It = m_jobs.find(Id);
+    if (It == m_jobs.end())
+      continue;
+    Job &J = It->second;
+    if (!J.m_specStored)
+      Records.push_back({keyOf(SpecPrefix, Id), pack(J.m_spec)});
+    Records.push_back({keyOf(StatePrefix, Id), pack(J.m_progress)});
+    m_flushedPhases[Id] = J.m_progress.m_phase;
+  }
+  for (const std::string &Id : m_dropped) {
+    Records.push_back({keyOf(SpecPrefix, Id), ""});
+    Records.push_back({keyOf(StatePrefix, Id), ""});
+  }
+  m_dirty.clear();
+  m_dropped.clear();
+  if (!Records.empty())
+    m_journal.write(std::move(Records), Now);
+}
+
+void Leader::purge(Millis Wall) {
+  for (auto It = m_jobs.begin(); It != m_jobs.end();) {
+    const Progress &P = It->second.m_progress;
+    if (!isEnded(P.m_phase) || Wall - P.m_endedMs < m_timing.m_retentionMs) {
+      ++It;
+      continue;
+    }
+    m_dropped.push_back(It->first);
+    It = m_jobs.erase(It);
+  }
+}
+
+} // namespace pomelokeel::batch
--- /dev/null
+++ b/src/batch/leader_callers.cc
@@ -0,0 +1,168 @@
+#include "batch/leader.h"
+
+#include <fmt/format.h>
+
+#include <utility>
+
+namespace pomelokeel::batch {
+namespace {
+
+/// An append that takes longer than this means that the log is slow or down:
+/// new jobs are refused at once, so that callers can come back later.
+constexpr Millis JournalStallMs = 600;
+
+/// When a caller that was refused for the journal's sake should come back:
+/// outages last seconds, and a first try after one is worth more than many.
+constexpr Millis RetryJournalMs = 2000;
+
+/// Kept of a caller's time for the way back.
+constexpr Millis AnswerMarginMs = 150;
+
+CallerReply refusal(Verdict V, Millis RetryAfterMs, std::string Reason) {
+  CallerReply Out;
+  Out.m_verdict = V;
+  Out.m_retryAfterMs = RetryAfterMs;
+  Out.m_reason = std::move(Reason);
+  return Out;
+}
+
+} // namespace
+
+void Leader::submit(const CallerRequest &R, Millis Now, Millis Wall,
+                    CallerAnswer Answer) {
+  if (!R.m_spec)
+    return Answer(refusal(Verdict::BadRequest, 0, "no job"));
+  auto It = m_jobs.find(R.m_id);
+  if (It == m_jobs.end()) {
+    if (m_journal.waitingFor(Now) > JournalStallMs) {
+      m_ports.event("jobRefused", R.m_id,
+                    fmt::format("reason=journalStalled forMs={}",
+                                m_journal.waitingFor(Now)));
+      m_counters.get("jobs_refused{reason=\"journal\"}")++;
+      return Answer(refusal(Verdict::Unavailable, RetryJournalMs,
+                            "the log does not answer"));
+    }
+    if (auto Checked = check(*R.m_spec); !Checked) {
+      m_ports.event("jobRefused", R.m_id,
+                    "reason=\"" + Checked.error().m_message + "\"");
+      return Answer(refusal(Verdict::BadRequest, 0, Checked.error().m_message));
+    }
+    Job J;
+    J.m_spec = *R.m_spec;
+    J.m_spec.m_id = R.m_id;
+    J.m_spec.m_queue = R.m_queue;
+    J.m_spec.m_account = R.m_account;
+    J.m_spec.m_acceptedMs = Wall;
+    J.m_acceptedAt = Now;
+    J.m_acceptBatch = m_journal.nextBatch();
+    if (J.m_spec.m_times == 0)
+      J.m_progress.m_occurrences.push_back(makeOccurrence(J.m_spec));
+    It = m_jobs.emplace(R.m_id, std::move(J)).first;
+    changed(It->second);
+    addOccurrences(Wall);
+    m_ports.event("jobSubmitted", R.m_id,
+                  fmt::format("queue={} account={} priority={} steps={}",
+                              R.m_queue.m_name, R.m_account,
+                              R.m_queue.m_priority, R.m_spec->m_steps.size()));
+    m_counters.get("jobs_submitted")++;
+  }
+  m_waiters.push_back({It->second.m_acceptBatch, R.m_id, true,
+                       Now + R.m_remainingMs - AnswerMarginMs,
+                       std::move(Answer)});
+}
+
+void Leader::query(const CallerRequest &R, const CallerAnswer &Answer) const {
+  const auto It = m_jobs.find(R.m_id);
+  CallerReply Out;
+  Out.m_verdict = It == m_jobs.end() ? Verdict::Gone : Verdict::Ok;
+  if (It != m_jobs.end()) {
+    const Job &J = It->second;
+    // An end is shown once it is stored, since it must stand for good.
+    Out.m_phase =
+        isEnded(J.m_progress.m_phase) ? J.m_shown : J.m_progress.m_phase;
+  }
+  Answer(std::move(Out));
+}
+
+void Leader::cancel(const CallerRequest &R, Millis Now, Millis Wall,
+                    CallerAnswer Answer) {
+  const auto It = m_jobs.find(R.m_id);
+  if (It == m_jobs.end())
+    return Answer(refusal(Verdict::Gone, 0, ""));
+  Job &J = It->second;
+  if (!isEnded(J.m_progress.m_phase)) {
+    m_ports.event("jobCancelled", R.m_id,
+                  fmt::format("phase={}", base::nameOf(J.m_progress.m_phase)));
+    m_counters.get("jobs_cancelled")++;
+    finishJob(J, JobPhase::Cancelled, Wall);
+    stopAll(J, StopReason::Cancelled, Now);
+  }
+  m_waiters.push_back({J.m_batch, R.m_id, false,
+                       Now + R.m_remainingMs - AnswerMarginMs,
+                       std::move(Answer)});
+}
+
+void Leader::countPending(const CallerRequest &R,
+                          const CallerAnswer &Answer) const {
+  CallerReply Out;
+  Out.m_verdict = Verdict::Ok;
+  for (const auto &[Id, J] : m_jobs) {
+    if (J.m_progress.m_phase == JobPhase::Queued &&
+        J.m_spec.m_queue.m_name == R.m_queue.m_name)
+      ++Out.m_pending;
+  }
+  Answer(std::move(Out));
+}
+
+void Leader::answerWaiters(Millis Now) {
+  std::vector<std::pair<CallerAnswer, CallerReply>> Ready;
+  std::erase_if(m_waiters, [&](detail::Waiter &W) {
+    CallerReply Out;
+    if (W.m_batch <= m_journal.durable()) {
+      Out.m_verdict = Verdict::Ok;
+      if (const auto It = m_jobs.find(W.m_job); It != m_jobs.end())
+        Out.m_phase = It->second.m_progress.m_phase;
+    } else if (Now >= W.m_deadline) {
+      Out.m_verdict = Verdict::Unknown;
+      Out.m_reason = "the log has not answered in time";
+      m_ports.event("answerUnknown", W.m_job, "reason=journalUnanswered");
+    } else {
+      return false;
+    }
+    Ready.emplace_back(std::move(W.m_answer), std::move(Out));
+    return true;
+  });
+  for (auto &[Answer, Reply] : Ready)
+    Answer(std::move(Reply));
+}
+
+// The log has surely not taken the current batch: jobs that are new in it are
+// refused now instead of being kept until the log answers.
+void Leader::withdrawSubmissions() {
+  std::vector<CallerAnswer> Refused;
+  std::set<std::string> Withdrawn;
+  std::erase_if(m_waiters, [&](detail::Waiter &W) {
+    const auto It = m_jobs.find(W.m_job);
+    if (!W.m_submission || It == m_jobs.end() || It->second.m_specStored)
+      return false;
+    Withdrawn.insert(W.m_job);
+    Refused.push_back(std::move(W.m_answer));
+    return true;
+  });
+  for (const std::string &Id : Withdrawn) {
+    m_ports.event("jobRefused", Id, "reason=journalRefused");
+    m_counters.get("jobs_refused{reason=\"journal\"}")++;
+    m_jobs.erase(Id);
+    m_dirty.erase(Id);
+    m_flushedPhases.erase(Id);
+    if (m_journal.busy())
+      m_journal.withdraw("spec/" + Id);
+    if (m_journal.busy())
+      m_journal.withdraw("state/" + Id);
+  }
+  for (const CallerAnswer &Answer : Refused)
+    Answer(refusal(Verdict::Unavailable, RetryJournalMs,
+                   "the log takes no records"));
+}
+
+} // namespace pomelokeel::batch
--- /dev/null
+++ b/src/batch/leader_orders.cc
@@ -0,0 +1,134 @@
+#include "batch/leader.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace pomelokeel::batch {
+namespace {
+
+/// An order that an agent has not confirmed by its next reports is repeated;
+/// agents report at least every second and take an order twice as one.
+constexpr Millis ResendMs = 700;
+
+/// Longest time that a report waits for its ends to be stored. The agent then
+/// reports them again.
+constexpr Millis StoreWaitMs = 800;
+
+bool due(Millis SentAt, Millis Now) {
+  return SentAt < 0 || Now - SentAt >= ResendMs;
+}
+
+const RunReport *reported(const std::vector<RunReport> &Runs,
+                          const std::string &Task, int Run) {
+  const auto It =
+      std::find_if(Runs.begin(), Runs.end(), [&](const RunReport &R) {
+        return R.m_task == Task && R.m_run == Run;
+      });
+  return It == Runs.end() ? nullptr : &*It;
+}
+
+} // namespace
+
+void Leader::addOrder(const Job &J, const TaskName &Name, Task &T, Millis Now,
+                      std::map<std::string, AgentReply> &Out) {
+  const auto Order = Out.find(T.m_agent);
+  if (Order == Out.end())
+    return;
+  const AgentView &A = m_agents[T.m_agent];
+  if (A.m_worker.m_life != T.m_life || T.m_batch > m_journal.durable())
+    return;
+  const std::string Text = toString(Name);
+  const RunReport *Seen = reported(A.m_runs, Text, T.m_run);
+  if (T.m_stop != StopReason::None) {
+    if ((Seen == nullptr || Seen->m_phase != RunPhase::Stopping) &&
+        due(T.m_stopSentAt, Now)) {
+      T.m_stopSentAt = Now;
+      Order->second.m_stops.push_back({Text, T.m_run});
+    }
+    return;
+  }
+  if (Seen != nullptr || !due(T.m_startSentAt, Now))
+    return;
+  T.m_startSentAt = Now;
+  Order->second.m_starts.push_back(
+      {Text, T.m_run, J.m_spec.m_payload, T.m_saved});
+}
+
+// Runs that are nobody's current run any more, but for members of a gang that
+// is done, whose own end is on its way.
+void Leader::addUnwanted(AgentView &A, AgentReply &Out) const {
+  for (const RunReport &R : A.m_runs) {
+    if (R.m_phase == RunPhase::Stopping || isCurrent(A, R.m_task, R.m_run) ||
+        A.m_lingering.contains({R.m_task, R.m_run}))
+      continue;
+    Out.m_stops.push_back({R.m_task, R.m_run});
+  }
+}
+
+std::map<std::string, AgentReply> Leader::collectOrders(Millis Now) {
+  std::map<std::string, AgentReply> Out;
+  for (auto &[Name, A] : m_agents) {
+    if (A.m_parked.empty())
+      continue;
+    AgentReply &R = Out[Name];
+    R.m_epoch = m_epoch;
+    R.m_leads = confirmed(Now);
+    R.m_life = A.m_worker.m_life;
+    if (A.m_entriesTold != m_entriesVersion)
+      R.m_entries = m_entries;
+    for (const auto &[Key, Batch] : A.m_ends) {
+      if (Batch <= m_journal.durable())
+        R.m_noted.push_back({std::get<0>(Key), std::get<1>(Key), EndKind::Done,
+                             "", std::get<2>(Key), ""});
+    }
+  }
+  if (Out.empty() || !confirmed(Now))
+    return Out;
+  for (auto &[Id, J] : m_jobs) {
+    auto &Occurrences = J.m_progress.m_occurrences;
+    for (std::size_t K = 0; K < Occurrences.size(); ++K) {
+      for (std::size_t S = 0; S < Occurrences[K].size(); ++S) {
+        for (std::size_t I = 0; I < Occurrences[K][S].size(); ++I) {
+          Task &T = Occurrences[K][S][I];
+          if (T.m_phase == TaskPhase::Placed)
+            addOrder(J,
+                     {Id, static_cast<int>(K), static_cast<int>(S),
+                      static_cast<int>(I)},
+                     T, Now, Out);
+        }
+      }
+    }
+  }
+  for (auto &[Name, R] : Out)
+    addUnwanted(m_agents[Name], R);
+  return Out;
+}
+
+void Leader::answerAgents(Millis Now) {
+  std::vector<std::pair<AgentAnswer, AgentReply>> Ready;
+  for (auto &[Name, Reply] : collectOrders(Now)) {
+    AgentView &A = m_agents[Name];
+    const bool Orders = !Reply.m_starts.empty() || !Reply.m_stops.empty();
+    const bool Stored =
+        std::all_of(A.m_ends.begin(), A.m_ends.end(), [&](const auto &E) {
+          return E.second <= m_journal.durable();
+        });
+    bool Used = false;
+    std::erase_if(A.m_parked, [&](detail::ParkedReport &P) {
+      const Millis Waited = m_timing.m_parkMs - (P.m_until - Now);
+      const bool Soon = !P.m_waits && (Stored || Waited >= StoreWaitMs);
+      if (Used || (!Orders && !Soon && Now < P.m_until))
+        return false;
+      Used = true;
+      A.m_entriesTold = m_entriesVersion;
+      Ready.emplace_back(std::move(P.m_answer), Reply);
+      return true;
+    });
+  }
+  for (auto &[Answer, Reply] : Ready)
+    Answer(std::move(Reply));
+}
+
+} // namespace pomelokeel::batch
--- /dev/null
+++ b/src/batch/leader_runs.cc
@@ -0,0 +1,410 @@
+#include "batch/leader.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace pomelokeel::batch {
+namespace {
+
+/// A worker's clock may be this much slow, so a lease lasts longer there.
+constexpr double ClockSlowness = 1.03;
+/// For the way of the last grant and late timers.
+constexpr Millis LeaseMarginMs = 500;
+
+/// Work that makes no progress for this long stands still: at a tenth of the
+/// usual speed, work of 11 s still gains a percent in 1.1 s.
+constexpr Millis StuckMs = 4000;
+
+/// Runs that failed within this time count towards a quarantine.
+constexpr Millis FailureWindowMs = 10000;
+/// Failures of different jobs without a success that quarantine a worker.
+constexpr std::size_t FailuresToQuarantine = 2;
+constexpr Millis QuarantineMs = 3000; ///< Doubles each time.
+constexpr Millis MaxQuarantineMs = 30000;
+
+/// A run that is not at work by this share of the gang timeout after its
+/// placement is stopped, before workers end gang members that wait for it.
+constexpr double StartShare = 0.6;
+
+/// How long the room of a done gang's member is kept without a word of it.
+constexpr Millis LingerMs = 3000;
+
+/// Expected time that a run still needs, or -1 if there is nothing to go by.
+Millis remainingOf(const Task &T, Millis Now) {
+  if (T.m_percent <= 0)
+    return -1;
+  return (Now - T.m_placedAt) * (100 - T.m_percent) / T.m_percent;
+}
+
+} // namespace
+
+const Task *Leader::find(const TaskName &Name) const {
+  const auto It = m_jobs.find(Name.m_job);
+  if (It == m_jobs.end())
+    return nullptr;
+  const auto &Occurrences = It->second.m_progress.m_occurrences;
+  const auto K = static_cast<std::size_t>(Name.m_occurrence);
+  const auto Step = static_cast<std::size_t>(Name.m_step);
+  const auto Index = static_cast<std::size_t>(Name.m_index);
+  if (K >= Occurrences.size() || Step >= Occurrences[K].size() ||
+      Index >= Occurrences[K][Step].size())
+    return nullptr;
+  return &Occurrences[K][Step][Index];
+}
+
+Task *Leader::find(const TaskName &Name) {
+  return const_cast<Task *>(std::as_const(*this).find(Name));
+}
+
+void Leader::reset(Task &T) {
+  Task Fresh;
+  Fresh.m_run = T.m_run;
+  Fresh.m_failures = T.m_failures;
+  Fresh.m_failedRun = T.m_failedRun;
+  Fresh.m_saved = std::move(T.m_saved);
+  Fresh.m_avoid = std::move(T.m_avoid);
+  T = std::move(Fresh);
+}
+
+void Leader::stop(Task &T, const TaskName &Name, StopReason Reason,
+                  Millis Now) {
+  if (T.m_phase != TaskPhase::Placed || T.m_stop != StopReason::None)
+    return;
+  m_ports.event("runStopped", Name.m_job,
+                fmt::format("task={} run={} agent={} reason={}", toString(Name),
+                            T.m_run, T.m_agent, base::nameOf(Reason)));
+  // Without an order there is no run.
+  if (T.m_startSentAt < 0) {
+    reset(T);
+    return changed(m_jobs[Name.m_job]);
+  }
+  T.m_stop = Reason;
+  T.m_stopAt = Now;
+}
+
+void Leader::stopAll(Job &J, StopReason Reason, Millis Now) {
+  auto &Occurrences = J.m_progress.m_occurrences;
+  for (std::size_t K = 0; K < Occurrences.size(); ++K) {
+    for (std::size_t S = 0; S < Occurrences[K].size(); ++S) {
+      for (std::size_t I = 0; I < Occurrences[K][S].size(); ++I)
+        stop(Occurrences[K][S][I],
+             {J.m_spec.m_id, static_cast<int>(K), static_cast<int>(S),
+              static_cast<int>(I)},
+             Reason, Now);
+    }
+  }
+}
+
+void Leader::finishJob(Job &J, JobPhase Phase, Millis Wall) {
+  J.m_progress.m_phase = Phase;
+  J.m_progress.m_endedMs = Wall;
+  changed(J);
+  m_counters.get(
+      fmt::format("jobs_ended{{phase=\"{}\"}}", base::nameOf(Phase)))++;
+  m_ports.event("jobEnded", J.m_spec.m_id,
+                fmt::format("phase={} afterMs={}", base::nameOf(Phase),
+                            Wall - J.m_spec.m_acceptedMs));
+}
+
+bool Leader::isCurrent(const AgentView &A, const std::string &Task,
+                       int Run) const {
+  const auto Name = parseTaskName(Task);
+  const batch::Task *T = Name ? find(*Name) : nullptr;
+  return T != nullptr && T->m_phase == TaskPhase::Placed && T->m_run == Run &&
+         T->m_agent == A.m_name && T->m_life == A.m_worker.m_life;
+}
+
+void Leader::matchRuns(AgentView &A, Millis Now) {
+  for (const RunReport &R : A.m_runs) {
+    if (!isCurrent(A, R.m_task, R.m_run))
+      continue;
+    const auto Name = parseTaskName(R.m_task);
+    Task &T = *find(*Name);
+    if (!T.m_seen || R.m_percent != T.m_percent)
+      T.m_seenAt = Now;
+    T.m_seen = true;
+    T.m_percent = R.m_percent;
+    if (!R.m_saved.empty())
+      T.m_saved = R.m_saved;
+    if (R.m_phase == RunPhase::Starting || T.m_running)
+      continue;
+    T.m_running = true;
+    Job &J = m_jobs[Name->m_job];
+    // Not worth a record: whoever leads next sees the run too.
+    if (J.m_progress.m_phase == JobPhase::Queued)
+      J.m_progress.m_phase = JobPhase::Running;
+    m_ports.event("runStarted", Name->m_job,
+                  fmt::format("task={} run={} agent={} afterMs={}", R.m_task,
+                              R.m_run, A.m_name, Now - T.m_placedAt));
+  }
+  std::erase_if(A.m_lingering, [&](const auto &L) {
+    return Now - L.second.second > LingerMs;
+  });
+}
+
+void Leader::takeEnd(AgentView &A, const EndReport &E, Millis Now,
+                     Millis Wall) {
+  const std::tuple Key(E.m_task, E.m_run, E.m_number);
+  if (A.m_ends.contains(Key))
+    return;
+  A.m_lingering.erase({E.m_task, E.m_run});
+  std::uint64_t Batch = 0;
+  const bool Current = isCurrent(A, E.m_task, E.m_run);
+  m_ports.event("runEnded", parseTaskName(E.m_task).value_or(TaskName{}).m_job,
+                fmt::format("task={} run={} agent={} kind={} current={}{}{}",
+                            E.m_task, E.m_run, A.m_name, base::nameOf(E.m_kind),
+                            Current,
+                            E.m_detail.empty() ? "" : " detail=", E.m_detail));
+  if (Current) {
+    const TaskName Name = *parseTaskName(E.m_task);
+    noteOutcome(A, Name.m_job, E.m_kind, Now);
+    Job &J = m_jobs[Name.m_job];
+    if (E.m_kind == EndKind::Failed)
+      find(Name)->m_avoid = A.m_name;
+    endRun(J, Name, E.m_kind, E.m_saved, Now, Wall);
+    Batch = m_journal.nextBatch();
+  }
+  A.m_ends[Key] = Batch;
+}
+
+void Leader::endRun(Job &J, const TaskName &Name, EndKind Kind,
+                    const std::string &Saved, Millis Now, Millis Wall) {
+  const Step &S = J.m_spec.m_steps[static_cast<std::size_t>(Name.m_step)];
+  Task &T = *find(Name);
+  if (!Saved.empty())
+    T.m_saved = Saved;
+  changed(J);
+  if (S.m_gang && !S.m_longRunning) {
+    endGang(J, Name, Kind, Now, Wall);
+  } else if (Kind == EndKind::Done && !S.m_longRunning) {
+    T.m_phase = TaskPhase::Done;
+    T.m_saved.clear();
+  } else {
+    if (Kind == EndKind::Failed)
+      ++T.m_failures;
+    reset(T);
+  }
+  if (isEnded(J.m_progress.m_phase))
+    return;
+  const bool Exhausted = !S.m_longRunning && Kind == EndKind::Failed &&
+                         find(Name)->m_failures >= J.m_spec.m_queue.m_attempts;
+  if (Exhausted) {
+    finishJob(J, JobPhase::Failed, Wall);
+    return stopAll(J, StopReason::Cancelled, Now);
+  }
+  const auto &Occurrences = J.m_progress.m_occurrences;
+  const auto Wanted = std::max<std::int64_t>(J.m_spec.m_times, 1);
+  if (static_cast<std::int64_t>(Occurrences.size()) == Wanted &&
+      std::all_of(Occurrences.begin(), Occurrences.end(), isDone))
+    finishJob(J, JobPhase::Done, Wall);
+}
+
+// A gang ends as a whole: done if one member says so; else all must end before
+// the next run, and the run counts as failed once.
+void Leader::endGang(Job &J, const TaskName &Name, EndKind Kind, Millis Now,
+                     Millis /*Wall*/) {
+  auto &Members =
+      J.m_progress.m_occurrences[static_cast<std::size_t>(Name.m_occurrence)]
+                                [static_cast<std::size_t>(Name.m_step)];
+  const Step &S = J.m_spec.m_steps[static_cast<std::size_t>(Name.m_step)];
+  Task &Ended = Members[static_cast<std::size_t>(Name.m_index)];
+  const int Run = Ended.m_run;
+  if (Kind == EndKind::Done) {
+    for (std::size_t I = 0; I < Members.size(); ++I) {
+      Task &M = Members[I];
+      if (M.m_phase == TaskPhase::Placed && &M != &Ended) {
+        TaskName Other = Name;
+        Other.m_index = static_cast<int>(I);
+        m_agents[M.m_agent].m_lingering[{toString(Other), M.m_run}] = {
+            chargeOf(S), Now};
+      }
+      M.m_phase = TaskPhase::Done;
+      M.m_saved.clear();
+    }
+    return;
+  }
+  const std::string Saved = Ended.m_saved;
+  const bool Counted =
+      std::any_of(Members.begin(), Members.end(),
+                  [&](const Task &M) { return M.m_failedRun == Run; });
+  for (std::size_t I = 0; I < Members.size(); ++I) {
+    Task &M = Members[I];
+    if (Kind == EndKind::Failed && !Counted) {
+      ++M.m_failures;
+      M.m_failedRun = Run;
+      M.m_avoid = Ended.m_avoid;
+    }
+    if (!Saved.empty())
+      M.m_saved = Saved;
+    TaskName Other = Name;
+    Other.m_index = static_cast<int>(I);
+    if (&M != &Ended)
+      stop(M, Other, StopReason::Broken, Now);
+  }
+  reset(Ended);
+}
+
+void Leader::noteOutcome(AgentView &A, const std::string &Job, EndKind Kind,
+                         Millis Now) {
+  if (Kind == EndKind::Done) {
+    A.m_lastSuccess = Now;
+    A.m_failures.clear();
+    A.m_quarantineMs = 0;
+    return;
+  }
+  if (Kind != EndKind::Failed)
+    return;
+  std::erase_if(A.m_failures, [&](const auto &F) {
+    return Now - F.first > FailureWindowMs || F.second == Job;
+  });
+  A.m_failures.emplace_back(Now, Job);
+  if (A.m_failures.size() < FailuresToQuarantine)
+    return;
+  A.m_quarantineMs =
+      std::clamp(A.m_quarantineMs * 2, QuarantineMs, MaxQuarantineMs);
+  A.m_quarantinedUntil = Now + A.m_quarantineMs;
+  A.m_failures.clear();
+  m_counters.get("quarantines")++;
+  m_ports.event("workerQuarantined", Job,
+                fmt::format("agent={} reason=failures forMs={}", A.m_name,
+                            A.m_quarantineMs));
+}
+
+void Leader::lose(const std::string &Agent, const std::string &Life,
+                  const char *Reason, Millis Now, Millis Wall) {
+  std::vector<TaskName> Lost;
+  for (auto &[Id, J] : m_jobs) {
+    auto &Occurrences = J.m_progress.m_occurrences;
+    for (std::size_t K = 0; K < Occurrences.size(); ++K) {
+      for (std::size_t S = 0; S < Occurrences[K].size(); ++S) {
+        for (std::size_t I = 0; I < Occurrences[K][S].size(); ++I) {
+          const Task &T = Occurrences[K][S][I];
+          if (T.m_phase == TaskPhase::Placed && T.m_agent == Agent &&
+              T.m_life == Life)
+            Lost.push_back({Id, static_cast<int>(K), static_cast<int>(S),
+                            static_cast<int>(I)});
+        }
+      }
+    }
+  }
+  for (const TaskName &Name : Lost) {
+    const Task *T = find(Name);
+    // The end of another member may have ended this one too.
+    if (T == nullptr || T->m_phase != TaskPhase::Placed ||
+        T->m_agent != Agent || T->m_life != Life)
+      continue;
+    m_ports.event("runLost", Name.m_job,
+                  fmt::format("task={} run={} agent={} life={} reason={}",
+                              toString(Name), T->m_run, Agent, Life, Reason));
+    m_counters.get("runs_lost")++;
+    endRun(m_jobs[Name.m_job], Name, EndKind::Lapsed, T->m_saved, Now, Wall);
+  }
+}
+
+// What an agent that is not heard still runs ends when the lease does that it
+// may have granted at the end of its autonomy.
+void Leader::loseSilent(Millis Now, Millis Wall) {
+  const auto LeaseMs = static_cast<Millis>(
+      static_cast<double>(m_timing.m_leaseMs) * ClockSlowness);
+  std::set<std::pair<std::string, std::string>> Expired;
+  for (const auto &[Id, J] : m_jobs) {
+    for (const Occurrence &O : J.m_progress.m_occurrences) {
+      for (const auto &Tasks : O) {
+        for (const Task &T : Tasks) {
+          if (T.m_phase != TaskPhase::Placed)
+            continue;
+          const auto It = m_agents.find(T.m_agent);
+          const bool Known =
+              It != m_agents.end() && !It->second.m_worker.m_life.empty();
+          if (Known && It->second.m_worker.m_life != T.m_life) {
+            Expired.emplace(T.m_agent, T.m_life);
+            continue;
+          }
+          // The leader before may have been heard until it lost its standing.
+          const Millis Heard =
+              Known ? It->second.m_heardAt : m_startedAt + m_timing.m_confirmMs;
+          if (Now - Heard > m_timing.m_autonomyMs + LeaseMs + LeaseMarginMs)
+            Expired.emplace(T.m_agent, T.m_life);
+        }
+      }
+    }
+  }
+  for (const auto &[Agent, Life] : Expired)
+    lose(Agent, Life, "leaseExpired", Now, Wall);
+}
+
+void Leader::addOccurrences(Millis Wall) {
+  for (auto &[Id, J] : m_jobs) {
+    if (isEnded(J.m_progress.m_phase))
+      continue;
+    auto &Occurrences = J.m_progress.m_occurrences;
+    while (static_cast<std::int64_t>(Occurrences.size()) < J.m_spec.m_times &&
+           Wall >=
+               J.m_spec.m_firstMs + static_cast<Millis>(Occurrences.size()) *
+                                        J.m_spec.m_intervalMs) {
+      Occurrences.push_back(makeOccurrence(J.m_spec));
+      changed(J);
+    }
+  }
+}
+
+void Leader::watchRuns(Millis Now) {
+  const auto StartMs = static_cast<Millis>(
+      static_cast<double>(m_timing.m_gangTimeoutMs) * StartShare);
+  for (auto &[Id, J] : m_jobs) {
+    auto &Occurrences = J.m_progress.m_occurrences;
+    for (std::size_t K = 0; K < Occurrences.size(); ++K) {
+      for (std::size_t S = 0; S < Occurrences[K].size(); ++S) {
+        const Step &Kind = J.m_spec.m_steps[S];
+        auto &Tasks = Occurrences[K][S];
+        bool Break = false;
+        for (std::size_t I = 0; I < Tasks.size(); ++I) {
+          Task &T = Tasks[I];
+          if (T.m_phase != TaskPhase::Placed || T.m_stop != StopReason::None)
+            continue;
+          const TaskName Name{Id, static_cast<int>(K), static_cast<int>(S),
+                              static_cast<int>(I)};
+          AgentView &A = m_agents[T.m_agent];
+          if (T.m_startSentAt >= 0 && !T.m_running &&
+              Now - T.m_placedAt > StartMs) {
+            stop(T, Name, StopReason::Unwanted, Now);
+            Break = Break || Kind.m_gang;
+            continue;
+          }
+          if (A.m_worker.m_draining && T.m_running) {
+            const Millis Left = remainingOf(T, Now);
+            if (Left < 0 || Left > A.m_worker.m_remainingMs) {
+              Break = Break || Kind.m_gang;
+              stop(T, Name, StopReason::Drain, Now);
+            }
+          }
+          if (!T.m_running || Kind.m_longRunning ||
+              Now - T.m_seenAt < StuckMs ||
+              Now - A.m_heardAt > m_timing.m_silentMs)
+            continue;
+          if (A.m_lastStuck < 0 || Now - A.m_lastStuck > StuckMs) {
+            A.m_lastStuck = Now;
+            A.m_quarantineMs =
+                std::clamp(A.m_quarantineMs * 2, QuarantineMs, MaxQuarantineMs);
+            A.m_quarantinedUntil = Now + A.m_quarantineMs;
+            m_ports.event("workerQuarantined", Id,
+                          fmt::format("agent={} reason=noProgress forMs={}",
+                                      A.m_name, A.m_quarantineMs));
+          }
+          T.m_avoid = T.m_agent;
+          stop(T, Name, StopReason::Unwanted, Now);
+          Break = Break || Kind.m_gang;
+        }
+        for (std::size_t I = 0; Break && I < Tasks.size(); ++I)
+          stop(Tasks[I],
+               {Id, static_cast<int>(K), static_cast<int>(S),
+                static_cast<int>(I)},
+               StopReason::Broken, Now);
+      }
+    }
+  }
+}
+
+} // namespace pomelokeel::batch
--- /dev/null
+++ b/src/batch/leader_schedule.cc
@@ -0,0 +1,121 @@
+#include "batch/leader.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+namespace pomelokeel::batch {
+
+std::vector<Site> Leader::makeSites(Millis Now) const {
+  std::vector<Site> Out;
+  std::map<std::string, std::size_t> ByAgent;
+  for (const auto &[Name, A] : m_agents) {
+    if (A.m_worker.m_life.empty())
+      continue;
+    Site S;
+    S.m_agent = Name;
+    S.m_life = A.m_worker.m_life;
+    S.m_service = A.m_worker.m_service;
+    S.m_rack = A.m_worker.m_rack;
+    S.m_labels = A.m_worker.m_labels;
+    S.m_capacity = S.m_free = S.m_soon = A.m_worker.m_capacity;
+    S.m_slowness = A.m_slowness;
+    S.m_usable = Now - A.m_heardAt < m_timing.m_silentMs &&
+                 !A.m_worker.m_draining && !A.m_unhealthy &&
+                 Now >= A.m_quarantinedUntil;
+    for (const auto &[Key, Room] : A.m_lingering) {
+      S.m_free = S.m_free - Room.first;
+      S.m_soon = S.m_soon - Room.first;
+    }
+    // Runs that are not a task's current one still occupy the worker.
+    for (const RunReport &R : A.m_runs) {
+      const auto Task = parseTaskName(R.m_task);
+      if (!Task || isCurrent(A, R.m_task, R.m_run) ||
+          A.m_lingering.contains({R.m_task, R.m_run}))
+        continue;
+      const auto J = m_jobs.find(Task->m_job);
+      const auto Step = static_cast<std::size_t>(Task->m_step);
+      if (J != m_jobs.end() && Step < J->second.m_spec.m_steps.size())
+        S.m_free = S.m_free - chargeOf(J->second.m_spec.m_steps[Step]);
+      else
+        S.m_usable = false;
+    }
+    ByAgent[Name] = Out.size();
+    Out.push_back(std::move(S));
+  }
+  for (const auto &[Id, J] : m_jobs) {
+    for (const Occurrence &O : J.m_progress.m_occurrences) {
+      for (std::size_t Step = 0; Step < O.size(); ++Step) {
+        const Resources Each = chargeOf(J.m_spec.m_steps[Step]);
+        for (const Task &T : O[Step]) {
+          if (T.m_phase != TaskPhase::Placed)
+            continue;
+          const auto At = ByAgent.find(T.m_agent);
+          if (At == ByAgent.end() || Out[At->second].m_life != T.m_life)
+            continue;
+          Site &S = Out[At->second];
+          S.m_free = S.m_free - Each;
+          if (T.m_stop == StopReason::None)
+            S.m_soon = S.m_soon - Each;
+        }
+      }
+    }
+  }
+  return Out;
+}
+
+void Leader::startUnit(const Unit &U, const Assignment &A,
+                       const std::vector<Site> &Sites, Millis Now) {
+  Job &J = m_jobs[U.m_name.m_job];
+  auto &Tasks = J.m_progress.m_occurrences[static_cast<std::size_t>(
+      U.m_name.m_occurrence)][static_cast<std::size_t>(U.m_name.m_step)];
+  int Run = 0;
+  if (U.m_step->m_gang) {
+    // All members must carry the same checkpoint.
+    std::string Saved;
+    for (const Task &T : Tasks) {
+      Run = std::max(Run, T.m_run);
+      Saved = Saved.empty() ? T.m_saved : Saved;
+    }
+    for (Task &T : Tasks)
+      T.m_saved = Saved;
+  }
+  changed(J);
+  std::string Where;
+  for (std::size_t I = 0; I < U.m_indices.size(); ++I) {
+    Task &T = Tasks[static_cast<std::size_t>(U.m_indices[I])];
+    const Site &S = Sites[A[I]];
+    T.m_run = std::max(Run, T.m_run) + 1;
+    T.m_phase = TaskPhase::Placed;
+    T.m_agent = S.m_agent;
+    T.m_life = S.m_life;
+    T.m_batch = m_journal.nextBatch();
+    T.m_placedAt = T.m_seenAt = Now;
+    Where += (I == 0 ? "" : ",") + S.m_agent;
+  }
+  m_counters.get("runs_placed") +=
+      static_cast<std::int64_t>(U.m_indices.size());
+  m_ports.event(
+      "unitPlaced", U.m_name.m_job,
+      fmt::format("task={} run={} tasks={} agents={} waitedMs={}",
+                  toString(U.m_name),
+                  Tasks[static_cast<std::size_t>(U.m_indices[0])].m_run,
+                  U.m_indices.size(), Where, Now - J.m_acceptedAt));
+}
+
+void Leader::schedule(Millis Now) {
+  m_scheduleWanted = false;
+  m_scheduledAt = Now;
+  const std::vector<Site> Sites = makeSites(Now);
+  const Plan P = plan(m_jobs, Sites, m_guarantees, Now);
+  for (const TaskName &Name : P.m_preempted)
+    stop(*find(Name), Name, StopReason::Preempted, Now);
+  m_counters.get("preemptions") +=
+      static_cast<std::int64_t>(P.m_preempted.size());
+  for (const Start &S : P.m_starts)
+    startUnit(S.m_unit, S.m_sites, Sites, Now);
+}
+
+} // namespace pomelokeel::batch
--- /dev/null
+++ b/src/batch/placement.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include "batch/job.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace pomelokeel::batch {
+
+/// A worker as the placement sees it.
+struct Site {
+  std::string m_agent;
+  std::string m_life;
+  std::string m_service;
+  std::string m_rack;
+  std::vector<std::string> m_labels;
+  Resources m_capacity;
+  Resources m_free; ///< Free now.
+  Resources m_soon; ///< Free when all runs that are being stopped have ended.
+  bool m_usable = true;  ///< Takes new work.
+  double m_slowness = 1; ///< Expected run time relative to a sound worker.
+};
+
+/// Tasks of one step that start together (a gang) or on their own.
+struct Unit {
+  TaskName m_name; ///< Of its first task.
+  std::vector<int> m_indices;
+  const JobSpec *m_spec = nullptr;
+  const Step *m_step = nullptr;
+  /// Tasks of the same step and occurrence that each site already runs.
+  std::vector<int> m_running;
+  std::string m_avoid; ///< Agent where it failed before, or "".
+};
+
+/// Which of a site's figures to place against.
+enum class Horizon { Now, Soon };
+
+/// Sites, by index, for each of the unit's tasks.
+using Assignment = std::vector<std::size_t>;
+
+/// Chooses sites for all tasks of \p U, or none if they do not fit. Packs onto
+/// the fullest sites, so that whole workers stay free for large tasks; keeps
+/// rack-local gangs on one rack unless no rack could ever hold them.
+std::optional<Assignment> place(const Unit &U, const std::vector<Site> &Sites,
+                                Horizon When);
+
+/// True if the unit fits on \p Sites when all of them are idle.
+bool canEverFit(const Unit &U, const std::vector<Site> &Sites);
+
+/// Takes the room of \p A from the free figures. With Horizon::Soon the room is
+/// kept from others until the runs that hold it have ended.
+void take(const Unit &U, const Assignment &A, Horizon When,
+          std::vector<Site> &Sites);
+
+/// A run that may be stopped for a more urgent one.
+struct Victim {
+  std::size_t m_unit = 0; ///< The caller's number; a gang has one.
+  std::vector<std::pair<std::size_t, Resources>> m_room; ///< By site.
+  double m_cost = 0; ///< Work that is lost, in core-seconds.
+};
+
+/// Chooses runs to stop so that \p U fits: the cheapest found, without any that
+/// turns out not to be needed. Returns positions in \p Victims, or nothing.
+std::optional<std::vector<std::size_t>>
+chooseVictims(const Unit &U, const std::vector<Site> &Sites,
+              const std::vector<Victim> &Victims);
+
+} // namespace pomelokeel::batch
--- /dev/null
+++ b/src/batch/schedule.cc
@@ -0,0 +1,285 @@
+#include "batch/schedule.h"
+
+#include <algorithm>
+#include <compare>
+#include <optional>
+#include <set>
+#include <tuple>
+#include <utility>
+
+namespace pomelokeel::batch {
+namespace {
+
+/// Weight of an accelerator against a core when work is thrown away.
+constexpr double CoresPerAccelerator = 8;
+constexpr double MilliCoresPerCore = 1000;
+constexpr double MsPerSecond = 1000;
+
+/// How urgent a unit is; lower first. A guaranteed one may displace borrowed
+/// accelerators of the same priority.
+struct Rank {
+  int m_class = 0;
+  Millis m_dueMs = 0;
+  auto operator<=>(const Rank &) const = default;
+};
+
+constexpr int GuaranteedClass = 0;
+/// Priority 0 without a guarantee; lower priorities follow.
+constexpr int UrgentClass = 1;
+
+double weightOf(const Resources &R) {
+  return static_cast<double>(R.m_milliCores) / MilliCoresPerCore +
+         CoresPerAccelerator * static_cast<double>(R.m_accelerators);
+}
+
+std::int64_t acceleratorsOf(const JobSpec &S) {
+  std::int64_t Sum = 0;
+  for (const Step &Each : S.m_steps)
+    Sum += Each.m_count * Each.m_each.m_accelerators;
+  return Sum;
+}
+
+// Jobs of priority 0 that are within their account's guarantee, oldest first.
+std::set<std::string> guaranteedJobs(const JobTable &Jobs,
+                                     const Guarantees &Promised) {
+  std::vector<const JobState *> Urgent;
+  for (const auto &[Id, J] : Jobs) {
+    if (!isEnded(J.m_progress.m_phase) && J.m_spec.m_queue.m_priority == 0)
+      Urgent.push_back(&J);
+  }
+  std::sort(Urgent.begin(), Urgent.end(), [](const auto *A, const auto *B) {
+    return std::tie(A->m_spec.m_acceptedMs, A->m_spec.m_id) <
+           std::tie(B->m_spec.m_acceptedMs, B->m_spec.m_id);
+  });
+  Guarantees Left = Promised;
+  std::set<std::string> Out;
+  for (const auto *J : Urgent) {
+    std::int64_t &Free = Left[J->m_spec.m_account];
+    const std::int64_t Need = acceleratorsOf(J->m_spec);
+    if (Need > Free)
+      continue;
+    Free -= Need;
+    Out.insert(J->m_spec.m_id);
+  }
+  return Out;
+}
+
+struct Candidate {
+  Rank m_rank;
+  Unit m_unit;
+};
+
+Millis dueOf(const JobSpec &S, std::size_t Occurrence) {
+  const Millis Begin =
+      S.m_times > 0
+          ? S.m_firstMs + static_cast<Millis>(Occurrence) * S.m_intervalMs
+          : S.m_acceptedMs;
+  return Begin + S.m_queue.m_slackMs +
+         static_cast<Millis>(S.m_queue.m_stretch *
+                             static_cast<double>(chainMs(S)));
+}
+
+int classOf(const JobSpec &S, const std::set<std::string> &Guaranteed) {
+  return Guaranteed.contains(S.m_id) ? GuaranteedClass
+                                     : UrgentClass + S.m_queue.m_priority;
+}
+
+// Sites by agent and life.
+using SiteIndex = std::map<std::pair<std::string, std::string>, std::size_t>;
+
+SiteIndex indexOf(const std::vector<Site> &Sites) {
+  SiteIndex Out;
+  for (std::size_t I = 0; I < Sites.size(); ++I)
+    Out[{Sites[I].m_agent, Sites[I].m_life}] = I;
+  return Out;
+}
+
+void addUnits(const JobState &J, const std::set<std::string> &Guaranteed,
+              const SiteIndex &Index, std::vector<Candidate> &Out) {
+  const auto &Occurrences = J.m_progress.m_occurrences;
+  for (std::size_t K = 0; K < Occurrences.size(); ++K) {
+    for (std::size_t S = 0; S < Occurrences[K].size(); ++S) {
+      const Step &Kind = J.m_spec.m_steps[S];
+      const auto &Tasks = Occurrences[K][S];
+      std::vector<int> Waiting;
+      Unit U;
+      U.m_running.assign(Index.size(), 0);
+      for (std::size_t I = 0; I < Tasks.size(); ++I) {
+        if (Tasks[I].m_phase == TaskPhase::Waiting) {
+          Waiting.push_back(static_cast<int>(I));
+          U.m_avoid = Tasks[I].m_avoid;
+        }
+        if (Tasks[I].m_phase != TaskPhase::Placed)
+          continue;
+        const auto At = Index.find({Tasks[I].m_agent, Tasks[I].m_life});
+        if (At != Index.end())
+          ++U.m_running[At->second];
+      }
+      if (Waiting.empty() || (Kind.m_gang && Waiting.size() < Tasks.size()) ||
+          !isReady(J.m_spec, Occurrences[K], static_cast<int>(S)))
+        continue;
+      U.m_name = {J.m_spec.m_id, static_cast<int>(K), static_cast<int>(S),
+                  Waiting.front()};
+      U.m_indices = std::move(Waiting);
+      U.m_spec = &J.m_spec;
+      U.m_step = &Kind;
+      Out.push_back(
+          {{classOf(J.m_spec, Guaranteed), dueOf(J.m_spec, K)}, std::move(U)});
+    }
+  }
+}
+
+// A run or gang that may be stopped, with its tasks.
+struct Stoppable {
+  int m_class = 0;
+  Victim m_victim;
+  std::vector<TaskName> m_tasks;
+};
+
+double costOf(const Step &S, const Task &T, Millis Now) {
+  // A stop takes a checkpoint where the step has them.
+  if (S.m_checkpoints || !T.m_running)
+    return 0;
+  return weightOf(S.m_each) * static_cast<double>(Now - T.m_placedAt) /
+         MsPerSecond;
+}
+
+void addStoppable(const JobState &J, const std::set<std::string> &Guaranteed,
+                  const SiteIndex &Index, Millis Now,
+                  std::vector<Stoppable> &Out) {
+  const auto &Occurrences = J.m_progress.m_occurrences;
+  for (std::size_t K = 0; K < Occurrences.size(); ++K) {
+    for (std::size_t S = 0; S < Occurrences[K].size(); ++S) {
+      const Step &Kind = J.m_spec.m_steps[S];
+      std::optional<Stoppable> Gang;
+      for (std::size_t I = 0; I < Occurrences[K][S].size(); ++I) {
+        const Task &T = Occurrences[K][S][I];
+        const auto At = Index.find({T.m_agent, T.m_life});
+        if (T.m_phase != TaskPhase::Placed || T.m_stop != StopReason::None ||
+            At == Index.end())
+          continue;
+        Stoppable One;
+        One.m_class = classOf(J.m_spec, Guaranteed);
+        One.m_victim.m_room = {{At->second, chargeOf(Kind)}};
+        One.m_victim.m_cost = costOf(Kind, T, Now);
+        One.m_tasks = {{J.m_spec.m_id, static_cast<int>(K), static_cast<int>(S),
+                        static_cast<int>(I)}};
+        if (!Kind.m_gang) {
+          Out.push_back(std::move(One));
+          continue;
+        }
+        if (!Gang) {
+          Gang = std::move(One);
+          continue;
+        }
+        Gang->m_victim.m_room.push_back(One.m_victim.m_room.front());
+        Gang->m_victim.m_cost += One.m_victim.m_cost;
+        Gang->m_tasks.push_back(One.m_tasks.front());
+      }
+      if (Gang)
+        Out.push_back(std::move(*Gang));
+    }
+  }
+}
+
+Unit unitOf(const Unit &All, int Index) {
+  Unit One = All;
+  One.m_indices = {Index};
+  One.m_name.m_index = Index;
+  return One;
+}
+
+// One look at all waiting units, most urgent first.
+class Pass {
+public:
+  Pass(const JobTable &Jobs, std::vector<Site> Sites,
+       const Guarantees &Promised, Millis Now)
+      : m_jobs(Jobs), m_sites(std::move(Sites)), m_index(indexOf(m_sites)),
+        m_guaranteed(guaranteedJobs(Jobs, Promised)), m_now(Now) {}
+
+  Plan run() {
+    std::vector<Candidate> Units;
+    for (const auto &[Id, J] : m_jobs) {
+      if (!isEnded(J.m_progress.m_phase))
+        addUnits(J, m_guaranteed, m_index, Units);
+    }
+    std::stable_sort(Units.begin(), Units.end(),
+                     [](const Candidate &A, const Candidate &B) {
+                       return A.m_rank < B.m_rank;
+                     });
+    for (Candidate &C : Units) {
+      if (C.m_unit.m_step->m_gang) {
+        tryUnit(C.m_unit, C.m_rank);
+        continue;
+      }
+      for (const int I : C.m_unit.m_indices) {
+        const auto At = tryUnit(unitOf(C.m_unit, I), C.m_rank);
+        if (!At)
+          break;
+        ++C.m_unit.m_running[At->front()];
+      }
+    }
+    return std::move(m_plan);
+  }
+
+private:
+  // Starts the unit, or keeps room for it that is becoming free, or makes room.
+  std::optional<Assignment> tryUnit(const Unit &U, const Rank &R) {
+    if (auto At = place(U, m_sites, Horizon::Now)) {
+      take(U, *At, Horizon::Now, m_sites);
+      m_plan.m_starts.push_back({U, *At});
+      return At;
+    }
+    auto At = place(U, m_sites, Horizon::Soon);
+    if (!At && R.m_class <= UrgentClass && preempt(U, R))
+      At = place(U, m_sites, Horizon::Soon);
+    if (At)
+      take(U, *At, Horizon::Soon, m_sites);
+    return std::nullopt;
+  }
+
+  bool preempt(const Unit &U, const Rank &R) {
+    if (!m_running) {
+      m_running.emplace();
+      for (const auto &[Id, J] : m_jobs)
+        addStoppable(J, m_guaranteed, m_index, m_now, *m_running);
+    }
+    std::vector<Victim> Victims;
+    std::vector<Stoppable *> Owners;
+    for (Stoppable &S : *m_running) {
+      if (S.m_class <= R.m_class || S.m_tasks.empty())
+        continue;
+      Victims.push_back(S.m_victim);
+      Owners.push_back(&S);
+    }
+    const auto Chosen = chooseVictims(U, m_sites, Victims);
+    if (!Chosen)
+      return false;
+    for (const std::size_t V : *Chosen) {
+      Stoppable &S = *Owners[V];
+      for (const auto &[At, Room] : S.m_victim.m_room)
+        m_sites[At].m_soon = m_sites[At].m_soon + Room;
+      std::move(S.m_tasks.begin(), S.m_tasks.end(),
+                std::back_inserter(m_plan.m_preempted));
+      S.m_tasks.clear();
+    }
+    return true;
+  }
+
+  const JobTable &m_jobs;
+  std::vector<Site> m_sites;
+  SiteIndex m_index;
+  std::set<std::string> m_guaranteed;
+  Millis m_now;
+  std::optional<std::vector<Stoppable>> m_running; // Made when first needed.
+  Plan m_plan;
+};
+
+} // namespace
+
+Plan plan(const JobTable &Jobs, const std::vector<Site> &Sites,
+          const Guarantees &Promised, Millis Now) {
+  return Pass(Jobs, Sites, Promised, Now).run();
+}
+
+} // namespace pomelokeel::batch
--- a/src/http/http.cc
+++ b/src/http/http.cc
@@ -9,6 +9,8 @@
 #include <cstring>
 #include <string_view>
 
+#include <strings.h>
+
 namespace pomelokeel::http {
 namespace {
 
@@ -37,6 +39,16 @@
 
 } // namespace
 
+std::string_view headerOf(const std::vector<Header> &Headers,
+                          std::string_view Name) {
+  for (const Header &H : Headers) {
+    if (H.m_name.size() == Name.size() &&
+        strncasecmp(H.m_name.data(), Name.data(), Name.size()) == 0)
+      return H.m_value;
+  }
+  return "";
+}
+
 std::string pathOf(const std::string &Target) {
   return Target.substr(0, Target.find('?'));
 }
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -7,11 +7,21 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
 
 /// A bounded HTTP/1.1 server and client on Boost.Beast. No Boost types appear
 /// in the interface, because Beast compiles slowly.
 namespace pomelokeel::http {
 
+class Reactor;
+
+struct Header {
+  std::string m_name;
+  std::string m_value;
+};
+
 /// A request as received or to send. Method is upper case; Target includes the
 /// query.
 struct Request {
@@ -20,6 +30,7 @@
   std::string m_body;
   std::string m_contentType = "application/json";
   std::uint64_t m_connection = 0; ///< Set by Server: counts connections from 1.
+  std::vector<Header> m_headers;  ///< Of AsyncClient and Server.
 };
 
 /// Status 0 is never sent: the server closes the connection without an answer.
@@ -27,8 +38,13 @@
   int m_status = 200;
   std::string m_body;
   std::string m_contentType = "application/json";
+  std::vector<Header> m_headers; ///< Besides Content-Type and -Length.
 };
 
+/// Returns the value of header \p Name, or "".
+std::string_view headerOf(const std::vector<Header> &Headers,
+                          std::string_view Name);
+
 /// Status 0; for stand-ins that lose answers.
 inline Response noAnswer() { return {0, "", ""}; }
 
@@ -72,6 +88,11 @@
   static base::Result<std::unique_ptr<Server>>
   start(const std::string &Address, ServerLimits Limits, Handler H);
 
+  /// Serves on the thread of \p R, which outlives the server. stop() returns
+  /// at once there and calls its handler when the last connection is closed.
+  static base::Result<std::unique_ptr<Server>>
+  start(Reactor &R, const std::string &Address, ServerLimits Limits, Handler H);
+
   virtual ~Server() = default;
 
   /// The bound `host:port`.
@@ -82,6 +103,9 @@
   /// connections stay open for a moment, for a request already on its way. Not
   /// to be called on the server thread.
   virtual void stop(int GraceMs) = 0;
+
+  /// Calls \p Run once a server on a reactor has stopped.
+  virtual void onStopped(std::function<void()> Run) = 0;
 };
 
 /// Whether the request may have had an effect when a call failed.
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -1,6 +1,7 @@
 #include "base/error.h"
 #include "http/detail.h"
 #include "http/http.h"
+#include "http/reactor_impl.h"
 
 #include <boost/asio.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -200,6 +201,9 @@
     R.m_contentType = std::string(Received[beast::http::field::content_type]);
     R.m_body = std::move(Received.body());
     R.m_connection = m_number;
+    for (const auto &Field : Received)
+      R.m_headers.push_back(
+          {std::string(Field.name_string()), std::string(Field.value())});
     m_phase = Phase::Handling;
     ++m_generation;
     setDeadline(m_host.limits().m_responseTimeoutMs);
@@ -252,6 +256,8 @@
     m_keepAlive = m_keepAlive && !m_host.stopping();
     m_message = Message(static_cast<beast::http::status>(R.m_status), 11);
     m_message.set(beast::http::field::content_type, R.m_contentType);
+    for (const Header &H : R.m_headers)
+      m_message.set(H.m_name, H.m_value);
     m_message.keep_alive(m_keepAlive);
     m_message.body() = std::move(R.m_body);
     m_message.prepare_payload();
@@ -341,7 +347,16 @@
 public:
   ServerImpl(ServerLimits Limits, Handler H)
       : m_limits(Limits), m_handler(std::move(H)) {}
-  ~ServerImpl() override { ServerImpl::stop(0); }
+  ServerImpl(std::shared_ptr<net::io_context> Io, ServerLimits Limits,
+             Handler H)
+      : m_io(std::move(Io)), m_shared(true), m_limits(Limits),
+        m_handler(std::move(H)) {}
+  ~ServerImpl() override {
+    if (m_shared)
+      beginStop(0);
+    else
+      ServerImpl::stop(0);
+  }
 
   base::Status listen(const std::string &Address) {
     const auto Split = detail::splitHostPort(Address);
@@ -364,6 +379,8 @@
 
   void run() {
     accept();
+    if (m_shared)
+      return;
     m_thread = std::thread([this] { m_io->run(); });
   }
 
@@ -374,7 +391,13 @@
                                         : Host + ":" + Port;
   }
 
+  void onStopped(std::function<void()> Run) override {
+    m_onStopped = std::move(Run);
+  }
+
   void stop(int GraceMs) override {
+    if (m_shared)
+      return beginStop(GraceMs);
     const std::lock_guard Lock(m_stopMutex);
     if (!m_thread.joinable())
       return;
@@ -397,8 +420,9 @@
   }
 
   void accept() {
-    m_acceptor.async_accept([this](Code E, Tcp::socket Socket) {
-      if (m_stopping)
+    m_acceptor.async_accept([this, Alive = std::weak_ptr<int>(m_alive)](
+                                Code E, Tcp::socket Socket) {
+      if (Alive.expired() || m_stopping)
         return;
       if (!E) {
         add(std::move(Socket));
@@ -406,8 +430,8 @@
       }
       LOG(WARNING) << "event=acceptFailed error=\"" << E.message() << "\"";
       m_acceptTimer.expires_after(millis(AcceptRetryMs));
-      m_acceptTimer.async_wait([this](Code) {
-        if (!m_stopping)
+      m_acceptTimer.async_wait([this](Code Cancelled) {
+        if (!Cancelled && !m_stopping)
           accept();
       });
     });
@@ -430,6 +454,8 @@
   }
 
   void beginStop(int GraceMs) {
+    if (m_stopping && GraceMs > 0)
+      return;
     m_stopping = true;
     Code E;
     // Connections that were established but not accepted yet.
@@ -458,7 +484,15 @@
     const auto Open = m_sessions; // close() changes the set.
     for (const auto &S : Open)
       S->close();
-    m_io->stop();
+    ended();
+  }
+
+  // All connections are closed.
+  void ended() {
+    if (!m_shared)
+      return m_io->stop();
+    if (m_onStopped)
+      net::post(*m_io, std::exchange(m_onStopped, nullptr));
   }
 
   const ServerLimits &limits() const override { return m_limits; }
@@ -480,10 +514,14 @@
     m_refused.erase(S.get());
     m_sessions.erase(S);
     if (m_stopping && m_sessions.empty())
-      m_io->stop();
+      ended();
   }
 
   std::shared_ptr<net::io_context> m_io = std::make_shared<net::io_context>(1);
+  bool m_shared = false; // The thread serves others too.
+  std::function<void()> m_onStopped;
+  // For handlers on a shared thread, which may run after the destructor.
+  std::shared_ptr<int> m_alive = std::make_shared<int>();
   ServerLimits m_limits;
   Handler m_handler;
   Tcp::acceptor m_acceptor{*m_io};
@@ -498,15 +536,28 @@
   std::thread m_thread;
 };
 
-} // namespace
-
-base::Result<std::unique_ptr<Server>>
-Server::start(const std::string &Address, ServerLimits Limits, Handler H) {
-  auto S = std::make_unique<ServerImpl>(Limits, std::move(H));
+base::Result<std::unique_ptr<Server>> begin(std::unique_ptr<ServerImpl> S,
+                                            const std::string &Address) {
   if (auto Listening = S->listen(Address); !Listening)
     return Listening.error();
   S->run();
   return std::unique_ptr<Server>(std::move(S));
 }
 
+} // namespace
+
+base::Result<std::unique_ptr<Server>>
+Server::start(const std::string &Address, ServerLimits Limits, Handler H) {
+  return begin(std::make_unique<ServerImpl>(Limits, std::move(H)), Address);
+}
+
+base::Result<std::unique_ptr<Server>> Server::start(Reactor &R,
+                                                    const std::string &Address,
+                                                    ServerLimits Limits,
+                                                    Handler H) {
+  return begin(
+      std::make_unique<ServerImpl>(detail::ioOf(R), Limits, std::move(H)),
+      Address);
+}
+
 } // namespace pomelokeel::http
--- a/src/main.cc
+++ b/src/main.cc
@@ -1,6 +1,7 @@
 #include "agent/agent.h"
 #include "ctl/ctl.h"
 #include "entry/entry.h"
+#include "platform/commands.h"
 #include "settings/settings.h"
 
 #include <CLI/CLI.hpp>
@@ -52,6 +53,8 @@
   CLI::App *Ctl = App.add_subcommand("ctl", "Publish records, read reports");
   ctl::addCommands(*Ctl, ExitCode);
 
+  platform::addCommands(App, ExitCode);
+
   try {
     App.parse(Argc, Argv);
   } catch (const CLI::ParseError &E) {
--- /dev/null
+++ b/src/node/control.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "base/compact.h"
+#include "http/http.h"
+
+#include <string>
+#include <utility>
+
+/// The protocol between the processes: HTTP requests whose bodies are msgpack
+/// arrays in the order of the messages' field tables.
+namespace pomelokeel::node {
+
+constexpr const char *CallerPath = "/v1/batch/request";
+constexpr const char *ReportPath = "/v1/batch/report";
+constexpr const char *LeaderPath = "/v1/batch/leader";
+
+/// Status of an answer by a process that does not lead.
+constexpr int NotLeaderStatus = 421;
+
+template <typename T> std::string packMessage(const T &Value) {
+  const auto Bytes = base::Json::to_msgpack(base::encodeCompact(Value));
+  return {Bytes.begin(), Bytes.end()};
+}
+
+/// Error: badRequest and the kinds of decodeCompact().
+template <typename T> base::Result<T> unpackMessage(const std::string &Body) {
+  const base::Json J = base::parseMsgpack(
+      reinterpret_cast<const std::uint8_t *>(Body.data()), Body.size());
+  if (J.is_discarded())
+    return base::Error{base::ErrorKind::BadRequest, "not valid msgpack"};
+  T Out{};
+  if (auto S = base::decodeCompact(J, "", Out); !S)
+    return S.error();
+  return Out;
+}
+
+template <typename T> http::Request toRequest(const char *Path, const T &Body) {
+  http::Request R;
+  R.m_method = "POST";
+  R.m_target = Path;
+  R.m_contentType = "application/msgpack";
+  R.m_body = packMessage(Body);
+  return R;
+}
+
+template <typename T> http::Response toResponse(const T &Body) {
+  return {200, packMessage(Body), "application/msgpack", {}};
+}
+
+} // namespace pomelokeel::node
--- /dev/null
+++ b/src/node/entry_node.cc
@@ -0,0 +1,393 @@
+#include "node/entry_node.h"
+
+#include "base/clock.h"
+#include "base/id.h"
+#include "node/control.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace pomelokeel::node {
+namespace {
+
+using batch::CallerReply;
+using batch::CallerRequest;
+using batch::CallerRequestKind;
+using batch::Verdict;
+
+constexpr Millis TickMs = 100;
+
+/// Wait of a read of the operator's stream. A configuration must be in force
+/// within seconds, also after a connection went silent.
+constexpr Millis OperatorWaitMs = 5000;
+
+/// When to come back if there is no leader: an election takes about this long.
+constexpr Millis NoLeaderRetryMs = 1000;
+
+/// Timeout of one try to reach the leader; a connection that went silent is
+/// replaced after it.
+constexpr Millis ForwardMs = 1200;
+/// Pause before the next try.
+constexpr Millis ForwardRetryMs = 150;
+/// Kept of the caller's time for the answer.
+constexpr Millis AnswerMarginMs = 200;
+
+/// Pause before a step of a takeover is repeated.
+constexpr Millis TakeoverRetryMs = 200;
+
+/// A leader that hears under half of its agents for this long gives way: it is
+/// probably cut off from them, and another entry is not.
+constexpr Millis IsolationMs = 3000;
+constexpr std::size_t IsolationMinAgents = 3;
+constexpr Millis IsolationCooldownMs = 10000;
+
+/// Leases are granted for so long at most: long enough for a change of leader
+/// and a restart of an agent, short enough to start lost work again soon.
+constexpr Millis LeaseMs = 6000;
+
+batch::Timing timingOf(const Bounds &B) {
+  constexpr double MsPerSecond = 1000;
+  /// Beyond the time that callers may ask for an ended job.
+  constexpr Millis RetentionMarginMs = 60000;
+  batch::Timing T;
+  T.m_leaseMs = std::min(B.m_leaseMaxMs, LeaseMs);
+  T.m_stopGraceMs = B.m_stopGraceMs;
+  T.m_gangTimeoutMs = B.m_gangTimeoutMs;
+  T.m_retentionMs =
+      static_cast<Millis>(B.m_statusS * MsPerSecond) + RetentionMarginMs;
+  return T;
+}
+
+CallerReply unavailable(std::string Reason) {
+  CallerReply Out;
+  Out.m_verdict = Verdict::Unavailable;
+  Out.m_retryAfterMs = NoLeaderRetryMs;
+  Out.m_reason = std::move(Reason);
+  return Out;
+}
+
+CallerReply unknown(std::string Reason) {
+  CallerReply Out;
+  Out.m_verdict = Verdict::Unknown;
+  Out.m_reason = std::move(Reason);
+  return Out;
+}
+
+} // namespace
+
+EntryNode::EntryNode(http::Reactor &R, const Settings &S, Store &Platform,
+                     ConfigReader ReadConfig, base::EventLog &Events,
+                     base::Counters &Counters)
+    : m_reactor(R), m_settings(S), m_store(Platform),
+      m_readConfig(std::move(ReadConfig)), m_events(Events),
+      m_counters(Counters), m_tick(R.timer()), m_loadTimer(R.timer()) {
+  ElectionSettings E;
+  E.m_name = S.m_name;
+  E.m_address = S.m_controlListen;
+  E.m_member = memberOf(S.m_name, base::randomId().substr(0, 8), E.m_address);
+  Election::Handlers H;
+  H.m_elected = [this](std::int64_t Epoch) { elected(Epoch); };
+  H.m_leader = [this](const LeaderRecord &) { stepDown("anotherLeads"); };
+  H.m_confirmed = [this](Millis At) {
+    if (m_leader)
+      m_leader->confirm(At);
+  };
+  H.m_members = [this] {
+    if (m_leader)
+      m_leader->setEntries(m_election->addresses());
+  };
+  H.m_event = [this](const std::string &Name, const std::string &Detail) {
+    event(Name, "", Detail);
+  };
+  m_election = std::make_unique<Election>(R, Platform, E, H);
+  Follower::Handlers F;
+  F.m_record = [this](const KeyedRecord &Record) {
+    takeOperatorRecord(Record);
+  };
+  F.m_current = [](std::int64_t) {};
+  F.m_reachable = [this](bool Reachable) {
+    event(Reachable ? "storeRegained" : "storeLost", "", "by=operatorStream");
+  };
+  m_operator = std::make_unique<Follower>(R, Platform, Stream::Operator,
+                                          OperatorWaitMs, F);
+  tick();
+}
+
+EntryNode::~EntryNode() = default;
+
+void EntryNode::event(const std::string &Name, const std::string &Job,
+                      const std::string &Detail) {
+  m_events.record(Name, {Job, "", ""}, Detail);
+}
+
+void EntryNode::takeOperatorRecord(const KeyedRecord &R) {
+  auto Parsed = m_readConfig(R);
+  if (!Parsed) {
+    event(
+        "recordIgnored", "",
+        fmt::format("key={} reason=\"{}\"", R.m_key, Parsed.error().m_message));
+    return;
+  }
+  // A snapshot after an outage may hand over an old version again.
+  if (m_config && Parsed->m_version <= m_config->m_version)
+    return;
+  event("configInForce", "",
+        fmt::format("version={} routes={} accounts={}", Parsed->m_version,
+                    Parsed->m_routes.size(), Parsed->m_accounts.size()));
+  m_counters.get("config_version") = Parsed->m_version;
+  m_config = std::move(*Parsed);
+  if (m_leader)
+    m_leader->configure(*m_config);
+}
+
+void EntryNode::elected(std::int64_t Epoch) {
+  m_leader.reset();
+  m_loading = Epoch;
+  fence(Epoch);
+}
+
+void EntryNode::fence(std::int64_t Epoch) {
+  m_store.fence(static_cast<std::uint64_t>(Epoch),
+                [this, Epoch,
+                 Alive = std::weak_ptr<int>(m_alive)](AppendOutcome Outcome) {
+                  if (Alive.expired() || m_loading != Epoch)
+                    return;
+                  if (Outcome == AppendOutcome::Done)
+                    return load(Epoch);
+                  event("fenceFailed", "",
+                        fmt::format("epoch={} outcome={}", Epoch,
+                                    static_cast<int>(Outcome)));
+                  if (Outcome == AppendOutcome::Fenced)
+                    return stepDown("fenced");
+                  m_loadTimer->start(TakeoverRetryMs,
+                                     [this, Epoch] { fence(Epoch); });
+                });
+}
+
+void EntryNode::load(std::int64_t Epoch) {
+  m_store.snapshot(
+      Stream::Jobs, [this, Epoch, Alive = std::weak_ptr<int>(m_alive)](
+                        const base::Result<Snapshot> &S) {
+        if (Alive.expired() || m_loading != Epoch)
+          return;
+        if (S)
+          return lead(Epoch, *S);
+        event("loadFailed", "", S.error().m_message);
+        m_loadTimer->start(TakeoverRetryMs, [this, Epoch] { load(Epoch); });
+      });
+}
+
+void EntryNode::lead(std::int64_t Epoch, const Snapshot &S) {
+  m_loading = 0;
+  const Millis Now = base::bootNow();
+  m_leader = std::make_shared<batch::Leader>(
+      timingOf(m_settings.m_bounds), *this, m_counters,
+      static_cast<std::uint64_t>(Epoch), Now, base::wallNow());
+  if (auto Loaded = m_leader->load(S.m_records); !Loaded)
+    event("recordIgnored", "", Loaded.error().m_message);
+  m_leader->setEntries(m_election->addresses());
+  if (m_config)
+    m_leader->configure(*m_config);
+  m_counters.get("leader_epoch") = Epoch;
+}
+
+void EntryNode::stepDown(const char *Reason) {
+  m_loading = 0;
+  m_loadTimer->cancel();
+  if (!m_leader)
+    return;
+  event("leadershipLost", "",
+        fmt::format("epoch={} reason={}", m_leader->epoch(), Reason));
+  m_counters.get("leader_epoch") = 0;
+  const auto Old = std::exchange(m_leader, nullptr);
+  Old->resign();
+}
+
+void EntryNode::append(const batch::JournalBatch &Batch) {
+  m_store.append(Batch, [this, Weak = std::weak_ptr<batch::Leader>(m_leader)](
+                            AppendOutcome Outcome) {
+    const auto L = Weak.lock();
+    if (!L || L != m_leader)
+      return;
+    L->appended(Outcome, base::bootNow());
+    if (L->fenced())
+      stepDown("fenced");
+  });
+}
+
+void EntryNode::tick() {
+  m_tick->start(TickMs, [this] { tick(); });
+  if (!m_leader)
+    return;
+  const Millis Now = base::bootNow();
+  m_leader->advance(Now, base::wallNow());
+  checkStanding(Now);
+}
+
+void EntryNode::checkStanding(Millis Now) {
+  const auto [Heard, Known] = m_leader->agentsHeard(Now);
+  m_counters.get("agents_heard") = static_cast<std::int64_t>(Heard);
+  m_counters.get("agents_known") = static_cast<std::int64_t>(Known);
+  const bool Isolated = Known >= IsolationMinAgents && Heard * 2 < Known &&
+                        m_election->members() > 1;
+  if (!Isolated) {
+    m_isolatedSince = -1;
+    return;
+  }
+  if (m_isolatedSince < 0)
+    m_isolatedSince = Now;
+  if (Now - m_isolatedSince < IsolationMs)
+    return;
+  m_isolatedSince = -1;
+  event("leaderIsolated", "", fmt::format("heard={} known={}", Heard, Known));
+  m_election->resign(IsolationCooldownMs);
+  stepDown("isolated");
+}
+
+void EntryNode::answer(CallerCall Call, batch::CallerAnswer Answer) {
+  const Millis Begin = base::bootNow();
+  const Millis Deadline = Begin + Call.m_remainingMs - AnswerMarginMs;
+  auto Routed = route(m_config, std::move(Call));
+  ++m_inFlight;
+  auto Finish = [this, Begin, Answer = std::move(Answer),
+                 Alive = std::weak_ptr<int>(m_alive)](CallerReply R) {
+    if (!Alive.expired()) {
+      --m_inFlight;
+      m_counters.get(fmt::format("caller_answers{{verdict=\"{}\"}}",
+                                 base::nameOf(R.m_verdict)))++;
+      m_counters.get("caller_answer_ms_total") += base::bootNow() - Begin;
+    }
+    Answer(std::move(R));
+  };
+  if (auto *Rejected = std::get_if<CallerReply>(&Routed)) {
+    event("callRejected", "",
+          fmt::format("verdict={} config={} reason=\"{}\"",
+                      base::nameOf(Rejected->m_verdict),
+                      m_config ? m_config->m_version : -1, Rejected->m_reason));
+    return Finish(std::move(*Rejected));
+  }
+  ask(std::move(std::get<CallerRequest>(Routed)), Deadline, Finish);
+}
+
+void EntryNode::ask(CallerRequest R, Millis Deadline,
+                    batch::CallerAnswer Answer) {
+  const Millis Now = base::bootNow();
+  R.m_remainingMs = std::max<Millis>(Deadline - Now, 0);
+  if (m_leader)
+    return m_leader->handle(R, Now, base::wallNow(), std::move(Answer));
+  if (m_election->leader().m_address.empty() || m_election->leads())
+    return askAgain(std::move(R), Deadline, std::move(Answer));
+  forward(std::move(R), Deadline, std::move(Answer));
+}
+
+void EntryNode::forward(CallerRequest R, Millis Deadline,
+                        batch::CallerAnswer Answer) {
+  const std::string Address = m_election->leader().m_address;
+  const Millis Left = Deadline - base::bootNow();
+  auto Request = toRequest(CallerPath, R);
+  clientOf(Address)->call(
+      std::move(Request), std::clamp<Millis>(Left, 1, ForwardMs),
+      [this, R = std::move(R), Deadline, Answer = std::move(Answer),
+       Alive = std::weak_ptr<int>(m_alive)](http::CallResult Result) mutable {
+        if (Alive.expired())
+          return;
+        if (const auto *Got = std::get_if<http::Response>(&Result)) {
+          auto Reply = unpackMessage<CallerReply>(Got->m_body);
+          if (Got->m_status == 200 && Reply)
+            return Answer(std::move(*Reply));
+        }
+        const auto *Failed = std::get_if<http::CallError>(&Result);
+        const bool MaybeDone =
+            Failed != nullptr && Failed->m_sent == http::Sent::Maybe;
+        event("forwardFailed", R.m_id,
+              fmt::format("leader={} sent={}", m_election->leader().m_name,
+                          MaybeDone ? "maybe" : "no"));
+        if (MaybeDone)
+          R.m_maybeDone = true;
+        askAgain(std::move(R), Deadline, std::move(Answer));
+      });
+}
+
+// A request that certainly reached nobody is refused at once, so that the
+// caller can come back; one that may have been done is asked about until the
+// outcome is known or the caller's time is over.
+void EntryNode::askAgain(CallerRequest R, Millis Deadline,
+                         batch::CallerAnswer Answer) {
+  const bool Open = R.m_kind == CallerRequestKind::Submit && R.m_maybeDone;
+  if (!Open && R.m_kind == CallerRequestKind::Submit) {
+    event(
+        "jobRefused", R.m_id,
+        fmt::format("reason=noLeader epoch={}", m_election->leader().m_epoch));
+    return Answer(unavailable("no leader"));
+  }
+  if (base::bootNow() + ForwardRetryMs >= Deadline)
+    return Answer(Open ? unknown("the leader did not answer")
+                       : unavailable("no leader"));
+  const std::shared_ptr<http::Timer> Wait = m_reactor.timer();
+  http::Timer &T = *Wait;
+  T.start(ForwardRetryMs,
+          [this, Wait, R = std::move(R), Deadline, Answer = std::move(Answer),
+           Alive = std::weak_ptr<int>(m_alive)]() mutable {
+            if (!Alive.expired())
+              ask(std::move(R), Deadline, std::move(Answer));
+          });
+}
+
+void EntryNode::control(const http::Request &R, const http::Responder &Answer) {
+  const std::string Path = http::pathOf(R.m_target);
+  if (Path == LeaderPath)
+    return Answer({200,
+                   base::dumpJson(base::encode(m_election->leader())),
+                   "application/json",
+                   {}});
+  if (Path == "/v1/events")
+    return Answer({200,
+                   base::dumpJson(base::encode(m_events.page())),
+                   "application/json",
+                   {}});
+  if (Path == "/metrics")
+    return Answer({200, m_counters.render(), "text/plain; version=0.0.4", {}});
+  if (!m_leader)
+    return Answer({NotLeaderStatus, "", "text/plain", {}});
+  const Millis Now = base::bootNow();
+  if (Path == CallerPath) {
+    const auto Request = unpackMessage<CallerRequest>(R.m_body);
+    if (!Request)
+      return Answer(http::errorResponse(Request.error()));
+    return m_leader->handle(
+        *Request, Now, base::wallNow(),
+        [Answer](const CallerReply &Reply) { Answer(toResponse(Reply)); });
+  }
+  if (Path == ReportPath) {
+    const auto Report = unpackMessage<batch::AgentReport>(R.m_body);
+    if (!Report)
+      return Answer(http::errorResponse(Report.error()));
+    return m_leader->report(*Report, Now, base::wallNow(),
+                            [Answer](const batch::AgentReply &Reply) {
+                              Answer(toResponse(Reply));
+                            });
+  }
+  Answer(http::errorResponse({base::ErrorKind::NotFound, Path}));
+}
+
+std::shared_ptr<http::AsyncClient>
+EntryNode::clientOf(const std::string &Address) {
+  auto &Client = m_clients[Address];
+  if (!Client)
+    Client = http::AsyncClient::create(m_reactor, Address);
+  return Client;
+}
+
+void EntryNode::beginStop() {
+  if (std::exchange(m_stopping, true))
+    return;
+  event("stopping", "", fmt::format("inFlight={}", m_inFlight));
+  const bool Led = m_election->leads();
+  m_election->leave([] {});
+  if (Led)
+    stepDown("stopping");
+}
+
+} // namespace pomelokeel::node
--- /dev/null
+++ b/src/node/router.cc
@@ -0,0 +1,76 @@
+#include "node/router.h"
+
+#include <algorithm>
+#include <cctype>
+#include <utility>
+
+namespace pomelokeel::node {
+namespace {
+
+using batch::CallerReply;
+using batch::CallerRequest;
+using batch::CallerRequestKind;
+using batch::Verdict;
+
+constexpr std::size_t IdDigits = 16;
+
+/// A process reads the configuration within a second of its start.
+constexpr base::Millis NoConfigRetryMs = 1000;
+
+CallerReply rejection(Verdict V, std::string Reason) {
+  CallerReply Out;
+  Out.m_verdict = V;
+  Out.m_reason = std::move(Reason);
+  return Out;
+}
+
+bool isId(const std::string &Text) {
+  return Text.size() == IdDigits &&
+         std::all_of(Text.begin(), Text.end(),
+                     [](unsigned char C) { return std::isxdigit(C) != 0; });
+}
+
+} // namespace
+
+std::variant<CallerRequest, CallerReply>
+route(const std::optional<batch::Config> &C, CallerCall Call) {
+  if (!C) {
+    CallerReply Out = rejection(Verdict::Unavailable, "no configuration yet");
+    Out.m_retryAfterMs = NoConfigRetryMs;
+    return Out;
+  }
+  const batch::Route *R = findRoute(*C, Call.m_host, Call.m_path);
+  if (R == nullptr)
+    return rejection(Verdict::NoQueue, "no such queue");
+  const batch::Account *A = findAccount(*C, Call.m_key);
+  if (A == nullptr && !R->m_public)
+    return rejection(Verdict::Unauthorized, "unknown key");
+  CallerRequest Out;
+  Out.m_id = Call.m_path.substr(R->m_prefix.size());
+  Out.m_queue = R->m_queue;
+  Out.m_account = A == nullptr ? "" : A->m_name;
+  Out.m_remainingMs = Call.m_remainingMs;
+  if (Out.m_id.empty() && Call.m_method == CallerCall::Method::Query) {
+    Out.m_kind = CallerRequestKind::CountPending;
+    return Out;
+  }
+  if (!isId(Out.m_id))
+    return rejection(Verdict::BadRequest, "the id is not 16 hex digits");
+  switch (Call.m_method) {
+  case CallerCall::Method::Query:
+    Out.m_kind = CallerRequestKind::Query;
+    return Out;
+  case CallerCall::Method::Cancel:
+    Out.m_kind = CallerRequestKind::Cancel;
+    return Out;
+  case CallerCall::Method::Submit:
+    break;
+  }
+  if (!Call.m_spec)
+    return rejection(Verdict::BadRequest, Call.m_problem);
+  Out.m_kind = CallerRequestKind::Submit;
+  Out.m_spec = std::move(Call.m_spec);
+  return Out;
+}
+
+} // namespace pomelokeel::node
--- /dev/null
+++ b/src/node/settings.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "base/clock.h"
+#include "base/error.h"
+#include "base/fields.h"
+
+#include <string>
+#include <vector>
+
+namespace pomelokeel::node {
+
+using base::Millis;
+
+/// Bounds that hold for all processes of a deployment.
+struct Bounds {
+  Millis m_leaseMaxMs = 10000; ///< Longest lease that workers accept.
+  Millis m_stopGraceMs = 1000; ///< A stopped task is gone by then.
+  Millis m_gangTimeoutMs = 3000;
+  double m_graceS = 6;    ///< From SIGTERM to the kill.
+  double m_statusS = 120; ///< How long an ended job can be asked for.
+
+  static constexpr auto fields() {
+    return std::tuple{base::optional("leaseMaxMs", &Bounds::m_leaseMaxMs),
+                      base::optional("stopGraceMs", &Bounds::m_stopGraceMs),
+                      base::optional("gangTimeoutMs", &Bounds::m_gangTimeoutMs),
+                      base::optional("graceS", &Bounds::m_graceS),
+                      base::optional("statusS", &Bounds::m_statusS)};
+  }
+};
+
+/// JSON settings of `pomelokeel platform entry` and `... agent`.
+struct Settings {
+  std::string m_name;
+  std::string m_dataCentre;
+  std::string m_region;
+  std::string m_store;         ///< `host:port` of the platform's store.
+  std::string m_controlListen; ///< For other processes of this system.
+  std::string m_callerListen;  ///< Entry: for callers.
+  std::string m_readyListen;   ///< Entry: for the balancer.
+  std::string m_workerListen;  ///< Agent: where its worker reports.
+  std::string m_endpoint;      ///< Agent: where its worker takes orders.
+  std::string m_service;       ///< Agent: of its worker.
+  Bounds m_bounds;
+  int m_eventRing = 512;
+  int m_maxConnections = 1500;
+
+  static constexpr auto fields() {
+    return std::tuple{
+        base::required("name", &Settings::m_name),
+        base::required("dataCentre", &Settings::m_dataCentre),
+        base::optional("region", &Settings::m_region),
+        base::required("store", &Settings::m_store),
+        base::required("controlListen", &Settings::m_controlListen),
+        base::optional("callerListen", &Settings::m_callerListen),
+        base::optional("readyListen", &Settings::m_readyListen),
+        base::optional("workerListen", &Settings::m_workerListen),
+        base::optional("endpoint", &Settings::m_endpoint),
+        base::optional("service", &Settings::m_service),
+        base::optional("bounds", &Settings::m_bounds),
+        base::optional("eventRing", &Settings::m_eventRing),
+        base::optional("maxConnections", &Settings::m_maxConnections)};
+  }
+};
+
+enum class Role { Entry, Agent };
+
+/// Reads and checks a settings file. Error: badSettings, naming file and key.
+base::Result<Settings> loadSettings(const std::string &File, Role R);
+
+} // namespace pomelokeel::node
