--- a/src/batch/agent.cc
+++ b/src/batch/agent.cc
@@ -238,7 +238,9 @@
   C.m_fence = m_epoch;
   C.m_noted = m_noted;
   C.m_waitMs = WaitMs;
-  if (m_synced && m_clockAt >= 0 && inContact(Now))
+  // A worker that may be gone gets no further grants, so that there is a time
+  // by which all have run out.
+  if (m_synced && m_clockAt >= 0 && m_looksFailed == 0 && inContact(Now))
     C.m_deadline = deadline(Now);
   if (WaitMs > 0 || m_longLook == 0)
     m_longLook = C.m_serial;
--- a/src/batch/leader_runs.cc
+++ b/src/batch/leader_runs.cc
@@ -381,7 +381,7 @@
             }
           }
           if (!T.m_running || Kind.m_longRunning ||
-              Now - T.m_seenAt < StuckMs ||
+              Now - T.m_seenAt < StuckMs || A.m_unhealthy ||
               Now - A.m_heardAt > m_timing.m_silentMs)
             continue;
           if (A.m_lastStuck < 0 || Now - A.m_lastStuck > StuckMs) {
--- a/src/http/reactor.cc
+++ b/src/http/reactor.cc
@@ -42,6 +42,7 @@
 public:
   void run() override {
     const auto Guard = net::make_work_guard(*m_io);
+    m_io->restart();
     m_io->run();
   }
   void stop() override { m_io->stop(); }
--- a/src/node/election.cc
+++ b/src/node/election.cc
@@ -14,6 +14,9 @@
 /// that one near it leads if it can: each decision is stored before it counts.
 constexpr Millis ClaimDelayPerMs = 25;
 constexpr Millis MaxClaimDelayMs = 800;
+/// A leader that was never seen among the members may hold no part of the group
+/// yet: the parts of entries that died with it are free only after their time.
+constexpr Millis UnseenLeaderMs = 2500;
 /// Pause after a claim whose outcome is not known.
 constexpr Millis ClaimRetryMs = 300;
 /// Wait of a read of the leader stream; a connection that went silent is found
@@ -75,7 +78,7 @@
   // A later record has a higher epoch; an equal one was seen before.
   if (m_leaderKnown && Parsed->m_epoch <= m_leader.m_epoch)
     return;
-  m_leader = *Parsed;
+  setLeader(*Parsed);
   m_handlers.m_event(
       "leaderChanged",
       fmt::format("epoch={} member={}", m_leader.m_epoch, m_leader.m_member));
@@ -106,7 +109,7 @@
   const Millis Took = base::bootNow() - SentAt;
   m_distanceMs = m_distanceMs == 0 ? Took : std::min(m_distanceMs, Took);
   m_generation = M->m_generation;
-  if (m_membersOf != m_generation)
+  if (m_membersOf != m_generation || (m_leaderAbsent >= 0 && !m_leaderSeen))
     return readMembers(SentAt);
   if (leads())
     m_handlers.m_confirmed(SentAt);
@@ -119,8 +122,12 @@
                       const base::Result<std::vector<std::string>> &R) {
     if (Alive.expired() || !R)
       return;
+    const bool Changed = m_membersOf != Generation;
     m_members = {R->begin(), R->end()};
     m_membersOf = Generation;
+    watchLeader();
+    if (!Changed)
+      return consider();
     m_handlers.m_event(
         "membersChanged",
         fmt::format("generation={} members={}", Generation, m_members.size()));
@@ -133,13 +140,32 @@
   });
 }
 
+void Election::setLeader(const LeaderRecord &R) {
+  m_leader = R;
+  m_leaderSeen = false;
+  m_leaderAbsent = -1;
+  watchLeader();
+}
+
+void Election::watchLeader() {
+  if (m_membersOf < 0 || m_leader.m_member.empty())
+    return;
+  if (leads() || m_members.contains(m_leader.m_member)) {
+    m_leaderSeen = true;
+    m_leaderAbsent = -1;
+  } else if (m_leaderAbsent < 0) {
+    m_leaderAbsent = base::bootNow();
+  }
+}
+
 bool Election::vacant() const {
   if (m_leader.m_member.empty())
     return true;
   if (m_leader.m_name == m_settings.m_name)
     return m_leader.m_member != m_settings.m_member;
-  return m_membersOf == m_generation && !m_members.empty() &&
-         !m_members.contains(m_leader.m_member);
+  if (m_membersOf != m_generation || m_leaderAbsent < 0)
+    return false;
+  return m_leaderSeen || base::bootNow() - m_leaderAbsent >= UnseenLeaderMs;
 }
 
 void Election::consider() {
@@ -175,7 +201,7 @@
                        return;
                      if (A.m_outcome == AppendOutcome::Done && !m_leaving) {
                        m_claiming = false;
-                       m_leader = R;
+                       setLeader(R);
                        m_end = A.m_offset + 1;
                        m_handlers.m_elected(R.m_epoch);
                        return;
--- a/src/node/election.h
+++ b/src/node/election.h
@@ -92,6 +92,8 @@
   void takeRecord(const KeyedRecord &R);
   void consider();
   void claim();
+  void setLeader(const LeaderRecord &R);
+  void watchLeader();
   bool vacant() const;
 
   http::Reactor &m_reactor;
@@ -107,6 +109,8 @@
   std::int64_t m_generation = 0;
   std::int64_t m_membersOf = -1; ///< Generation that m_members is of.
   std::set<std::string> m_members;
+  bool m_leaderSeen = false;  ///< As a member, since its record.
+  Millis m_leaderAbsent = -1; ///< Since when it was not seen as one, or -1.
   bool m_claiming = false;
   bool m_leaving = false;
   Millis m_claimAfter = 0;
--- a/src/node/follower.cc
+++ b/src/node/follower.cc
@@ -42,8 +42,10 @@
 }
 
 void Follower::follow() {
+  // A read that waits would hang for its whole wait if it began in an outage.
+  const Millis WaitMs = m_reachable ? m_waitMs : 0;
   m_store.follow(
-      m_stream, m_next, m_waitMs,
+      m_stream, m_next, WaitMs,
       [this, Turn = std::weak_ptr<int>(m_turn)](base::Result<Page> R) {
         if (Turn.expired())
           return;
--- /dev/null
+++ b/tests/batch/fake_worker.h
@@ -0,0 +1,216 @@
+#pragma once
+
+#include "base/counters.h"
+#include "batch/agent.h"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace pomelokeel::batch::tests {
+
+/// A worker under an agent, without sockets and with a clock set by the test.
+/// Answers each call after a millisecond, unless a fault is switched on.
+class FakeWorker : public AgentPorts {
+public:
+  struct Running {
+    std::string m_payload;
+    std::string m_saved;
+    int m_percent = 0;
+  };
+
+  explicit FakeWorker(const AgentTiming &T = {})
+      : m_agent("agent-1", "inc-1", T, *this, m_counters) {}
+
+  // Faults.
+  bool m_gone = false;         ///< Nothing is answered or done.
+  bool m_losesStarts = false;  ///< Starts are not answered and not done.
+  bool m_delaysStarts = false; ///< Starts are done by applyLate().
+  bool m_leaderSilent = false; ///< Reports fail.
+  std::string m_refusal;       ///< Reason that starts are refused with.
+
+  Millis m_now = 1000;
+
+  WorkerInfo info() const {
+    WorkerInfo W;
+    W.m_id = "w-1";
+    W.m_life = "w-1@" + std::to_string(m_born);
+    W.m_service = "render";
+    W.m_dataCentre = "a";
+    W.m_capacity = {8000, 1000, 8};
+    W.m_draining = m_draining;
+    return W;
+  }
+
+  void heartbeat() { m_agent.onWorker(info(), m_now); }
+
+  /// Crashes and starts again under the same id.
+  void rebear() {
+    ++m_born;
+    m_runs.clear();
+    m_ends.clear();
+    m_lastEnd = 0;
+    m_deadline = 0;
+  }
+
+  void end(const std::string &Task, int Run, EndKind Kind,
+           const std::string &Saved = "") {
+    m_runs.erase({Task, Run});
+    m_ends.push_back({Task, Run, Kind, Saved, ++m_lastEnd, ""});
+  }
+
+  /// Carries out starts that were delayed.
+  void applyLate() {
+    for (const StartCall &C : std::exchange(m_late, {}))
+      apply(C);
+  }
+
+  /// Lets \p Ms pass, a millisecond at a time.
+  void pass(Millis Ms) {
+    for (Millis I = 0; I < Ms; ++I) {
+      ++m_now;
+      if (m_deadline > 0 && m_now > m_deadline && !m_runs.empty()) {
+        const auto Runs = m_runs;
+        for (const auto &[K, R] : Runs)
+          end(K.first, K.second, EndKind::Lapsed, R.m_saved);
+      }
+      while (!m_answers.empty() && m_answers.begin()->first <= m_now) {
+        const auto Answer = std::move(m_answers.begin()->second);
+        m_answers.erase(m_answers.begin());
+        Answer();
+      }
+      if (m_now % 10 == 0)
+        m_agent.advance(m_now);
+    }
+  }
+
+  /// Answers all reports that have no answer, the newest with \p R.
+  void reply(AgentReply R) {
+    R.m_epoch = m_epoch;
+    R.m_leads = true;
+    R.m_life = info().m_life;
+    AgentReply Empty = R;
+    Empty.m_starts.clear();
+    Empty.m_stops.clear();
+    Empty.m_noted.clear();
+    const auto Open = std::exchange(m_reports, {});
+    for (const AgentReport &Report : Open)
+      m_agent.onReply(Report.m_sequence, &Report == &Open.back() ? R : Empty,
+                      m_now);
+  }
+
+  bool reported(EndKind Kind) const {
+    return !m_reports.empty() &&
+           std::any_of(m_reports.back().m_ends.begin(),
+                       m_reports.back().m_ends.end(),
+                       [&](const EndReport &E) { return E.m_kind == Kind; });
+  }
+
+  std::uint64_t m_epoch = 1;
+  bool m_draining = false;
+  int m_born = 1;
+  std::map<std::pair<std::string, int>, Running> m_runs;
+  std::vector<EndReport> m_ends;
+  std::int64_t m_lastEnd = 0;
+  std::int64_t m_noted = 0;
+  Millis m_deadline = 0;
+  int m_starts = 0; ///< Runs that were started.
+  std::vector<AgentReport> m_reports;
+  std::vector<std::string> m_events;
+  base::Counters m_counters;
+  Agent m_agent;
+
+private:
+  void apply(const StartCall &C) {
+    const std::pair K(C.m_order.m_task, C.m_order.m_run);
+    if (m_runs.contains(K) || m_stopped[K.first] >= K.second)
+      return;
+    m_runs[K] = {C.m_order.m_payload, C.m_order.m_saved, 0};
+    m_deadline = std::max(m_deadline, C.m_deadline);
+    ++m_starts;
+  }
+
+  void later(std::function<void()> Answer, Millis Ms = 1) {
+    m_answers.emplace(m_now + Ms, std::move(Answer));
+  }
+
+  void start(const StartCall &C) override {
+    const std::string Task = C.m_order.m_task;
+    const int Run = C.m_order.m_run;
+    const auto Say = [this, Task, Run](OrderOutcome O, std::string Reason) {
+      later([=, this] {
+        m_agent.onStart(Task, Run, {O, Reason, m_now}, m_now);
+      });
+    };
+    if (m_gone || m_losesStarts || m_delaysStarts) {
+      if (m_delaysStarts)
+        m_late.push_back(C);
+      return Say(OrderOutcome::Unanswered, "timeout");
+    }
+    if (!m_refusal.empty())
+      return Say(OrderOutcome::Refused, m_refusal);
+    if (m_stopped[Task] >= Run)
+      return Say(OrderOutcome::Ended, "old");
+    apply(C);
+    Say(OrderOutcome::Done, "");
+  }
+
+  void stop(const StopCall &C) override {
+    if (m_gone)
+      return later([this, C] {
+        m_agent.onStop(C.m_task, C.m_run,
+                       {OrderOutcome::Unanswered, "timeout", -1}, m_now);
+      });
+    m_stopped[C.m_task] = std::max(m_stopped[C.m_task], C.m_run);
+    if (m_runs.contains({C.m_task, C.m_run}))
+      end(C.m_task, C.m_run, EndKind::Stopped, "saved");
+    later([this, C] {
+      m_agent.onStop(C.m_task, C.m_run, {OrderOutcome::Done, "", m_now}, m_now);
+    });
+  }
+
+  void look(const LookCall &C) override {
+    if (m_gone)
+      return later([this, C] { m_agent.onLook(C.m_serial, {}, m_now); });
+    if (C.m_deadline)
+      m_deadline = std::max(m_deadline, *C.m_deadline);
+    m_noted = std::max(m_noted, C.m_noted);
+    std::erase_if(m_ends,
+                  [&](const EndReport &E) { return E.m_number <= C.m_noted; });
+    LookAnswer A;
+    A.m_answered = true;
+    A.m_life = info().m_life;
+    A.m_clock = m_now;
+    for (const auto &[K, R] : m_runs)
+      A.m_runs.push_back(
+          {K.first, K.second, RunPhase::Running, R.m_percent, R.m_saved, 0});
+    A.m_ends = m_ends;
+    // A look that waits is answered after its wait or by an end.
+    const Millis Wait = m_ends.empty() ? C.m_waitMs : 0;
+    later([this, A, C] { m_agent.onLook(C.m_serial, A, m_now); }, 1 + Wait);
+  }
+
+  void report(const AgentReport &R) override {
+    if (!m_leaderSilent) {
+      m_reports.push_back(R);
+      return;
+    }
+    later([this, Sequence = R.m_sequence] {
+      m_agent.onReply(Sequence, std::nullopt, m_now);
+    });
+  }
+
+  void event(const std::string &Name, const std::string &,
+             const std::string &) override {
+    m_events.push_back(Name);
+  }
+
+  std::map<std::string, int> m_stopped; ///< Highest run that ended there.
+  std::vector<StartCall> m_late;
+  std::multimap<Millis, std::function<void()>> m_answers; ///< By time.
+};
+
+} // namespace pomelokeel::batch::tests
--- /dev/null
+++ b/tests/node/election_test.cc
@@ -0,0 +1,111 @@
+#include "node/election.h"
+
+#include "fake_store.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace pomelokeel::node::tests {
+namespace {
+
+/// An entry that takes part in elections.
+struct Candidate {
+  Candidate(http::Reactor &R, const std::shared_ptr<FakeStreams> &Shared,
+            const std::string &Name, const std::string &Incarnation = "1")
+      : m_store(R, Shared), m_member(memberOf(Name, Incarnation, "h:1")) {
+    ElectionSettings S;
+    S.m_name = Name;
+    S.m_member = m_member;
+    S.m_address = "h:1";
+    S.m_joinMs = 20;
+    Election::Handlers H;
+    H.m_elected = [this](std::int64_t Epoch) { m_epochs.push_back(Epoch); };
+    H.m_leader = [this](const LeaderRecord &) { ++m_others; };
+    H.m_confirmed = [this](Millis) { ++m_confirmed; };
+    H.m_members = [] {};
+    H.m_event = [](const std::string &, const std::string &) {};
+    m_election = std::make_unique<Election>(R, m_store, S, H);
+  }
+
+  FakeStore m_store;
+  std::string m_member;
+  std::vector<std::int64_t> m_epochs;
+  int m_others = 0;
+  int m_confirmed = 0;
+  std::unique_ptr<Election> m_election;
+};
+
+class ElectionTest : public testing::Test {
+protected:
+  bool until(std::function<bool()> Ready, Millis LimitMs = 3000) {
+    return runUntil(*m_reactor, std::move(Ready), LimitMs);
+  }
+
+  std::size_t claims() const {
+    return m_shared->m_records[Stream::Leaders].size();
+  }
+
+  std::unique_ptr<http::Reactor> m_reactor = http::Reactor::create();
+  std::shared_ptr<FakeStreams> m_shared = std::make_shared<FakeStreams>();
+};
+
+TEST_F(ElectionTest, OneOfSeveralLeadsAndIsConfirmed) {
+  Candidate A(*m_reactor, m_shared, "a");
+  Candidate B(*m_reactor, m_shared, "b");
+  ASSERT_TRUE(until([&] {
+    return A.m_election->leads() != B.m_election->leads() &&
+           A.m_confirmed + B.m_confirmed > 2;
+  }));
+}
+
+TEST_F(ElectionTest, AnotherClaimsWhenTheLeaderIsNoMemberAnyMore) {
+  auto A = std::make_unique<Candidate>(*m_reactor, m_shared, "a");
+  ASSERT_TRUE(until([&] { return A->m_election->leads(); }));
+  Candidate B(*m_reactor, m_shared, "b");
+  ASSERT_TRUE(until([&] { return B.m_others > 0; }));
+  ASSERT_TRUE(until([&] { return B.m_election->members() == 2; }));
+  const std::string Gone = A->m_member;
+  A.reset();
+  B.m_store.drop(Gone);
+  EXPECT_TRUE(until([&] { return B.m_election->leads(); }));
+  EXPECT_GT(B.m_epochs.back(), 1);
+}
+
+// After a restart of all entries each saw the new leader without a part of the
+// group yet, took it for gone and claimed in turn, ten times in two seconds.
+TEST_F(ElectionTest, ANewLeaderWithoutAPartYetIsNotDisplaced) {
+  Candidate A(*m_reactor, m_shared, "a");
+  m_shared->m_partless.insert(A.m_member);
+  m_shared->m_members.insert(memberOf("old", "1", "h:1"));
+  ASSERT_TRUE(until([&] { return A.m_election->leads(); }));
+  Candidate B(*m_reactor, m_shared, "b");
+  EXPECT_FALSE(until([&] { return claims() > 1; }, 800));
+}
+
+TEST_F(ElectionTest, AnEarlierIncarnationOfItsOwnIsReplacedAtOnce) {
+  {
+    Candidate A(*m_reactor, m_shared, "a", "1");
+    ASSERT_TRUE(until([&] { return A.m_election->leads(); }));
+  }
+  Candidate A(*m_reactor, m_shared, "a", "2");
+  EXPECT_TRUE(until([&] { return A.m_election->leads(); }));
+}
+
+TEST_F(ElectionTest, AClaimWhoseAnswerWasLostCounts) {
+  Candidate A(*m_reactor, m_shared, "a");
+  A.m_store.m_losesAnswers = true;
+  EXPECT_TRUE(until([&] { return !A.m_epochs.empty(); }));
+}
+
+TEST_F(ElectionTest, ALeaderThatLeavesIsReplacedWithoutWaiting) {
+  Candidate A(*m_reactor, m_shared, "a");
+  ASSERT_TRUE(until([&] { return A.m_election->leads(); }));
+  Candidate B(*m_reactor, m_shared, "b");
+  ASSERT_TRUE(until([&] { return B.m_others > 0; }));
+  A.m_election->leave([] {});
+  EXPECT_TRUE(until([&] { return B.m_election->leads(); }, 1000));
+}
+
+} // namespace
+} // namespace pomelokeel::node::tests
--- /dev/null
+++ b/tests/node/fake_store.h
@@ -0,0 +1,186 @@
+#pragma once
+
+#include "http/reactor.h"
+#include "node/store.h"
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace pomelokeel::node::tests {
+
+/// What all clients of a fake store share.
+struct FakeStreams {
+  std::map<Stream, std::vector<KeyedRecord>> m_records;
+  std::set<std::string> m_members;  ///< That have joined.
+  std::set<std::string> m_partless; ///< Joined, but hold no part yet.
+  std::int64_t m_generation = 1;
+  std::uint64_t m_epoch = 0; ///< Highest of the journal.
+};
+
+/// A client of a store in memory. Answers after a millisecond; faults are those
+/// of the platform's store for this client alone.
+class FakeStore : public Store {
+public:
+  FakeStore(http::Reactor &R, std::shared_ptr<FakeStreams> Shared)
+      : m_reactor(R), m_shared(std::move(Shared)) {}
+
+  bool m_silent = false;       ///< Calls are answered by their timeouts only.
+  bool m_losesAnswers = false; ///< Writes are done and not answered.
+  Millis m_timeoutMs = 100;
+  int m_follows = 0;
+
+  void append(const batch::JournalBatch &Batch,
+              std::function<void(AppendOutcome)> Done) override {
+    if (m_silent)
+      return after(m_timeoutMs, [Done] { Done(AppendOutcome::Unknown); });
+    auto Outcome = AppendOutcome::Fenced;
+    if (Batch.m_epoch >= m_shared->m_epoch) {
+      m_shared->m_epoch = Batch.m_epoch;
+      if (m_numbers.insert({Batch.m_epoch, Batch.m_number}).second)
+        add(Stream::Jobs, Batch.m_records);
+      Outcome = AppendOutcome::Done;
+    }
+    if (m_losesAnswers)
+      return after(m_timeoutMs, [Done] { Done(AppendOutcome::Unknown); });
+    after(1, [Done, Outcome] { Done(Outcome); });
+  }
+
+  void fence(std::uint64_t Epoch,
+             std::function<void(AppendOutcome)> Done) override {
+    append({Epoch, 0, {}}, std::move(Done));
+  }
+
+  void appendAt(Stream S, const KeyedRecord &R, std::int64_t End,
+                std::function<void(ConditionalAppend)> Done) override {
+    ConditionalAppend Out;
+    if (m_silent)
+      return after(m_timeoutMs, [Done, Out] { Done(Out); });
+    const auto Size = static_cast<std::int64_t>(m_shared->m_records[S].size());
+    Out.m_outcome = Size == End ? AppendOutcome::Done : AppendOutcome::NotDone;
+    Out.m_moved = Size != End;
+    Out.m_offset = End;
+    if (Size == End)
+      add(S, {R});
+    if (m_losesAnswers)
+      return after(m_timeoutMs, [Done] { Done({}); });
+    after(1, [Done, Out] { Done(Out); });
+  }
+
+  void snapshot(Stream S, Done<Snapshot> Answer) override {
+    if (m_silent)
+      return fail<Snapshot>(m_timeoutMs, Answer);
+    std::map<std::string, std::string> Newest;
+    for (const KeyedRecord &R : m_shared->m_records[S])
+      Newest[R.m_key] = R.m_value;
+    Snapshot Out;
+    for (const auto &[Key, Value] : Newest)
+      Out.m_records.push_back({Key, Value});
+    Out.m_end = static_cast<std::int64_t>(m_shared->m_records[S].size());
+    after(1, [Answer, Out] { Answer(Out); });
+  }
+
+  void follow(Stream S, std::int64_t From, Millis WaitMs,
+              Done<Page> Done) override {
+    ++m_follows;
+    poll(S, From, base::bootNow() + WaitMs, std::move(Done));
+  }
+
+  void join(const std::string &Member, Millis, std::int64_t,
+            Done<Membership> Done) override {
+    if (m_silent)
+      return fail<Membership>(m_timeoutMs, Done);
+    if (m_shared->m_members.insert(Member).second)
+      ++m_shared->m_generation;
+    after(1, [Done, G = m_shared->m_generation] { Done(Membership{G}); });
+  }
+
+  void leave(const std::string &Member, std::function<void()> Done) override {
+    drop(Member);
+    after(1, Done);
+  }
+
+  void members(Done<std::vector<std::string>> Done) override {
+    if (m_silent)
+      return fail<std::vector<std::string>>(m_timeoutMs, Done);
+    std::vector<std::string> Out;
+    for (const std::string &M : m_shared->m_members) {
+      if (!m_shared->m_partless.contains(M))
+        Out.push_back(M);
+    }
+    after(1, [Done, Out] { Done(Out); });
+  }
+
+  /// As when a member's time has run out.
+  void drop(const std::string &Member) {
+    if (m_shared->m_members.erase(Member) > 0)
+      ++m_shared->m_generation;
+  }
+
+  void add(Stream S, const std::vector<KeyedRecord> &Records) {
+    auto &All = m_shared->m_records[S];
+    All.insert(All.end(), Records.begin(), Records.end());
+  }
+
+  /// Runs \p Run after \p Ms, unless the client is gone by then.
+  void after(Millis Ms, std::function<void()> Run) {
+    const std::shared_ptr<http::Timer> T = m_reactor.timer();
+    http::Timer &Armed = *T;
+    Armed.start(Ms,
+                [T, Run = std::move(Run), Alive = std::weak_ptr<int>(m_alive)] {
+                  if (!Alive.expired())
+                    Run();
+                });
+  }
+
+private:
+  template <typename T> void fail(Millis Ms, const Done<T> &Done) {
+    after(Ms, [Done] {
+      Done(base::Error{base::ErrorKind::Timeout, "no answer"});
+    });
+  }
+
+  void poll(Stream S, std::int64_t From, Millis Until, Done<Page> Answer) {
+    const Millis Left = Until - base::bootNow();
+    // A read that waits while the store is silent hangs until its timeout.
+    if (m_silent)
+      return fail<Page>(std::max<Millis>(Left, 0) + m_timeoutMs, Answer);
+    const auto &All = m_shared->m_records[S];
+    if (From < static_cast<std::int64_t>(All.size()) || Left <= 0) {
+      Page Out;
+      Out.m_records.assign(All.begin() + From, All.end());
+      Out.m_next = static_cast<std::int64_t>(All.size());
+      return after(1, [Answer, Out] { Answer(Out); });
+    }
+    constexpr Millis StepMs = 5;
+    after(StepMs, [=, this] { poll(S, From, Until, Answer); });
+  }
+
+  http::Reactor &m_reactor;
+  std::shared_ptr<int> m_alive = std::make_shared<int>();
+  std::shared_ptr<FakeStreams> m_shared;
+  std::set<std::pair<std::uint64_t, std::uint64_t>> m_numbers;
+};
+
+/// Runs the reactor until \p Ready holds, at most \p LimitMs.
+template <typename F> bool runUntil(http::Reactor &R, F Ready, Millis LimitMs) {
+  constexpr Millis StepMs = 5;
+  const Millis End = base::bootNow() + LimitMs;
+  bool Held = false;
+  const auto T = R.timer();
+  std::function<void()> Check = [&] {
+    Held = Ready();
+    if (Held || base::bootNow() >= End)
+      return R.stop();
+    T->start(StepMs, Check);
+  };
+  T->start(1, Check);
+  R.run();
+  return Held;
+}
+
+} // namespace pomelokeel::node::tests
