--- a/src/batch/messages.h
+++ b/src/batch/messages.h
@@ -22,6 +22,7 @@
   std::optional<JobSpec> m_spec; ///< Of Submit.
   Millis m_remainingMs = 0;      ///< How long the caller still waits.
   bool m_maybeDone = false;      ///< Not sent: an earlier try may have worked.
+  Millis m_arrivedAt = 0;        ///< Not sent: when it came to its entry.
 
   static constexpr auto fields() {
     return std::tuple{
--- a/src/node/agent_node.cc
+++ b/src/node/agent_node.cc
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/id.h"
 #include "node/control.h"
+#include "node/peers.h"
 
 #include <fmt/format.h>
 
@@ -181,8 +182,8 @@
                    const auto *Got = std::get_if<http::Response>(&Result);
                    if (Got == nullptr || Got->m_status != 200)
                      return;
-                   if (const auto L = base::parse<LeaderRecord>(Got->m_body))
-                     takeLeader(*L);
+                   if (const auto S = base::parse<EntryStatus>(Got->m_body))
+                     takeLeader(S->m_leader);
                  });
 }
 
--- a/src/node/election.cc
+++ b/src/node/election.cc
@@ -104,8 +104,11 @@
 }
 
 void Election::joined(const base::Result<Membership> &M, Millis SentAt) {
-  if (!M)
+  if (!M) {
+    ++m_joinsFailed;
     return;
+  }
+  m_joinsFailed = 0;
   const Millis Took = base::bootNow() - SentAt;
   m_distanceMs = m_distanceMs == 0 ? Took : std::min(m_distanceMs, Took);
   m_generation = M->m_generation;
@@ -158,8 +161,24 @@
   }
 }
 
+void Election::learn(const LeaderRecord &R) {
+  if (R.m_epoch <= m_leader.m_epoch)
+    return;
+  setLeader(R);
+  m_handlers.m_event("leaderChanged", fmt::format("epoch={} member={} by=peer",
+                                                  R.m_epoch, R.m_member));
+  m_handlers.m_leader(R);
+}
+
+void Election::takeOver(std::int64_t Epoch) {
+  if (leads() || Epoch != m_leader.m_epoch || !storeReachable())
+    return;
+  m_givesWay = Epoch;
+  consider();
+}
+
 bool Election::vacant() const {
-  if (m_leader.m_member.empty())
+  if (m_leader.m_member.empty() || m_givesWay == m_leader.m_epoch)
     return true;
   if (m_leader.m_name == m_settings.m_name)
     return m_leader.m_member != m_settings.m_member;
@@ -175,8 +194,9 @@
   if (Now < m_claimAfter && m_members.size() > 1)
     return;
   m_claiming = true;
+  const bool Asked = m_givesWay == m_leader.m_epoch;
   const Millis Delay =
-      std::min(m_distanceMs * ClaimDelayPerMs, MaxClaimDelayMs);
+      Asked ? 0 : std::min(m_distanceMs * ClaimDelayPerMs, MaxClaimDelayMs);
   m_claimTimer->start(Delay, [this] { claim(); });
 }
 
--- a/src/node/election.h
+++ b/src/node/election.h
@@ -79,6 +79,15 @@
   /// Where the members of the group are reached.
   std::vector<std::string> addresses() const;
 
+  /// True if the last call to the store was answered.
+  bool storeReachable() const { return m_joinsFailed == 0; }
+
+  /// Takes what another entry knows of the leader.
+  void learn(const LeaderRecord &R);
+
+  /// The leader of \p Epoch asks this process to lead instead of it.
+  void takeOver(std::int64_t Epoch);
+
   /// Gives up leadership and does not claim it for \p CooldownMs.
   void resign(Millis CooldownMs);
 
@@ -109,8 +118,10 @@
   std::int64_t m_generation = 0;
   std::int64_t m_membersOf = -1; ///< Generation that m_members is of.
   std::set<std::string> m_members;
-  bool m_leaderSeen = false;  ///< As a member, since its record.
-  Millis m_leaderAbsent = -1; ///< Since when it was not seen as one, or -1.
+  bool m_leaderSeen = false;    ///< As a member, since its record.
+  Millis m_leaderAbsent = -1;   ///< Since when it was not seen as one, or -1.
+  std::int64_t m_givesWay = -1; ///< Epoch whose leader asked to be replaced.
+  int m_joinsFailed = 0;        ///< In a row.
   bool m_claiming = false;
   bool m_leaving = false;
   Millis m_claimAfter = 0;
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -31,6 +31,13 @@
 constexpr Millis ForwardMs = 1200;
 /// Pause before the next try.
 constexpr Millis ForwardRetryMs = 150;
+/// A change of leader takes about a second. In its course a submission waits
+/// for the new one; in an outage that is older it is refused at once.
+constexpr Millis LeaderChangeMs = 1500;
+/// Longest wait of a submission for a new leader.
+constexpr Millis MaxWaitMs = 1200;
+/// Time between questions to other entries while the store is out of reach.
+constexpr Millis AskPeersMs = 250;
 /// Kept of the caller's time for the answer.
 constexpr Millis AnswerMarginMs = 200;
 
@@ -82,7 +89,8 @@
                      base::Counters &Counters)
     : m_reactor(R), m_settings(S), m_store(Platform),
       m_readConfig(std::move(ReadConfig)), m_events(Events),
-      m_counters(Counters), m_tick(R.timer()), m_loadTimer(R.timer()) {
+      m_counters(Counters), m_tick(R.timer()), m_loadTimer(R.timer()),
+      m_clients(R) {
   ElectionSettings E;
   E.m_name = S.m_name;
   E.m_address = S.m_controlListen;
@@ -94,7 +102,13 @@
     if (m_leader)
       m_leader->confirm(At);
   };
+  m_peers = std::make_unique<Peers>(
+      m_clients, E.m_address,
+      [this](const std::string &Address, const EntryStatus &Status) {
+        takeStatus(Address, Status);
+      });
   H.m_members = [this] {
+    m_peers->setAddresses(m_election->addresses());
     if (m_leader)
       m_leader->setEntries(m_election->addresses());
   };
@@ -219,13 +233,34 @@
 
 void EntryNode::tick() {
   m_tick->start(TickMs, [this] { tick(); });
+  const Millis Now = base::bootNow();
+  askPeers(Now);
   if (!m_leader)
     return;
-  const Millis Now = base::bootNow();
   m_leader->advance(Now, base::wallNow());
   checkStanding(Now);
 }
 
+void EntryNode::askPeers(Millis Now) {
+  if (m_election->storeReachable() || Now - m_askedAt < AskPeersMs)
+    return;
+  m_askedAt = Now;
+  m_peers->ask();
+}
+
+// The store refuses this process but not the other: the other knows of later
+// leaders, and can lead in the place of this one.
+void EntryNode::takeStatus(const std::string &Address, const EntryStatus &S) {
+  m_election->learn(S.m_leader);
+  const LeaderRecord &Known = m_election->leader();
+  if (m_election->storeReachable() || !m_election->leads() ||
+      !S.m_storeReachable || S.m_leader.m_epoch != Known.m_epoch)
+    return;
+  event("takeoverAsked", "",
+        fmt::format("epoch={} of={}", Known.m_epoch, Address));
+  m_peers->requestTakeover(Address, Known.m_epoch);
+}
+
 void EntryNode::checkStanding(Millis Now) {
   const auto [Heard, Known] = m_leader->agentsHeard(Now);
   m_counters.get("agents_heard") = static_cast<std::int64_t>(Heard);
@@ -268,15 +303,26 @@
                       m_config ? m_config->m_version : -1, Rejected->m_reason));
     return Finish(std::move(*Rejected));
   }
-  ask(std::move(std::get<CallerRequest>(Routed)), Deadline, Finish);
+  auto &Request = std::get<CallerRequest>(Routed);
+  Request.m_arrivedAt = Begin;
+  ask(std::move(Request), Deadline, Finish);
 }
 
 void EntryNode::ask(CallerRequest R, Millis Deadline,
                     batch::CallerAnswer Answer) {
   const Millis Now = base::bootNow();
   R.m_remainingMs = std::max<Millis>(Deadline - Now, 0);
-  if (m_leader)
-    return m_leader->handle(R, Now, base::wallNow(), std::move(Answer));
+  if (m_leader) {
+    m_leader->handle(
+        R, Now, base::wallNow(),
+        [this, R, Deadline, Answer = std::move(Answer),
+         Alive = std::weak_ptr<int>(m_alive)](CallerReply Reply) mutable {
+          if (!Alive.expired())
+            replied(std::move(R), Deadline, std::move(Answer),
+                    std::move(Reply));
+        });
+    return;
+  }
   if (m_election->leader().m_address.empty() || m_election->leads())
     return askAgain(std::move(R), Deadline, std::move(Answer));
   forward(std::move(R), Deadline, std::move(Answer));
@@ -285,9 +331,10 @@
 void EntryNode::forward(CallerRequest R, Millis Deadline,
                         batch::CallerAnswer Answer) {
   const std::string Address = m_election->leader().m_address;
+  http::AsyncClient &Client = m_clients.at(Address);
   const Millis Left = Deadline - base::bootNow();
   auto Request = toRequest(CallerPath, R);
-  clientOf(Address)->call(
+  Client.call(
       std::move(Request), std::clamp<Millis>(Left, 1, ForwardMs),
       [this, R = std::move(R), Deadline, Answer = std::move(Answer),
        Alive = std::weak_ptr<int>(m_alive)](http::CallResult Result) mutable {
@@ -296,7 +343,8 @@
         if (const auto *Got = std::get_if<http::Response>(&Result)) {
           auto Reply = unpackMessage<CallerReply>(Got->m_body);
           if (Got->m_status == 200 && Reply)
-            return Answer(std::move(*Reply));
+            return replied(std::move(R), Deadline, std::move(Answer),
+                           std::move(*Reply));
         }
         const auto *Failed = std::get_if<http::CallError>(&Result);
         const bool MaybeDone =
@@ -310,19 +358,46 @@
       });
 }
 
+// Whether a leader that could serve the request is likely to be there in time.
+bool EntryNode::worthWaiting(const CallerRequest &R, Millis Now) const {
+  return m_unservedAt >= 0 && Now - m_unservedAt < LeaderChangeMs &&
+         Now - R.m_arrivedAt < MaxWaitMs;
+}
+
+void EntryNode::replied(CallerRequest R, Millis Deadline,
+                        batch::CallerAnswer Answer, CallerReply Reply) {
+  const Millis Now = base::bootNow();
+  if (Reply.m_verdict != Verdict::Unavailable &&
+      Reply.m_verdict != Verdict::Unknown)
+    m_unservedAt = -1;
+  else if (m_unservedAt < 0)
+    m_unservedAt = Now;
+  if (Reply.m_verdict == Verdict::Unknown)
+    R.m_maybeDone = true;
+  const bool Again = Reply.m_verdict == Verdict::Unknown ||
+                     (Reply.m_verdict == Verdict::Unavailable &&
+                      (R.m_maybeDone || worthWaiting(R, Now)));
+  if (Again)
+    return askAgain(std::move(R), Deadline, std::move(Answer));
+  Answer(std::move(Reply));
+}
+
 // A request that certainly reached nobody is refused at once, so that the
 // caller can come back; one that may have been done is asked about until the
 // outcome is known or the caller's time is over.
 void EntryNode::askAgain(CallerRequest R, Millis Deadline,
                          batch::CallerAnswer Answer) {
   const bool Open = R.m_kind == CallerRequestKind::Submit && R.m_maybeDone;
-  if (!Open && R.m_kind == CallerRequestKind::Submit) {
+  const Millis Now = base::bootNow();
+  if (m_unservedAt < 0)
+    m_unservedAt = Now;
+  if (!Open && R.m_kind == CallerRequestKind::Submit && !worthWaiting(R, Now)) {
     event(
         "jobRefused", R.m_id,
         fmt::format("reason=noLeader epoch={}", m_election->leader().m_epoch));
     return Answer(unavailable("no leader"));
   }
-  if (base::bootNow() + ForwardRetryMs >= Deadline)
+  if (Now + ForwardRetryMs >= Deadline)
     return Answer(Open ? unknown("the leader did not answer")
                        : unavailable("no leader"));
   const std::shared_ptr<http::Timer> Wait = m_reactor.timer();
@@ -339,9 +414,15 @@
   const std::string Path = http::pathOf(R.m_target);
   if (Path == LeaderPath)
     return Answer({200,
-                   base::dumpJson(base::encode(m_election->leader())),
+                   base::dumpJson(base::encode(EntryStatus{
+                       m_election->leader(), m_election->storeReachable()})),
                    "application/json",
                    {}});
+  if (Path == TakeoverPath) {
+    if (const auto T = unpackMessage<TakeoverRequest>(R.m_body))
+      m_election->takeOver(T->m_epoch);
+    return Answer({});
+  }
   if (Path == "/v1/events")
     return Answer({200,
                    base::dumpJson(base::encode(m_events.page())),
@@ -372,14 +453,6 @@
   Answer(http::errorResponse({base::ErrorKind::NotFound, Path}));
 }
 
-std::shared_ptr<http::AsyncClient>
-EntryNode::clientOf(const std::string &Address) {
-  auto &Client = m_clients[Address];
-  if (!Client)
-    Client = http::AsyncClient::create(m_reactor, Address);
-  return Client;
-}
-
 void EntryNode::beginStop() {
   if (std::exchange(m_stopping, true))
     return;
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -6,12 +6,12 @@
 #include "http/async_client.h"
 #include "http/reactor.h"
 #include "node/election.h"
+#include "node/peers.h"
 #include "node/router.h"
 #include "node/settings.h"
 #include "node/store.h"
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -60,9 +60,13 @@
   void ask(batch::CallerRequest R, Millis Deadline, batch::CallerAnswer Answer);
   void forward(batch::CallerRequest R, Millis Deadline,
                batch::CallerAnswer Answer);
+  void replied(batch::CallerRequest R, Millis Deadline,
+               batch::CallerAnswer Answer, batch::CallerReply Reply);
   void askAgain(batch::CallerRequest R, Millis Deadline,
                 batch::CallerAnswer Answer);
-  std::shared_ptr<http::AsyncClient> clientOf(const std::string &Address);
+  void takeStatus(const std::string &Address, const EntryStatus &S);
+  void askPeers(Millis Now);
+  bool worthWaiting(const batch::CallerRequest &R, Millis Now) const;
 
   http::Reactor &m_reactor;
   const Settings m_settings;
@@ -77,7 +81,10 @@
   std::unique_ptr<http::Timer> m_loadTimer;
   std::shared_ptr<batch::Leader> m_leader;
   std::int64_t m_loading = 0; ///< Epoch that is being taken over, or 0.
-  std::map<std::string, std::shared_ptr<http::AsyncClient>> m_clients;
+  Clients m_clients;
+  std::unique_ptr<Peers> m_peers;
+  Millis m_askedAt = 0;     ///< When peers were asked last.
+  Millis m_unservedAt = -1; ///< Since when no request could be served, or -1.
   std::size_t m_inFlight = 0;
   Millis m_isolatedSince = -1;
   bool m_stopping = false;
--- /dev/null
+++ b/src/node/peers.cc
@@ -0,0 +1,63 @@
+#include "node/peers.h"
+
+#include "node/control.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace pomelokeel::node {
+namespace {
+
+/// Entries that are asked at a time: enough that one of them reaches the store,
+/// whatever the number of entries is.
+constexpr std::size_t AskedAtATime = 2;
+
+constexpr Millis AskMs = 400;
+
+} // namespace
+
+http::AsyncClient &Clients::at(const std::string &Address) {
+  auto &Client = m_clients[Address];
+  if (!Client)
+    Client = http::AsyncClient::create(m_reactor, Address);
+  return *Client;
+}
+
+Peers::Peers(Clients &C, std::string OwnAddress, OnStatus Done)
+    : m_clients(C), m_own(std::move(OwnAddress)), m_onStatus(std::move(Done)) {}
+
+void Peers::setAddresses(const std::vector<std::string> &Addresses) {
+  m_addresses.clear();
+  std::copy_if(Addresses.begin(), Addresses.end(),
+               std::back_inserter(m_addresses),
+               [&](const std::string &A) { return A != m_own; });
+}
+
+void Peers::ask() {
+  const std::size_t Count = std::min(AskedAtATime, m_addresses.size());
+  for (std::size_t I = 0; I < Count; ++I) {
+    const std::string Address = m_addresses[m_next++ % m_addresses.size()];
+    http::Request R;
+    R.m_target = LeaderPath;
+    m_clients.at(Address).call(
+        std::move(R), AskMs,
+        [this, Address,
+         Alive = std::weak_ptr<int>(m_alive)](const http::CallResult &C) {
+          const auto *Got = std::get_if<http::Response>(&C);
+          if (Alive.expired() || Got == nullptr)
+            return;
+          if (const auto Status = base::parse<EntryStatus>(Got->m_body))
+            m_onStatus(Address, *Status);
+        });
+  }
+}
+
+void Peers::requestTakeover(const std::string &Address, std::int64_t Epoch) {
+  TakeoverRequest T;
+  T.m_epoch = Epoch;
+  // Whether it has worked shows in the status of the others.
+  m_clients.at(Address).call(toRequest(TakeoverPath, T), AskMs,
+                             [](const http::CallResult &) {});
+}
+
+} // namespace pomelokeel::node
--- a/tests/node/election_test.cc
+++ b/tests/node/election_test.cc
@@ -107,5 +107,29 @@
   EXPECT_TRUE(until([&] { return B.m_election->leads(); }, 1000));
 }
 
+// The store may refuse the leader alone; waiting for its membership to end kept
+// callers without service for two seconds.
+TEST_F(ElectionTest, TakesOverAtOnceWhenTheLeaderAsks) {
+  Candidate A(*m_reactor, m_shared, "a");
+  ASSERT_TRUE(until([&] { return A.m_election->leads(); }));
+  Candidate B(*m_reactor, m_shared, "b");
+  ASSERT_TRUE(until([&] { return B.m_others > 0; }));
+  A.m_store.m_silent = true;
+  B.m_election->takeOver(A.m_epochs.back());
+  ASSERT_TRUE(until([&] { return B.m_election->leads(); }, 500));
+  // The leader before cannot read the record, so it is told.
+  A.m_election->learn(B.m_election->leader());
+  EXPECT_FALSE(A.m_election->leads());
+}
+
+TEST_F(ElectionTest, AnOldWishToBeReplacedIsIgnored) {
+  Candidate A(*m_reactor, m_shared, "a");
+  ASSERT_TRUE(until([&] { return A.m_election->leads(); }));
+  Candidate B(*m_reactor, m_shared, "b");
+  ASSERT_TRUE(until([&] { return B.m_others > 0; }));
+  B.m_election->takeOver(A.m_epochs.back() - 1);
+  EXPECT_FALSE(until([&] { return B.m_election->leads(); }, 300));
+}
+
 } // namespace
 } // namespace pomelokeel::node::tests
