--- a/src/batch/job.h
+++ b/src/batch/job.h
@@ -169,7 +169,9 @@
   Millis m_stopAt = 0;
   Millis m_seenAt = 0; ///< When its progress last changed.
   int m_percent = 0;
-  std::string m_avoid; ///< Agent whose worker failed it last.
+  int m_firstPercent = 0; ///< When it was first seen at work.
+  Millis m_firstSeenAt = 0;
+  std::vector<std::string> m_avoid; ///< Agents whose workers failed it.
 
   static constexpr auto fields() {
     return std::tuple{base::required("phase", &Task::m_phase),
--- a/src/batch/leader.h
+++ b/src/batch/leader.h
@@ -73,7 +73,7 @@
       m_lingering;
   std::vector<ParkedReport> m_parked;
   std::uint64_t m_entriesTold = 0; ///< Version of the list of entries.
-  /// Failures and successes of runs lately, for quarantine.
+  /// Failed tasks since the last success, for quarantine.
   std::vector<std::pair<Millis, std::string>> m_failures;
   Millis m_lastSuccess = -1;
   Millis m_quarantinedUntil = 0;
@@ -160,7 +160,7 @@
   void stop(Task &T, const TaskName &Name, StopReason Reason, Millis Now);
   void stopAll(Job &J, StopReason Reason, Millis Now);
   void finishJob(Job &J, JobPhase Phase, Millis Wall);
-  void noteOutcome(AgentView &A, const std::string &Job, EndKind Kind,
+  void noteOutcome(AgentView &A, const TaskName &Name, EndKind Kind,
                    Millis Now);
   void matchRuns(AgentView &A, Millis Now);
   void watchRuns(Millis Now);
--- a/src/batch/leader_runs.cc
+++ b/src/batch/leader_runs.cc
@@ -19,7 +19,7 @@
 
 /// Runs that failed within this time count towards a quarantine.
 constexpr Millis FailureWindowMs = 10000;
-/// Failures of different jobs without a success that quarantine a worker.
+/// Failures of different tasks without a success that quarantine a worker.
 constexpr std::size_t FailuresToQuarantine = 2;
 constexpr Millis QuarantineMs = 3000; ///< Doubles each time.
 constexpr Millis MaxQuarantineMs = 30000;
@@ -31,13 +31,6 @@
 /// How long the room of a done gang's member is kept without a word of it.
 constexpr Millis LingerMs = 3000;
 
-/// Expected time that a run still needs, or -1 if there is nothing to go by.
-Millis remainingOf(const Task &T, Millis Now) {
-  if (T.m_percent <= 0)
-    return -1;
-  return (Now - T.m_placedAt) * (100 - T.m_percent) / T.m_percent;
-}
-
 } // namespace
 
 const Task *Leader::find(const TaskName &Name) const {
@@ -124,6 +117,10 @@
     Task &T = *find(*Name);
     if (!T.m_seen || R.m_percent != T.m_percent)
       T.m_seenAt = Now;
+    if (!T.m_running && R.m_phase != RunPhase::Starting) {
+      T.m_firstPercent = R.m_percent;
+      T.m_firstSeenAt = Now;
+    }
     T.m_seen = true;
     T.m_percent = R.m_percent;
     if (!R.m_saved.empty())
@@ -159,10 +156,10 @@
                             E.m_detail.empty() ? "" : " detail=", E.m_detail));
   if (Current) {
     const TaskName Name = *parseTaskName(E.m_task);
-    noteOutcome(A, Name.m_job, E.m_kind, Now);
+    noteOutcome(A, Name, E.m_kind, Now);
     Job &J = m_jobs[Name.m_job];
     if (E.m_kind == EndKind::Failed)
-      find(Name)->m_avoid = A.m_name;
+      find(Name)->m_avoid.push_back(A.m_name);
     endRun(J, Name, E.m_kind, E.m_saved, Now, Wall);
     Batch = m_journal.nextBatch();
   }
@@ -246,7 +243,7 @@
   reset(Ended);
 }
 
-void Leader::noteOutcome(AgentView &A, const std::string &Job, EndKind Kind,
+void Leader::noteOutcome(AgentView &A, const TaskName &Name, EndKind Kind,
                          Millis Now) {
   if (Kind == EndKind::Done) {
     A.m_lastSuccess = Now;
@@ -256,10 +253,11 @@
   }
   if (Kind != EndKind::Failed)
     return;
+  const std::string Task = toString(Name);
   std::erase_if(A.m_failures, [&](const auto &F) {
-    return Now - F.first > FailureWindowMs || F.second == Job;
+    return Now - F.first > FailureWindowMs || F.second == Task;
   });
-  A.m_failures.emplace_back(Now, Job);
+  A.m_failures.emplace_back(Now, Task);
   if (A.m_failures.size() < FailuresToQuarantine)
     return;
   A.m_quarantineMs =
@@ -267,7 +265,7 @@
   A.m_quarantinedUntil = Now + A.m_quarantineMs;
   A.m_failures.clear();
   m_counters.get("quarantines")++;
-  m_ports.event("workerQuarantined", Job,
+  m_ports.event("workerQuarantined", Name.m_job,
                 fmt::format("agent={} reason=failures forMs={}", A.m_name,
                             A.m_quarantineMs));
 }
@@ -393,7 +391,7 @@
                           fmt::format("agent={} reason=noProgress forMs={}",
                                       A.m_name, A.m_quarantineMs));
           }
-          T.m_avoid = T.m_agent;
+          T.m_avoid.push_back(T.m_agent);
           stop(T, Name, StopReason::Unwanted, Now);
           Break = Break || Kind.m_gang;
         }
--- a/src/batch/leader_schedule.cc
+++ b/src/batch/leader_schedule.cc
@@ -22,6 +22,7 @@
     S.m_labels = A.m_worker.m_labels;
     S.m_capacity = S.m_free = S.m_soon = A.m_worker.m_capacity;
     S.m_slowness = A.m_slowness;
+    S.m_failures = static_cast<int>(A.m_failures.size());
     S.m_usable = Now - A.m_heardAt < m_timing.m_silentMs &&
                  !A.m_worker.m_draining && !A.m_unhealthy &&
                  Now >= A.m_quarantinedUntil;
@@ -57,7 +58,7 @@
             continue;
           Site &S = Out[At->second];
           S.m_free = S.m_free - Each;
-          if (T.m_stop == StopReason::None)
+          if (T.m_stop == StopReason::None && !endsSoon(T, Now))
             S.m_soon = S.m_soon - Each;
         }
       }
--- a/src/batch/placement.cc
+++ b/src/batch/placement.cc
@@ -9,9 +9,12 @@
 namespace pomelokeel::batch {
 namespace {
 
+bool contains(const std::vector<std::string> &All, const std::string &One) {
+  return std::find(All.begin(), All.end(), One) != All.end();
+}
+
 bool hasLabel(const Site &S, const std::string &Label) {
-  return Label.empty() || std::find(S.m_labels.begin(), S.m_labels.end(),
-                                    Label) != S.m_labels.end();
+  return Label.empty() || contains(S.m_labels, Label);
 }
 
 bool mayRun(const Unit &U, const Site &S) {
@@ -84,13 +87,14 @@
   return Out.empty() ? std::vector<Scope>{All} : Out;
 }
 
-// Lower is better: data nearby, sound, not where it failed, then fullest.
+// Lower is better: data nearby, not where it failed, sound, then fullest.
 auto rankOf(const Unit &U, const Site &S) {
   const bool Far =
       !U.m_step->m_dataRack.empty() && U.m_step->m_dataRack != S.m_rack;
-  const bool Avoided = !U.m_avoid.empty() && U.m_avoid == S.m_agent;
-  return std::tuple(Far, Avoided, S.m_slowness, S.m_free.m_accelerators,
-                    S.m_free.m_milliCores, S.m_free.m_memoryMb);
+  const bool Avoided = contains(U.m_avoid, S.m_agent);
+  return std::tuple(Far, Avoided, S.m_failures, S.m_slowness,
+                    S.m_free.m_accelerators, S.m_free.m_milliCores,
+                    S.m_free.m_memoryMb);
 }
 
 std::optional<Assignment> fill(const Unit &U, const std::vector<Site> &Sites,
@@ -161,6 +165,15 @@
 
 std::optional<Assignment> place(const Unit &U, const std::vector<Site> &Sites,
                                 Horizon When) {
+  if (!U.m_avoid.empty()) {
+    std::vector<Site> Others = Sites;
+    for (Site &S : Others)
+      S.m_usable = S.m_usable && !contains(U.m_avoid, S.m_agent);
+    Unit Anywhere = U;
+    Anywhere.m_avoid.clear();
+    if (canEverFit(Anywhere, Others))
+      return place(Anywhere, Others, When);
+  }
   const Rooms Room = roomsOf(U, Sites, When, false);
   std::optional<Assignment> Best;
   std::tuple<double, std::int64_t> BestCost;
@@ -179,9 +192,10 @@
 
 bool canEverFit(const Unit &U, const std::vector<Site> &Sites) {
   const Rooms Idle = roomsOf(U, Sites, Horizon::Now, true);
-  Scope All(Sites.size());
-  std::iota(All.begin(), All.end(), 0);
-  return total(Idle, All) >= static_cast<std::int64_t>(U.m_indices.size());
+  const auto Scopes = scopesOf(U, Sites);
+  return std::any_of(Scopes.begin(), Scopes.end(), [&](const Scope &S) {
+    return total(Idle, S) >= static_cast<std::int64_t>(U.m_indices.size());
+  });
 }
 
 void take(const Unit &U, const Assignment &A, Horizon When,
--- a/src/batch/placement.h
+++ b/src/batch/placement.h
@@ -21,6 +21,7 @@
   Resources m_free; ///< Free now.
   Resources m_soon; ///< Free when all runs that are being stopped have ended.
   bool m_usable = true;  ///< Takes new work.
+  int m_failures = 0;    ///< Runs that failed since one was done.
   double m_slowness = 1; ///< Expected run time relative to a sound worker.
 };
 
@@ -32,7 +33,7 @@
   const Step *m_step = nullptr;
   /// Tasks of the same step and occurrence that each site already runs.
   std::vector<int> m_running;
-  std::string m_avoid; ///< Agent where it failed before, or "".
+  std::vector<std::string> m_avoid; ///< Agents where it failed before.
 };
 
 /// Which of a site's figures to place against.
--- a/src/batch/schedule.cc
+++ b/src/batch/schedule.cc
@@ -27,6 +27,9 @@
 /// Priority 0 without a guarantee; lower priorities follow.
 constexpr int UrgentClass = 1;
 
+/// About what a stop takes until the room is free.
+constexpr Millis EndsSoonMs = 1000;
+
 double weightOf(const Resources &R) {
   return static_cast<double>(R.m_milliCores) / MilliCoresPerCore +
          CoresPerAccelerator * static_cast<double>(R.m_accelerators);
@@ -156,7 +159,7 @@
         const Task &T = Occurrences[K][S][I];
         const auto At = Index.find({T.m_agent, T.m_life});
         if (T.m_phase != TaskPhase::Placed || T.m_stop != StopReason::None ||
-            At == Index.end())
+            At == Index.end() || endsSoon(T, Now))
           continue;
         Stoppable One;
         One.m_class = classOf(J.m_spec, Guaranteed);
@@ -277,6 +280,22 @@
 
 } // namespace
 
+Millis remainingOf(const Task &T, Millis Now) {
+  constexpr int Whole = 100;
+  const int Gained = T.m_percent - T.m_firstPercent;
+  if (!T.m_running || Gained <= 0)
+    return -1;
+  const Millis Took = T.m_seenAt - T.m_firstSeenAt;
+  return std::max<Millis>(
+      Took * (Whole - T.m_percent) / Gained - (Now - T.m_seenAt), 0);
+}
+
+bool endsSoon(const Task &T, Millis Now) {
+  const Millis Left = remainingOf(T, Now);
+  // One that has not ended when it should have is not waited for.
+  return Left > 0 && Left <= EndsSoonMs;
+}
+
 Plan plan(const JobTable &Jobs, const std::vector<Site> &Sites,
           const Guarantees &Promised, Millis Now) {
   return Pass(Jobs, Sites, Promised, Now).run();
--- a/src/batch/schedule.h
+++ b/src/batch/schedule.h
@@ -37,6 +37,14 @@
   std::vector<TaskName> m_preempted; ///< Runs to stop for more urgent units.
 };
 
+/// Expected time that a run still needs by its progress, or -1 if there is
+/// nothing to go by.
+Millis remainingOf(const Task &T, Millis Now);
+
+/// True for a run that is about to end: waiting for it frees its room about as
+/// fast as stopping another one, and nothing is thrown away.
+bool endsSoon(const Task &T, Millis Now);
+
 /// Decides what starts where and what is stopped for it: guaranteed jobs of
 /// priority 0 first, then by priority, then by due time. Jobs within their
 /// account's guarantee displace any others, other jobs of priority 0 those of
--- /dev/null
+++ b/tests/batch/schedule_test.cc
@@ -0,0 +1,166 @@
+#include "batch/schedule.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <set>
+#include <string>
+
+namespace pomelokeel::batch::tests {
+namespace {
+
+constexpr Millis Now = 100000;
+
+Step step(std::int64_t Count, std::int64_t Accelerators) {
+  Step S;
+  S.m_count = Count;
+  S.m_each = {1000 * Accelerators, 100, Accelerators};
+  S.m_estimateMs = 1000;
+  return S;
+}
+
+Step gang(std::int64_t Count, std::int64_t Accelerators) {
+  Step S = step(Count, Accelerators);
+  S.m_gang = true;
+  S.m_rackLocal = true;
+  return S;
+}
+
+/// Jobs and workers of 8 accelerators, three to a rack.
+class ScheduleTest : public testing::Test {
+protected:
+  void addWorkers(int Count) {
+    for (int I = 0; I < Count; ++I) {
+      const std::string Name = "w" + std::to_string(m_sites.size());
+      Site S;
+      S.m_agent = Name;
+      S.m_life = Name + "@1";
+      S.m_service = "s";
+      S.m_rack = "r" + std::to_string(m_sites.size() / 3);
+      S.m_capacity = S.m_free = S.m_soon = {16000, 10000, 8};
+      m_sites.push_back(S);
+    }
+  }
+
+  JobState &addJob(const std::string &Id, int Priority,
+                   std::vector<Step> Steps) {
+    JobState J;
+    J.m_spec.m_id = Id;
+    J.m_spec.m_queue.m_service = "s";
+    J.m_spec.m_queue.m_priority = Priority;
+    J.m_spec.m_queue.m_attempts = 3;
+    J.m_spec.m_account = "acc";
+    J.m_spec.m_acceptedMs = static_cast<Millis>(m_jobs.size());
+    J.m_spec.m_steps = std::move(Steps);
+    J.m_progress.m_occurrences = {makeOccurrence(J.m_spec)};
+    return m_jobs[Id] = std::move(J);
+  }
+
+  // Lets the first step of the job run on the given workers since \p Ms ago.
+  void run(JobState &J, const std::vector<std::size_t> &Workers, Millis Ms) {
+    auto &Tasks = J.m_progress.m_occurrences[0][0];
+    for (std::size_t I = 0; I < Workers.size(); ++I) {
+      Task &T = Tasks[I];
+      Site &S = m_sites[Workers[I]];
+      T.m_phase = TaskPhase::Placed;
+      T.m_run = 1;
+      T.m_agent = S.m_agent;
+      T.m_life = S.m_life;
+      T.m_running = true;
+      T.m_startSentAt = T.m_placedAt = Now - Ms;
+      S.m_free = S.m_free - chargeOf(J.m_spec.m_steps[0]);
+      S.m_soon = S.m_free;
+    }
+  }
+
+  Plan planNow() { return plan(m_jobs, m_sites, m_guarantees, Now); }
+
+  static std::set<std::string> started(const Plan &P) {
+    std::set<std::string> Out;
+    for (const Start &S : P.m_starts)
+      Out.insert(S.m_unit.m_name.m_job);
+    return Out;
+  }
+
+  static std::set<std::string> preempted(const Plan &P) {
+    std::set<std::string> Out;
+    for (const TaskName &N : P.m_preempted)
+      Out.insert(N.m_job);
+    return Out;
+  }
+
+  JobTable m_jobs;
+  std::vector<Site> m_sites;
+  Guarantees m_guarantees;
+};
+
+TEST_F(ScheduleTest, PacksSmallTasksAndKeepsWorkersWhole) {
+  addWorkers(3);
+  addJob("small", 2, {step(8, 1)});
+  const Plan P = planNow();
+  std::set<std::size_t> Used;
+  for (const Start &S : P.m_starts)
+    Used.insert(S.m_sites.begin(), S.m_sites.end());
+  EXPECT_EQ(P.m_starts.size(), 8u);
+  EXPECT_EQ(Used.size(), 1u);
+}
+
+TEST_F(ScheduleTest, KeepsARackLocalGangOnOneRack) {
+  addWorkers(6);
+  run(addJob("other", 2, {step(1, 8)}), {0}, 100);
+  addJob("gang", 1, {gang(3, 8)});
+  const Plan P = planNow();
+  ASSERT_EQ(started(P), std::set<std::string>{"gang"});
+  for (const std::size_t I : P.m_starts[0].m_sites)
+    EXPECT_EQ(m_sites[I].m_rack, "r1");
+}
+
+TEST_F(ScheduleTest, AGuaranteedJobDisplacesBorrowedAccelerators) {
+  addWorkers(1);
+  run(addJob("low", 2, {step(1, 8)}), {0}, 100);
+  addJob("urgent", 0, {step(1, 8)});
+  m_guarantees["acc"] = 8;
+  EXPECT_EQ(preempted(planNow()), std::set<std::string>{"low"});
+}
+
+TEST_F(ScheduleTest, DisplacesTheWorkThatLosesLeast) {
+  addWorkers(2);
+  run(addJob("old", 2, {step(1, 8)}), {0}, 9000);
+  run(addJob("young", 2, {step(1, 8)}), {1}, 500);
+  addJob("urgent", 0, {step(1, 8)});
+  EXPECT_EQ(preempted(planNow()), std::set<std::string>{"young"});
+}
+
+TEST_F(ScheduleTest, AStepWaitsForTheStepsBeforeIt) {
+  addWorkers(2);
+  Step Second = step(1, 1);
+  Second.m_after = {0};
+  addJob("dag", 1, {step(1, 1), Second});
+  const Plan P = planNow();
+  ASSERT_EQ(P.m_starts.size(), 1u);
+  EXPECT_EQ(P.m_starts[0].m_unit.m_name.m_step, 0);
+}
+
+TEST_F(ScheduleTest, KeepsToTheLimitPerWorker) {
+  addWorkers(2);
+  Step S = step(4, 1);
+  S.m_perWorker = 1;
+  addJob("apart", 1, {S});
+  EXPECT_EQ(planNow().m_starts.size(), 2u);
+}
+
+// A worker that fails all it starts is the first to be free again; a job lost
+// its three attempts there within 100 ms, while sound workers were busy.
+TEST_F(ScheduleTest, ATaskWaitsRatherThanGoBackToTheWorkerThatFailedIt) {
+  addWorkers(2);
+  run(addJob("busy", 0, {step(1, 8)}), {1}, 100);
+  JobState &J = addJob("job", 0, {step(1, 1)});
+  J.m_progress.m_occurrences[0][0][0].m_avoid = {"w0"};
+  EXPECT_TRUE(planNow().m_starts.empty());
+  // With no other worker it goes back.
+  m_sites.pop_back();
+  EXPECT_EQ(planNow().m_starts.size(), 1u);
+}
+
+} // namespace
+} // namespace pomelokeel::batch::tests
