--- a/src/batch/leader.cc
+++ b/src/batch/leader.cc
@@ -186,7 +186,7 @@
     }
     m_flushedPhases.clear();
   } else if (m_journal.withdrawable()) {
-    withdrawSubmissions();
+    withdrawSubmissions(true);
   }
   settle(Now);
 }
@@ -197,6 +197,7 @@
   watchRuns(Now);
   purge(Wall);
   m_journal.advance(Now);
+  refuseWhileStalled(Now);
   if (Now - m_scheduledAt >= ScheduleEveryMs)
     m_scheduleWanted = true;
   settle(Now);
--- a/src/batch/leader.h
+++ b/src/batch/leader.h
@@ -145,7 +145,8 @@
               CallerAnswer Answer);
   void countPending(const CallerRequest &R, const CallerAnswer &Answer) const;
   void answerWaiters(Millis Now);
-  void withdrawSubmissions();
+  void withdrawSubmissions(bool OfCurrentBatch);
+  void refuseWhileStalled(Millis Now);
 
   // leader_runs.cc
   void takeEnd(AgentView &A, const EndReport &E, Millis Now, Millis Wall);
--- a/src/batch/leader_callers.cc
+++ b/src/batch/leader_callers.cc
@@ -136,14 +136,21 @@
     Answer(std::move(Reply));
 }
 
-// The log has surely not taken the current batch: jobs that are new in it are
-// refused now instead of being kept until the log answers.
-void Leader::withdrawSubmissions() {
+void Leader::refuseWhileStalled(Millis Now) {
+  if (m_journal.waitingFor(Now) > JournalStallMs)
+    withdrawSubmissions(false);
+}
+
+// Jobs that surely are not stored are refused now instead of being kept until
+// the log answers: all new ones if every attempt of the current batch certainly
+// had no effect, else those that are in no batch yet.
+void Leader::withdrawSubmissions(bool OfCurrentBatch) {
   std::vector<CallerAnswer> Refused;
   std::set<std::string> Withdrawn;
   std::erase_if(m_waiters, [&](detail::Waiter &W) {
     const auto It = m_jobs.find(W.m_job);
-    if (!W.m_submission || It == m_jobs.end() || It->second.m_specStored)
+    if (!W.m_submission || It == m_jobs.end() || It->second.m_specStored ||
+        (!OfCurrentBatch && W.m_batch < m_journal.nextBatch()))
       return false;
     Withdrawn.insert(W.m_job);
     Refused.push_back(std::move(W.m_answer));
@@ -155,10 +162,10 @@
     m_jobs.erase(Id);
     m_dirty.erase(Id);
     m_flushedPhases.erase(Id);
-    if (m_journal.busy())
-      m_journal.withdraw("spec/" + Id);
-    if (m_journal.busy())
-      m_journal.withdraw("state/" + Id);
+    for (const char *Prefix : {"spec/", "state/"}) {
+      if (OfCurrentBatch && m_journal.busy())
+        m_journal.withdraw(Prefix + Id);
+    }
   }
   for (const CallerAnswer &Answer : Refused)
     Answer(refusal(Verdict::Unavailable, RetryJournalMs,
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -26,6 +26,12 @@
 /// When to come back if there is no leader: an election takes about this long.
 constexpr Millis NoLeaderRetryMs = 1000;
 
+/// How often an entry joins the group, and how long the store keeps one that
+/// does not: this is the longest part of the time without a leader after one
+/// has lost power. The store takes no less than a second.
+constexpr Millis JoinMs = 300;
+constexpr Millis MembershipMs = 1200;
+
 /// Timeout of one try to reach the leader; a connection that went silent is
 /// replaced after it.
 constexpr Millis ForwardMs = 1200;
@@ -94,6 +100,8 @@
   ElectionSettings E;
   E.m_name = S.m_name;
   E.m_address = S.m_controlListen;
+  E.m_joinMs = JoinMs;
+  E.m_ttlMs = MembershipMs;
   E.m_member = memberOf(S.m_name, base::randomId().substr(0, 8), E.m_address);
   Election::Handlers H;
   H.m_elected = [this](std::int64_t Epoch) { elected(Epoch); };
--- /dev/null
+++ b/tests/batch/leader_fixture.h
@@ -0,0 +1,210 @@
+#pragma once
+
+#include "batch/leader.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace pomelokeel::batch::tests {
+
+/// A leader with a journal and agents that the test plays. Time passes by
+/// pass(); appends are answered at once unless m_outcome says otherwise.
+class LeaderTest : public testing::Test, public LeaderPorts {
+protected:
+  static constexpr Millis Wall = 1700000000000;
+
+  void SetUp() override { makeLeader(); }
+
+  void makeLeader() {
+    m_leader = std::make_unique<Leader>(Timing{}, *this, m_counters, ++m_epoch,
+                                        m_now, wall());
+    std::vector<KeyedRecord> Records;
+    for (const auto &[Key, Value] : m_stored)
+      Records.push_back({Key, Value});
+    ASSERT_TRUE(m_leader->load(Records).ok());
+  }
+
+  Millis wall() const { return Wall + m_now; }
+
+  /// Lets \p Ms pass in steps of 50 ms; the leader stays confirmed.
+  void pass(Millis Ms) {
+    const Millis End = m_now + Ms;
+    while (m_now < End) {
+      m_now = std::min(m_now + 50, End);
+      m_leader->confirm(m_now);
+      for (const std::string &Agent : m_alive)
+        report(Agent);
+      m_leader->advance(m_now, wall());
+      answerAppends();
+    }
+  }
+
+  static JobSpec jobOf(std::vector<Step> Steps) {
+    JobSpec S;
+    S.m_payload = "payload";
+    S.m_steps = std::move(Steps);
+    return S;
+  }
+
+  static Step step(std::int64_t Count, std::int64_t Accelerators) {
+    Step S;
+    S.m_count = Count;
+    S.m_each = {1000, 100, Accelerators};
+    S.m_estimateMs = 1000;
+    return S;
+  }
+
+  /// Submits and returns where the reply will be.
+  std::shared_ptr<std::optional<CallerReply>>
+  submit(const std::string &Id, JobSpec S, int Priority = 1) {
+    CallerRequest R = request(CallerRequestKind::Submit, Id);
+    R.m_queue.m_priority = Priority;
+    R.m_spec = std::move(S);
+    return ask(R);
+  }
+
+  static CallerRequest request(CallerRequestKind Kind, const std::string &Id) {
+    CallerRequest R;
+    R.m_kind = Kind;
+    R.m_id = Id;
+    R.m_queue.m_name = "q";
+    R.m_queue.m_service = "s";
+    R.m_queue.m_attempts = 2;
+    R.m_account = "acc";
+    R.m_remainingMs = 3000;
+    return R;
+  }
+
+  std::shared_ptr<std::optional<CallerReply>> ask(const CallerRequest &R) {
+    auto Out = std::make_shared<std::optional<CallerReply>>();
+    m_leader->handle(R, m_now, wall(),
+                     [Out](const CallerReply &Reply) { *Out = Reply; });
+    answerAppends();
+    return Out;
+  }
+
+  JobPhase phaseOf(const std::string &Id) {
+    const auto Reply = ask(request(CallerRequestKind::Query, Id));
+    return Reply->value_or(CallerReply{}).m_phase;
+  }
+
+  /// An agent whose worker has 8 accelerators.
+  struct Beside {
+    std::string m_life;
+    std::uint64_t m_sequence = 0;
+    std::map<std::string, RunReport> m_runs; ///< By task.
+    std::vector<EndReport> m_ends;
+    bool m_draining = false;
+    std::vector<StopOrder> m_stops;
+    std::vector<EndReport> m_noted;
+  };
+
+  void addAgent(const std::string &Name) {
+    m_agents[Name].m_life = Name + "@1";
+    m_alive.push_back(Name);
+    report(Name);
+  }
+
+  void report(const std::string &Name) {
+    Beside &B = m_agents[Name];
+    AgentReport R;
+    R.m_agent = Name;
+    R.m_incarnation = "i";
+    R.m_sequence = ++B.m_sequence;
+    WorkerInfo W;
+    W.m_id = Name;
+    W.m_life = B.m_life;
+    W.m_service = "s";
+    W.m_rack = "r";
+    W.m_capacity = {16000, 10000, 8};
+    W.m_draining = B.m_draining;
+    W.m_remainingMs = 2000;
+    R.m_worker = W;
+    for (auto &[Task, Run] : B.m_runs) {
+      // Work that makes no progress would be stopped.
+      Run.m_percent = static_cast<int>(m_now / 200 % 100);
+      R.m_runs.push_back(Run);
+    }
+    R.m_ends = B.m_ends;
+    m_leader->report(R, m_now, wall(), [this, Name](const AgentReply &Reply) {
+      take(Name, Reply);
+    });
+    answerAppends();
+  }
+
+  void take(const std::string &Name, const AgentReply &R) {
+    Beside &B = m_agents[Name];
+    if (R.m_epoch < m_epoch)
+      return;
+    for (const StartOrder &O : R.m_starts) {
+      B.m_runs[O.m_task] = {O.m_task, O.m_run, RunPhase::Running, 0, "", 0};
+      ++m_starts[O.m_task];
+    }
+    for (const StopOrder &O : R.m_stops) {
+      B.m_stops.push_back(O);
+      if (m_stopsWork)
+        end(Name, O.m_task, EndKind::Stopped);
+    }
+    for (const EndReport &N : R.m_noted) {
+      B.m_noted.push_back(N);
+      std::erase_if(B.m_ends, [&](const EndReport &E) {
+        return E.m_number == N.m_number;
+      });
+    }
+  }
+
+  void end(const std::string &Agent, const std::string &Task, EndKind Kind) {
+    Beside &B = m_agents[Agent];
+    const auto It = B.m_runs.find(Task);
+    if (It == B.m_runs.end())
+      return;
+    B.m_ends.push_back({Task, It->second.m_run, Kind, "", ++m_ends, ""});
+    B.m_runs.erase(It);
+  }
+
+  /// Answers outstanding appends as m_outcome says; none answers nothing.
+  void answerAppends() {
+    while (!m_appends.empty() && m_outcome) {
+      const JournalBatch B = m_appends.front();
+      m_appends.erase(m_appends.begin());
+      if (*m_outcome == AppendOutcome::Done) {
+        for (const KeyedRecord &R : B.m_records) {
+          if (R.m_value.empty())
+            m_stored.erase(R.m_key);
+          else
+            m_stored[R.m_key] = R.m_value;
+        }
+      }
+      m_leader->appended(*m_outcome, m_now);
+      if (*m_outcome != AppendOutcome::Done)
+        return;
+    }
+  }
+
+  void append(const JournalBatch &B) override { m_appends.push_back(B); }
+  void event(const std::string &Name, const std::string &,
+             const std::string &) override {
+    m_events.push_back(Name);
+  }
+
+  Millis m_now = 1000;
+  std::uint64_t m_epoch = 0;
+  std::optional<AppendOutcome> m_outcome = AppendOutcome::Done;
+  std::vector<JournalBatch> m_appends;
+  std::map<std::string, std::string> m_stored;
+  std::map<std::string, Beside> m_agents;
+  std::vector<std::string> m_alive; ///< Agents that report.
+  std::map<std::string, int> m_starts;
+  std::vector<std::string> m_events;
+  std::int64_t m_ends = 0;
+  bool m_stopsWork = true;
+  base::Counters m_counters;
+  std::unique_ptr<Leader> m_leader;
+};
+
+} // namespace pomelokeel::batch::tests
--- /dev/null
+++ b/tests/batch/leader_test.cc
@@ -0,0 +1,245 @@
+#include "batch/leader.h"
+
+#include "leader_fixture.h"
+
+namespace pomelokeel::batch::tests {
+namespace {
+
+TEST_F(LeaderTest, AcceptsAJobOnlyOnceItIsStored) {
+  m_outcome.reset();
+  const auto Reply = submit("a", jobOf({step(1, 1)}));
+  EXPECT_FALSE(Reply->has_value());
+  m_outcome = AppendOutcome::Done;
+  answerAppends();
+  ASSERT_TRUE(Reply->has_value());
+  EXPECT_EQ((*Reply)->m_verdict, Verdict::Ok);
+}
+
+TEST_F(LeaderTest, StartsNothingBeforeThePlacementIsStored) {
+  addAgent("w");
+  m_outcome.reset();
+  submit("a", jobOf({step(1, 1)}));
+  pass(300);
+  EXPECT_TRUE(m_starts.empty());
+  m_outcome = AppendOutcome::Done;
+  pass(300);
+  EXPECT_EQ(m_starts["a.0.0.0"], 1);
+}
+
+TEST_F(LeaderTest, AJobThatWasRefusedNeverRuns) {
+  addAgent("w");
+  m_outcome = AppendOutcome::NotDone;
+  const auto Reply = submit("a", jobOf({step(1, 1)}));
+  ASSERT_TRUE(Reply->has_value());
+  EXPECT_EQ((*Reply)->m_verdict, Verdict::Unavailable);
+  EXPECT_GT((*Reply)->m_retryAfterMs, 0);
+  m_outcome = AppendOutcome::Done;
+  pass(2000);
+  EXPECT_TRUE(m_starts.empty());
+  EXPECT_TRUE(m_stored.empty());
+}
+
+TEST_F(LeaderTest, AnAppendWithoutAnswerLeavesTheJobUnknown) {
+  m_outcome = AppendOutcome::Unknown;
+  const auto Reply = submit("a", jobOf({step(1, 1)}));
+  pass(4000);
+  ASSERT_TRUE(Reply->has_value());
+  EXPECT_EQ((*Reply)->m_verdict, Verdict::Unknown);
+}
+
+// Callers can't try again after "unknown", so a job that surely reached no
+// store must not get it: it was told so while an earlier append was open.
+TEST_F(LeaderTest, AJobBehindAnOpenAppendIsRefusedInsteadOfLeftUnknown) {
+  addAgent("w");
+  m_outcome = AppendOutcome::Unknown;
+  submit("a", jobOf({step(1, 1)}));
+  const auto Reply = submit("b", jobOf({step(1, 1)}));
+  pass(1000);
+  ASSERT_TRUE(Reply->has_value());
+  EXPECT_EQ((*Reply)->m_verdict, Verdict::Unavailable);
+  m_outcome = AppendOutcome::Done;
+  pass(1000);
+  EXPECT_EQ(m_starts.count("b.0.0.0"), 0u);
+}
+
+TEST_F(LeaderTest, TheSameIdIsOneJob) {
+  addAgent("w");
+  submit("a", jobOf({step(1, 1)}));
+  const auto Again = submit("a", jobOf({step(1, 1)}));
+  pass(500);
+  EXPECT_EQ((*Again)->m_verdict, Verdict::Ok);
+  EXPECT_EQ(m_starts["a.0.0.0"], 1);
+}
+
+TEST_F(LeaderTest, AnEndIsNotedOnlyOnceItIsStored) {
+  addAgent("w");
+  submit("a", jobOf({step(1, 1)}));
+  pass(500);
+  end("w", "a.0.0.0", EndKind::Done);
+  m_outcome.reset();
+  report("w");
+  EXPECT_TRUE(m_agents["w"].m_noted.empty());
+  EXPECT_NE(phaseOf("a"), JobPhase::Done);
+  m_outcome = AppendOutcome::Done;
+  pass(200);
+  EXPECT_FALSE(m_agents["w"].m_noted.empty());
+  EXPECT_EQ(phaseOf("a"), JobPhase::Done);
+}
+
+TEST_F(LeaderTest, FailsAJobAfterItsAttempts) {
+  addAgent("w");
+  submit("a", jobOf({step(1, 1)}));
+  pass(300);
+  end("w", "a.0.0.0", EndKind::Failed);
+  pass(4000);
+  ASSERT_EQ(m_starts["a.0.0.0"], 2);
+  end("w", "a.0.0.0", EndKind::Failed);
+  pass(4000);
+  EXPECT_EQ(m_starts["a.0.0.0"], 2);
+  EXPECT_EQ(phaseOf("a"), JobPhase::Failed);
+}
+
+TEST_F(LeaderTest, ACancelledJobStopsAndStartsNoMore) {
+  addAgent("w");
+  submit("a", jobOf({step(9, 1)}));
+  pass(300);
+  const auto Reply = ask(request(CallerRequestKind::Cancel, "a"));
+  EXPECT_EQ((*Reply)->m_verdict, Verdict::Ok);
+  pass(1000);
+  EXPECT_EQ(m_agents["w"].m_runs.size(), 0u);
+  EXPECT_EQ(m_starts.size(), 8u);
+}
+
+TEST_F(LeaderTest, AGangIsDoneWhenOneMemberSaysSo) {
+  addAgent("v");
+  addAgent("w");
+  Step S = step(2, 8);
+  S.m_gang = true;
+  submit("a", jobOf({S}));
+  pass(300);
+  ASSERT_EQ(m_starts.size(), 2u);
+  end("v", m_agents["v"].m_runs.begin()->first, EndKind::Done);
+  pass(100);
+  EXPECT_EQ(phaseOf("a"), JobPhase::Done);
+  // The other member ends on its own; nothing stops it.
+  EXPECT_TRUE(m_agents["w"].m_stops.empty());
+}
+
+TEST_F(LeaderTest, AGangRunsAgainOnlyWhenAllMembersHaveEnded) {
+  addAgent("v");
+  addAgent("w");
+  Step S = step(2, 8);
+  S.m_gang = true;
+  submit("a", jobOf({S}));
+  pass(300);
+  m_stopsWork = false;
+  end("v", m_agents["v"].m_runs.begin()->first, EndKind::Failed);
+  pass(1000);
+  EXPECT_EQ(m_starts["a.0.0.0"] + m_starts["a.0.0.1"], 2);
+  end("w", m_agents["w"].m_runs.begin()->first, EndKind::Broken);
+  pass(1000);
+  EXPECT_EQ(m_starts["a.0.0.0"], 2);
+  EXPECT_EQ(m_starts["a.0.0.1"], 2);
+}
+
+TEST_F(LeaderTest, ARunOfASilentAgentIsStartedElsewhereOnlyAfterItsLease) {
+  addAgent("v");
+  submit("a", jobOf({step(1, 1)}));
+  pass(300);
+  m_alive.clear();
+  addAgent("w");
+  const Timing T;
+  pass(T.m_autonomyMs + T.m_leaseMs);
+  EXPECT_EQ(m_starts["a.0.0.0"], 1);
+  pass(2000);
+  EXPECT_EQ(m_starts["a.0.0.0"], 2);
+}
+
+TEST_F(LeaderTest, ANewLeaderKeepsRunsThatGoOn) {
+  addAgent("w");
+  submit("a", jobOf({step(1, 1)}));
+  pass(300);
+  makeLeader();
+  pass(15000);
+  EXPECT_EQ(m_starts["a.0.0.0"], 1);
+  end("w", "a.0.0.0", EndKind::Done);
+  pass(100);
+  EXPECT_EQ(phaseOf("a"), JobPhase::Done);
+}
+
+TEST_F(LeaderTest, ARestartedWorkerHasLostItsRuns) {
+  addAgent("w");
+  submit("a", jobOf({step(1, 1)}));
+  pass(300);
+  m_agents["w"].m_life = "w@2";
+  m_agents["w"].m_runs.clear();
+  pass(300);
+  EXPECT_EQ(m_starts["a.0.0.0"], 2);
+}
+
+TEST_F(LeaderTest, AnOrderThatReachedTheNextLifeIsAdopted) {
+  addAgent("w");
+  submit("a", jobOf({step(1, 1)}));
+  pass(300);
+  m_agents["w"].m_life = "w@2";
+  pass(1000);
+  EXPECT_EQ(m_starts["a.0.0.0"], 1);
+  EXPECT_TRUE(m_agents["w"].m_stops.empty());
+}
+
+TEST_F(LeaderTest, StopsRunsThatNobodyWants) {
+  addAgent("w");
+  m_agents["w"].m_runs["zz.0.0.0"] = {"zz.0.0.0", 1,  RunPhase::Running,
+                                      0,          "", 0};
+  pass(100);
+  EXPECT_FALSE(m_agents["w"].m_stops.empty());
+}
+
+TEST_F(LeaderTest, ADrainingWorkerGetsNothingNew) {
+  addAgent("w");
+  m_agents["w"].m_draining = true;
+  report("w");
+  submit("a", jobOf({step(1, 1)}));
+  pass(1000);
+  EXPECT_TRUE(m_starts.empty());
+}
+
+TEST_F(LeaderTest, OccurrencesStartWhenTheyAreDue) {
+  addAgent("w");
+  JobSpec S = jobOf({step(1, 1)});
+  S.m_times = 2;
+  S.m_firstMs = wall() + 1000;
+  S.m_intervalMs = 1000;
+  submit("a", S);
+  pass(800);
+  EXPECT_TRUE(m_starts.empty());
+  pass(400);
+  EXPECT_EQ(m_starts["a.0.0.0"], 1);
+  pass(1000);
+  EXPECT_EQ(m_starts["a.1.0.0"], 1);
+}
+
+TEST_F(LeaderTest, ASecondReadOfTheJournalGivesTheSameState) {
+  addAgent("w");
+  submit("a", jobOf({step(3, 1), step(2, 2)}));
+  pass(500);
+  end("w", "a.0.0.0", EndKind::Done);
+  pass(300);
+  const auto Before =
+      base::dumpJson(base::encode(m_leader->jobs().at("a").m_progress));
+  makeLeader();
+  EXPECT_EQ(base::dumpJson(base::encode(m_leader->jobs().at("a").m_progress)),
+            Before);
+}
+
+TEST_F(LeaderTest, KnowsThatAJobIsGoneOnlyWhileConfirmed) {
+  m_now += 10000;
+  const auto Reply = ask(request(CallerRequestKind::Query, "a"));
+  EXPECT_EQ((*Reply)->m_verdict, Verdict::Unavailable);
+  m_leader->confirm(m_now);
+  const auto Sure = ask(request(CallerRequestKind::Query, "a"));
+  EXPECT_EQ((*Sure)->m_verdict, Verdict::Gone);
+}
+
+} // namespace
+} // namespace pomelokeel::batch::tests
