--- a/src/node/election.cc
+++ b/src/node/election.cc
@@ -17,6 +17,8 @@
 /// A leader that was never seen among the members may hold no part of the group
 /// yet: the parts of entries that died with it are free only after their time.
 constexpr Millis UnseenLeaderMs = 2500;
+/// Shortest time between two extra reads of the leader's record.
+constexpr Millis RefreshMs = 500;
 /// Pause after a claim whose outcome is not known.
 constexpr Millis ClaimRetryMs = 300;
 /// Wait of a read of the leader stream; a connection that went silent is found
@@ -161,6 +163,14 @@
   }
 }
 
+void Election::refresh() {
+  const Millis Now = base::bootNow();
+  if (Now - m_refreshedAt < RefreshMs || m_claiming || m_leaving)
+    return;
+  m_refreshedAt = Now;
+  m_follower->restart();
+}
+
 void Election::learn(const LeaderRecord &R) {
   if (R.m_epoch <= m_leader.m_epoch)
     return;
--- a/src/node/election.h
+++ b/src/node/election.h
@@ -82,6 +82,9 @@
   /// True if the last call to the store was answered.
   bool storeReachable() const { return m_joinsFailed == 0; }
 
+  /// Reads the leader's record again: the leader that is known does not answer.
+  void refresh();
+
   /// Takes what another entry knows of the leader.
   void learn(const LeaderRecord &R);
 
@@ -124,6 +127,7 @@
   int m_joinsFailed = 0;        ///< In a row.
   bool m_claiming = false;
   bool m_leaving = false;
+  Millis m_refreshedAt = 0;
   Millis m_claimAfter = 0;
   Millis m_distanceMs = 0; ///< Shortest time that a join took.
   std::shared_ptr<int> m_alive = std::make_shared<int>();
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -19,9 +19,10 @@
 
 constexpr Millis TickMs = 100;
 
-/// Wait of a read of the operator's stream. A configuration must be in force
-/// within seconds, also after a connection went silent.
-constexpr Millis OperatorWaitMs = 5000;
+/// A read of the operator's stream waits for this share of the time in which a
+/// configuration must be in force: the store does not wake a read that arrives
+/// at the moment of an append, so the next one must still be in time.
+constexpr double OperatorWaitShare = 0.8;
 
 /// When to come back if there is no leader: an election takes about this long.
 constexpr Millis NoLeaderRetryMs = 1000;
@@ -132,8 +133,10 @@
   F.m_reachable = [this](bool Reachable) {
     event(Reachable ? "storeRegained" : "storeLost", "", "by=operatorStream");
   };
-  m_operator = std::make_unique<Follower>(R, Platform, Stream::Operator,
-                                          OperatorWaitMs, F);
+  const auto WaitMs = static_cast<Millis>(
+      static_cast<double>(S.m_bounds.m_configApplyMs) * OperatorWaitShare);
+  m_operator =
+      std::make_unique<Follower>(R, Platform, Stream::Operator, WaitMs, F);
   tick();
 }
 
@@ -360,6 +363,7 @@
         event("forwardFailed", R.m_id,
               fmt::format("leader={} sent={}", m_election->leader().m_name,
                           MaybeDone ? "maybe" : "no"));
+        m_election->refresh();
         if (MaybeDone)
           R.m_maybeDone = true;
         askAgain(std::move(R), Deadline, std::move(Answer));
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -16,15 +16,18 @@
   Millis m_leaseMaxMs = 10000; ///< Longest lease that workers accept.
   Millis m_stopGraceMs = 1000; ///< A stopped task is gone by then.
   Millis m_gangTimeoutMs = 3000;
-  double m_graceS = 6;    ///< From SIGTERM to the kill.
-  double m_statusS = 120; ///< How long an ended job can be asked for.
+  double m_graceS = 6;           ///< From SIGTERM to the kill.
+  double m_statusS = 120;        ///< How long an ended job can be asked for.
+  Millis m_configApplyMs = 2500; ///< A configuration is in force by then.
 
   static constexpr auto fields() {
-    return std::tuple{base::optional("leaseMaxMs", &Bounds::m_leaseMaxMs),
-                      base::optional("stopGraceMs", &Bounds::m_stopGraceMs),
-                      base::optional("gangTimeoutMs", &Bounds::m_gangTimeoutMs),
-                      base::optional("graceS", &Bounds::m_graceS),
-                      base::optional("statusS", &Bounds::m_statusS)};
+    return std::tuple{
+        base::optional("leaseMaxMs", &Bounds::m_leaseMaxMs),
+        base::optional("stopGraceMs", &Bounds::m_stopGraceMs),
+        base::optional("gangTimeoutMs", &Bounds::m_gangTimeoutMs),
+        base::optional("graceS", &Bounds::m_graceS),
+        base::optional("statusS", &Bounds::m_statusS),
+        base::optional("configApplyMs", &Bounds::m_configApplyMs)};
   }
 };
 
--- a/tests/node/fake_store.h
+++ b/tests/node/fake_store.h
@@ -31,6 +31,7 @@
 
   bool m_silent = false;       ///< Calls are answered by their timeouts only.
   bool m_losesAnswers = false; ///< Writes are done and not answered.
+  bool m_losesWakeUps = false; ///< Reads are answered after their wait only.
   Millis m_timeoutMs = 100;
   int m_follows = 0;
 
@@ -150,7 +151,9 @@
     if (m_silent)
       return fail<Page>(std::max<Millis>(Left, 0) + m_timeoutMs, Answer);
     const auto &All = m_shared->m_records[S];
-    if (From < static_cast<std::int64_t>(All.size()) || Left <= 0) {
+    const bool Woken =
+        From < static_cast<std::int64_t>(All.size()) && !m_losesWakeUps;
+    if (Woken || Left <= 0) {
       Page Out;
       Out.m_records.assign(All.begin() + From, All.end());
       Out.m_next = static_cast<std::int64_t>(All.size());
--- a/tests/node/follower_test.cc
+++ b/tests/node/follower_test.cc
@@ -54,5 +54,14 @@
   EXPECT_TRUE(until([&] { return m_seen.size() == 2; }, 1500));
 }
 
+// The store does not wake a read that arrives while a record is being appended:
+// the configuration came into force only when the read's 5 s were over.
+TEST_F(FollowerTest, ARecordThatWokeNoReadIsSeenWithinTheWait) {
+  ASSERT_TRUE(until([&] { return m_store.m_follows > 0; }, 1000));
+  m_store.m_losesWakeUps = true;
+  m_store.add(Stream::Operator, {{"config", "1"}});
+  EXPECT_TRUE(until([&] { return m_seen.size() == 1; }, WaitMs + 500));
+}
+
 } // namespace
 } // namespace pomelokeel::node::tests
