--- a/src/node/control.h
+++ b/src/node/control.h
@@ -12,6 +12,7 @@
 
 constexpr const char *CallerPath = "/v1/batch/request";
 constexpr const char *ReportPath = "/v1/batch/report";
+constexpr const char *ConfigPath = "/v1/batch/config";
 constexpr const char *TakeoverPath = "/v1/batch/takeover";
 constexpr const char *LeaderPath = "/v1/batch/leader";
 
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -163,6 +163,7 @@
                     Parsed->m_routes.size(), Parsed->m_accounts.size()));
   m_counters.get("config_version") = Parsed->m_version;
   m_config = std::move(*Parsed);
+  m_configRecord = R;
   if (m_leader)
     m_leader->configure(*m_config);
 }
@@ -260,9 +261,12 @@
 }
 
 // The store refuses this process but not the other: the other knows of later
-// leaders, and can lead in the place of this one.
+// leaders and configurations, and can lead in the place of this one.
 void EntryNode::takeStatus(const std::string &Address, const EntryStatus &S) {
   m_election->learn(S.m_leader);
+  if (!m_config || S.m_configVersion > m_config->m_version)
+    m_peers->fetchConfig(
+        Address, [this](const KeyedRecord &R) { takeOperatorRecord(R); });
   const LeaderRecord &Known = m_election->leader();
   if (m_election->storeReachable() || !m_election->leads() ||
       !S.m_storeReachable || S.m_leader.m_epoch != Known.m_epoch)
@@ -427,9 +431,13 @@
   if (Path == LeaderPath)
     return Answer({200,
                    base::dumpJson(base::encode(EntryStatus{
-                       m_election->leader(), m_election->storeReachable()})),
+                       m_election->leader(), m_election->storeReachable(),
+                       m_config ? m_config->m_version : -1})),
                    "application/json",
                    {}});
+  if (Path == ConfigPath && m_config)
+    return Answer(
+        toResponse(ConfigRecord{m_configRecord.m_key, m_configRecord.m_value}));
   if (Path == TakeoverPath) {
     if (const auto T = unpackMessage<TakeoverRequest>(R.m_body))
       m_election->takeOver(T->m_epoch);
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -75,6 +75,7 @@
   base::EventLog &m_events;
   base::Counters &m_counters;
   std::optional<batch::Config> m_config;
+  KeyedRecord m_configRecord; ///< That m_config was read from.
   std::unique_ptr<Election> m_election;
   std::unique_ptr<Follower> m_operator;
   std::unique_ptr<http::Timer> m_tick;
--- a/src/node/peers.cc
+++ b/src/node/peers.cc
@@ -52,6 +52,22 @@
   }
 }
 
+void Peers::fetchConfig(const std::string &Address,
+                        std::function<void(const KeyedRecord &)> Done) {
+  http::Request R;
+  R.m_target = ConfigPath;
+  m_clients.at(Address).call(
+      std::move(R), AskMs,
+      [Done = std::move(Done),
+       Alive = std::weak_ptr<int>(m_alive)](const http::CallResult &C) {
+        const auto *Got = std::get_if<http::Response>(&C);
+        if (Alive.expired() || Got == nullptr)
+          return;
+        if (const auto Record = unpackMessage<ConfigRecord>(Got->m_body))
+          Done({Record->m_key, Record->m_value});
+      });
+}
+
 void Peers::requestTakeover(const std::string &Address, std::int64_t Epoch) {
   TakeoverRequest T;
   T.m_epoch = Epoch;
--- a/src/node/peers.h
+++ b/src/node/peers.h
@@ -17,11 +17,24 @@
 struct EntryStatus {
   LeaderRecord m_leader; ///< As it knows.
   bool m_storeReachable = false;
+  std::int64_t m_configVersion = -1; ///< -1: none yet.
 
   static constexpr auto fields() {
     return std::tuple{
         base::required("leader", &EntryStatus::m_leader),
-        base::required("storeReachable", &EntryStatus::m_storeReachable)};
+        base::required("storeReachable", &EntryStatus::m_storeReachable),
+        base::optional("configVersion", &EntryStatus::m_configVersion)};
+  }
+};
+
+/// The operator's record of the configuration, as the store has it.
+struct ConfigRecord {
+  std::string m_key;
+  std::string m_value;
+
+  static constexpr auto fields() {
+    return std::tuple{base::required("key", &ConfigRecord::m_key),
+                      base::required("value", &ConfigRecord::m_value)};
   }
 };
 
@@ -59,6 +72,10 @@
   /// Asks a few of the others for their status, in turn.
   void ask();
 
+  /// Fetches the operator's record of the configuration from \p Address.
+  void fetchConfig(const std::string &Address,
+                   std::function<void(const KeyedRecord &)> Done);
+
   /// Asks the entry at \p Address to lead instead of the leader of \p Epoch.
   void requestTakeover(const std::string &Address, std::int64_t Epoch);
 
--- /dev/null
+++ b/tests/node/entry_node_test.cc
@@ -0,0 +1,166 @@
+#include "node/entry_node.h"
+
+#include "base/line_log.h"
+#include "fake_store.h"
+#include "http/http.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace pomelokeel::node::tests {
+namespace {
+
+using batch::Verdict;
+
+/// A configuration in a test's own form: the version, and one key for each.
+base::Result<batch::Config> readConfig(const KeyedRecord &R) {
+  if (R.m_key != "config")
+    return base::Error{base::ErrorKind::NotFound, R.m_key};
+  batch::Config C;
+  C.m_version = std::stoll(R.m_value);
+  batch::Route Route;
+  Route.m_host = "h";
+  Route.m_prefix = "/q/";
+  Route.m_queue.m_name = "q";
+  Route.m_queue.m_service = "s";
+  C.m_routes = {Route};
+  C.m_accounts = {{"acc", {"key" + R.m_value}, 0}};
+  return C;
+}
+
+/// An entry with its control server on a port of its own.
+struct Entry {
+  Entry(http::Reactor &R, const std::shared_ptr<FakeStreams> &Shared,
+        const std::string &Name)
+      : m_store(R, Shared),
+        m_events(Name, 100, m_clock,
+                 [](const std::string &, const std::string &) {}) {
+    auto Server = http::Server::start(
+        R, "127.0.0.1:0", {},
+        [this](const http::Request &Request, const http::Responder &Answer) {
+          m_node->control(Request, Answer);
+        });
+    EXPECT_TRUE(Server.ok());
+    m_server = std::move(*Server);
+    Settings S;
+    S.m_name = Name;
+    S.m_controlListen = m_server->address();
+    m_node = std::make_unique<EntryNode>(R, S, m_store, readConfig, m_events,
+                                         m_counters);
+  }
+
+  /// Calls as a caller with the key of configuration \p Version.
+  std::shared_ptr<std::optional<Verdict>> call(CallerCall::Method M,
+                                               const std::string &Version) {
+    CallerCall C;
+    C.m_method = M;
+    C.m_host = "h";
+    C.m_path = "/q/00000000000000aa";
+    C.m_key = "key" + Version;
+    C.m_remainingMs = 3000;
+    batch::JobSpec S;
+    S.m_steps = {batch::Step{}};
+    if (M == CallerCall::Method::Submit)
+      C.m_spec = S;
+    auto Out = std::make_shared<std::optional<Verdict>>();
+    m_node->answer(C,
+                   [Out](const batch::CallerReply &R) { *Out = R.m_verdict; });
+    return Out;
+  }
+
+  FakeStore m_store;
+  base::HybridClock m_clock;
+  base::Counters m_counters;
+  base::EventLog m_events;
+  std::unique_ptr<http::Server> m_server;
+  std::unique_ptr<EntryNode> m_node;
+};
+
+class EntryNodeTest : public testing::Test {
+protected:
+  EntryNodeTest() {
+    m_shared->m_records[Stream::Operator] = {{"config", "1"}};
+    m_a = std::make_unique<Entry>(*m_reactor, m_shared, "a");
+    m_b = std::make_unique<Entry>(*m_reactor, m_shared, "b");
+  }
+
+  bool until(std::function<bool()> Ready, Millis LimitMs = 4000) {
+    return runUntil(*m_reactor, std::move(Ready), LimitMs);
+  }
+
+  bool led() const {
+    return m_a->m_counters.get("leader_epoch") +
+               m_b->m_counters.get("leader_epoch") >
+           0;
+  }
+
+  Entry &leader() const {
+    return m_a->m_counters.get("leader_epoch") > 0 ? *m_a : *m_b;
+  }
+  Entry &other() const {
+    return m_a->m_counters.get("leader_epoch") > 0 ? *m_b : *m_a;
+  }
+
+  std::unique_ptr<http::Reactor> m_reactor = http::Reactor::create();
+  std::shared_ptr<FakeStreams> m_shared = std::make_shared<FakeStreams>();
+  std::unique_ptr<Entry> m_a;
+  std::unique_ptr<Entry> m_b;
+};
+
+TEST_F(EntryNodeTest, AnswersThroughTheLeaderAtAnyEntry) {
+  ASSERT_TRUE(until([&] { return led(); }));
+  const auto Submitted = other().call(CallerCall::Method::Submit, "1");
+  ASSERT_TRUE(until([&] { return Submitted->has_value(); }));
+  EXPECT_EQ(*Submitted, Verdict::Ok);
+  const auto Asked = leader().call(CallerCall::Method::Query, "1");
+  ASSERT_TRUE(until([&] { return Asked->has_value(); }));
+  EXPECT_EQ(*Asked, Verdict::Ok);
+}
+
+// An entry that the store turned away went on with its configuration and
+// rejected callers by it whose keys were new.
+TEST_F(EntryNodeTest, TakesTheConfigurationFromOthersWithoutTheStore) {
+  ASSERT_TRUE(until([&] { return led() && other().m_node->ready(); }));
+  Entry &Cut = other();
+  Cut.m_store.m_silent = true;
+  leader().m_store.add(Stream::Operator, {{"config", "2"}});
+  std::optional<Verdict> Last;
+  for (int Try = 0; Try < 20 && Last != Verdict::Gone; ++Try) {
+    const auto Asked = Cut.call(CallerCall::Method::Query, "2");
+    ASSERT_TRUE(until([&] { return Asked->has_value(); }));
+    Last = *Asked;
+    until([] { return false; }, 100);
+  }
+  EXPECT_EQ(Last, Verdict::Gone);
+}
+
+// A leader that the store turns away hands over, and its callers are served by
+// the next one through it.
+TEST_F(EntryNodeTest, AnotherLeadsWhenTheStoreRefusesTheLeaderAlone) {
+  ASSERT_TRUE(until([&] { return led() && other().m_node->ready(); }));
+  ASSERT_TRUE(until([&] { return m_shared->m_members.size() == 2; }));
+  Entry &Cut = leader();
+  Entry &Next = other();
+  Cut.m_store.m_silent = true;
+  ASSERT_TRUE(
+      until([&] { return Next.m_counters.get("leader_epoch") > 0; }, 2000));
+  const auto Submitted = Cut.call(CallerCall::Method::Submit, "1");
+  ASSERT_TRUE(until([&] { return Submitted->has_value(); }));
+  EXPECT_EQ(*Submitted, Verdict::Ok);
+}
+
+TEST_F(EntryNodeTest, HandsOverWhenItStops) {
+  ASSERT_TRUE(until([&] { return led() && other().m_node->ready(); }));
+  Entry &Stopping = leader();
+  Entry &Next = other();
+  Stopping.m_node->beginStop();
+  EXPECT_FALSE(Stopping.m_node->ready());
+  EXPECT_TRUE(
+      until([&] { return Next.m_counters.get("leader_epoch") > 0; }, 2000));
+}
+
+} // namespace
+} // namespace pomelokeel::node::tests
