--- a/src/batch/agent.cc
+++ b/src/batch/agent.cc
@@ -303,7 +303,9 @@
         Known && Before == RunPhase::Stopping ? Before : RunPhase::Running;
   }
   std::vector<Key> Gone;
-  for (const auto &[K, R] : m_runs) {
+  for (const auto &Entry : m_runs) {
+    const Key &K = Entry.first;
+    const Run &R = Entry.second;
     const bool Settled = R.m_settledBy > 0 && m_lookedSerial > R.m_settledBy;
     if (!Settled || R.m_calling)
       continue;
--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -83,6 +83,9 @@
   Agent(std::string Name, std::int64_t Incarnation, const AgentTiming &T,
         AgentPorts &Ports, base::Counters &Counters);
 
+  /// Leases from now on have this length.
+  void setLease(Millis LeaseMs) { m_timing.m_leaseMs = LeaseMs; }
+
   /// The worker has described itself.
   void onWorker(const WorkerInfo &W, Millis Now);
 
@@ -138,7 +141,7 @@
 
   const std::string m_name;
   const std::int64_t m_incarnation;
-  const AgentTiming m_timing;
+  AgentTiming m_timing;
   AgentPorts &m_ports;
   base::Counters &m_counters;
 
--- a/src/batch/leader.cc
+++ b/src/batch/leader.cc
@@ -93,6 +93,13 @@
   return Out;
 }
 
+void Leader::setTiming(const Timing &T) {
+  const Millis LeaseMs = std::max(m_timing.m_leaseMs, T.m_leaseMs);
+  m_timing = T;
+  // Agents may still grant leases of the former length.
+  m_timing.m_leaseMs = LeaseMs;
+}
+
 void Leader::configure(const Config &C) {
   m_guarantees = guaranteesOf(C);
   m_scheduleWanted = true;
--- a/src/batch/leader.h
+++ b/src/batch/leader.h
@@ -104,6 +104,8 @@
   /// of the first record that cannot be read; the others are taken.
   base::Status load(const std::vector<KeyedRecord> &Records);
 
+  /// Takes other bounds; promises made before are kept by the longer ones.
+  void setTiming(const Timing &T);
   void configure(const Config &C);
   void setEntries(std::vector<std::string> Entries);
 
@@ -190,7 +192,7 @@
   void flush(Millis Now);
   void purge(Millis Wall);
 
-  const Timing m_timing;
+  Timing m_timing;
   LeaderPorts &m_ports;
   base::Counters &m_counters;
   const std::uint64_t m_epoch;
--- a/src/batch/leader_orders.cc
+++ b/src/batch/leader_orders.cc
@@ -115,8 +115,9 @@
 
 void Leader::answerAgents(Millis Now) {
   std::vector<std::pair<AgentAnswer, AgentReply>> Ready;
-  for (auto &[Name, Reply] : collectOrders(Now)) {
-    AgentView &A = m_agents[Name];
+  for (const auto &Entry : collectOrders(Now)) {
+    const AgentReply &Reply = Entry.second;
+    AgentView &A = m_agents[Entry.first];
     const bool Orders = !Reply.m_starts.empty() || !Reply.m_stops.empty();
     const bool Stored =
         std::all_of(A.m_ends.begin(), A.m_ends.end(), [&](const auto &E) {
--- a/src/node/agent_node.cc
+++ b/src/node/agent_node.cc
@@ -204,6 +204,10 @@
   Answer(http::errorResponse({base::ErrorKind::NotFound, Path}));
 }
 
+void AgentNode::reload(const Bounds &B) {
+  m_agent->setLease(std::min(B.m_leaseMaxMs, LeaseMs));
+}
+
 void AgentNode::beginStop() {
   event("stopping", "", "");
   m_agent->beginStop(base::bootNow());
--- a/src/node/agent_node.h
+++ b/src/node/agent_node.h
@@ -49,6 +49,9 @@
   /// Answers a request of another process or an operator.
   void control(const http::Request &R, const http::Responder &Answer) const;
 
+  /// Takes the bounds of a changed settings file. Addresses stay as they are.
+  void reload(const Bounds &B);
+
   void beginStop();
 
 private:
--- a/src/node/election.cc
+++ b/src/node/election.cc
@@ -50,9 +50,8 @@
 
 Election::Election(http::Reactor &R, Store &S, ElectionSettings Settings,
                    Handlers H)
-    : m_reactor(R), m_store(S), m_settings(std::move(Settings)),
-      m_handlers(std::move(H)), m_joinTimer(R.timer()),
-      m_claimTimer(R.timer()) {
+    : m_store(S), m_settings(std::move(Settings)), m_handlers(std::move(H)),
+      m_joinTimer(R.timer()), m_claimTimer(R.timer()) {
   Follower::Handlers F;
   F.m_record = [this](const KeyedRecord &Record) { takeRecord(Record); };
   F.m_current = [this](std::int64_t End) {
@@ -115,34 +114,34 @@
   m_distanceMs = m_distanceMs == 0 ? Took : std::min(m_distanceMs, Took);
   m_generation = M->m_generation;
   if (m_membersOf != m_generation || (m_leaderAbsent >= 0 && !m_leaderSeen))
-    return readMembers(SentAt);
+    return readMembers();
   if (leads())
     m_handlers.m_confirmed(SentAt);
   consider();
 }
 
-void Election::readMembers(Millis SentAt) {
-  m_store.members([this, SentAt, Generation = m_generation,
-                   Alive = std::weak_ptr<int>(m_alive)](
-                      const base::Result<std::vector<std::string>> &R) {
-    if (Alive.expired() || !R)
-      return;
-    const bool Changed = m_membersOf != Generation;
-    m_members = {R->begin(), R->end()};
-    m_membersOf = Generation;
-    watchLeader();
-    if (!Changed)
-      return consider();
-    m_handlers.m_event(
-        "membersChanged",
-        fmt::format("generation={} members={}", Generation, m_members.size()));
-    m_handlers.m_members();
-    // While this process was no member another may have claimed: only a read
-    // of the leader's record after that tells.
-    if (leads())
-      m_follower->restart();
-    consider();
-  });
+void Election::readMembers() {
+  m_store.members(
+      [this, Generation = m_generation, Alive = std::weak_ptr<int>(m_alive)](
+          const base::Result<std::vector<std::string>> &R) {
+        if (Alive.expired() || !R)
+          return;
+        const bool Changed = m_membersOf != Generation;
+        m_members = {R->begin(), R->end()};
+        m_membersOf = Generation;
+        watchLeader();
+        if (!Changed)
+          return consider();
+        m_handlers.m_event("membersChanged",
+                           fmt::format("generation={} members={}", Generation,
+                                       m_members.size()));
+        m_handlers.m_members();
+        // While this process was no member another may have claimed: only a
+        // read of the leader's record after that tells.
+        if (leads())
+          m_follower->restart();
+        consider();
+      });
 }
 
 void Election::setLeader(const LeaderRecord &R) {
--- a/src/node/election.h
+++ b/src/node/election.h
@@ -101,7 +101,7 @@
 private:
   void join();
   void joined(const base::Result<Membership> &M, Millis SentAt);
-  void readMembers(Millis SentAt);
+  void readMembers();
   void takeRecord(const KeyedRecord &R);
   void consider();
   void claim();
@@ -109,7 +109,6 @@
   void watchLeader();
   bool vacant() const;
 
-  http::Reactor &m_reactor;
   Store &m_store;
   const ElectionSettings m_settings;
   Handlers m_handlers;
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -484,6 +484,12 @@
   Answer(http::errorResponse({base::ErrorKind::NotFound, Path}));
 }
 
+void EntryNode::reload(const Bounds &B) {
+  m_settings.m_bounds = B;
+  if (m_leader)
+    m_leader->setTiming(timingOf(B));
+}
+
 void EntryNode::beginStop() {
   if (std::exchange(m_stopping, true))
     return;
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -39,6 +39,9 @@
   /// Answers a request of another process of this system.
   void control(const http::Request &R, const http::Responder &Answer);
 
+  /// Takes the bounds of a changed settings file. Addresses stay as they are.
+  void reload(const Bounds &B);
+
   /// Hands over leadership and takes itself out of rotation.
   void beginStop();
 
@@ -69,7 +72,7 @@
   bool worthWaiting(const batch::CallerRequest &R, Millis Now) const;
 
   http::Reactor &m_reactor;
-  const Settings m_settings;
+  Settings m_settings;
   Store &m_store;
   ConfigReader m_readConfig;
   base::EventLog &m_events;
--- a/tests/batch/fake_worker.h
+++ b/tests/batch/fake_worker.h
@@ -140,7 +140,8 @@
   void start(const StartCall &C) override {
     const std::string Task = C.m_order.m_task;
     const int Run = C.m_order.m_run;
-    const auto Say = [this, Task, Run](OrderOutcome O, std::string Reason) {
+    const auto Say = [this, Task, Run](OrderOutcome O,
+                                       const std::string &Reason) {
       later([=, this] {
         m_agent.onStart(Task, Run, {O, Reason, m_now}, m_now);
       });
--- /dev/null
+++ b/tests/http/async_client_test.cc
@@ -0,0 +1,92 @@
+#include "http/async_client.h"
+
+#include <gtest/gtest.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace pomelokeel::http::tests {
+namespace {
+
+class AsyncClientTest : public testing::Test {
+protected:
+  AsyncClientTest() {
+    auto Started =
+        Server::start(*m_reactor, "127.0.0.1:0", {},
+                      [this](const Request &R, const Responder &Answer) {
+                        m_asked.push_back(R);
+                        if (R.m_target == "/silent") {
+                          m_held.push_back(Answer);
+                          return;
+                        }
+                        Response Out;
+                        Out.m_body = R.m_body;
+                        Out.m_headers = {{"Retry-After", "3"}};
+                        Answer(R.m_target == "/lost" ? noAnswer() : Out);
+                      });
+    EXPECT_TRUE(Started.ok());
+    m_server = std::move(*Started);
+    m_client = AsyncClient::create(*m_reactor, m_server->address());
+  }
+
+  CallResult call(const std::string &Target, Millis TimeoutMs = 2000) {
+    Request R;
+    R.m_method = "POST";
+    R.m_target = Target;
+    R.m_body = "body";
+    R.m_headers = {{"X-Name", "value"}};
+    CallResult Out;
+    m_client->call(R, TimeoutMs, [&](CallResult Result) {
+      Out = std::move(Result);
+      m_reactor->stop();
+    });
+    m_reactor->run();
+    return Out;
+  }
+
+  std::unique_ptr<Reactor> m_reactor = Reactor::create();
+  std::vector<Request> m_asked;
+  std::vector<Responder> m_held;
+  std::unique_ptr<Server> m_server;
+  std::shared_ptr<AsyncClient> m_client;
+};
+
+TEST_F(AsyncClientTest, KeepsTheConnectionAndPassesHeaders) {
+  for (int I = 0; I < 3; ++I) {
+    const CallResult R = call("/echo");
+    ASSERT_TRUE(std::holds_alternative<Response>(R));
+    EXPECT_EQ(std::get<Response>(R).m_body, "body");
+    EXPECT_EQ(headerOf(std::get<Response>(R).m_headers, "retry-after"), "3");
+  }
+  EXPECT_EQ(m_client->dials(), 1u);
+  EXPECT_EQ(headerOf(m_asked[0].m_headers, "x-name"), "value");
+}
+
+// A connection may go silent for good; only the deadline tells, and the next
+// call must not use it.
+TEST_F(AsyncClientTest, ASilentConnectionIsReplacedAfterItsDeadline) {
+  ASSERT_TRUE(std::holds_alternative<Response>(call("/echo")));
+  const CallResult R = call("/silent", 50);
+  ASSERT_TRUE(std::holds_alternative<CallError>(R));
+  EXPECT_EQ(std::get<CallError>(R).m_error.m_kind, base::ErrorKind::Timeout);
+  EXPECT_EQ(std::get<CallError>(R).m_sent, Sent::Maybe);
+  EXPECT_TRUE(std::holds_alternative<Response>(call("/echo")));
+  EXPECT_EQ(m_client->dials(), 2u);
+}
+
+TEST_F(AsyncClientTest, ALostAnswerMayHaveHadAnEffect) {
+  const CallResult R = call("/lost");
+  ASSERT_TRUE(std::holds_alternative<CallError>(R));
+  EXPECT_EQ(std::get<CallError>(R).m_sent, Sent::Maybe);
+}
+
+TEST_F(AsyncClientTest, ARefusedConnectionHadNoEffect) {
+  m_server.reset();
+  const CallResult R = call("/echo");
+  ASSERT_TRUE(std::holds_alternative<CallError>(R));
+  EXPECT_EQ(std::get<CallError>(R).m_sent, Sent::No);
+}
+
+} // namespace
+} // namespace pomelokeel::http::tests
--- a/tests/node/fake_store.h
+++ b/tests/node/fake_store.h
@@ -88,7 +88,7 @@
   void follow(Stream S, std::int64_t From, Millis WaitMs,
               Done<Page> Done) override {
     ++m_follows;
-    poll(S, From, base::bootNow() + WaitMs, std::move(Done));
+    poll(S, From, base::bootNow() + WaitMs, Done);
   }
 
   void join(const std::string &Member, Millis, std::int64_t,
@@ -145,7 +145,8 @@
     });
   }
 
-  void poll(Stream S, std::int64_t From, Millis Until, Done<Page> Answer) {
+  void poll(Stream S, std::int64_t From, Millis Until,
+            const Done<Page> &Answer) {
     const Millis Left = Until - base::bootNow();
     // A read that waits while the store is silent hangs until its timeout.
     if (m_silent)
--- /dev/null
+++ b/tests/node/router_test.cc
@@ -0,0 +1,76 @@
+#include "node/router.h"
+
+#include <gtest/gtest.h>
+
+namespace pomelokeel::node::tests {
+namespace {
+
+using batch::CallerReply;
+using batch::CallerRequest;
+using batch::CallerRequestKind;
+using batch::Verdict;
+
+batch::Config config() {
+  batch::Config C;
+  C.m_version = 1;
+  batch::Route Short;
+  Short.m_host = "h";
+  Short.m_prefix = "/a/";
+  Short.m_queue.m_name = "short";
+  batch::Route Long = Short;
+  Long.m_prefix = "/a/b/";
+  Long.m_queue.m_name = "long";
+  batch::Route Open = Short;
+  Open.m_prefix = "/open/";
+  Open.m_public = true;
+  C.m_routes = {Short, Long, Open};
+  C.m_accounts = {{"acc", {"k"}, 0}};
+  return C;
+}
+
+CallerCall call(const std::string &Path, const std::string &Key = "k") {
+  CallerCall C;
+  C.m_host = "h";
+  C.m_path = Path;
+  C.m_key = Key;
+  return C;
+}
+
+Verdict rejected(const CallerCall &C) {
+  const auto R = route(config(), C);
+  const auto *Reply = std::get_if<CallerReply>(&R);
+  return Reply == nullptr ? Verdict::Ok : Reply->m_verdict;
+}
+
+TEST(Router, TheLongestPrefixWins) {
+  const auto R = route(config(), call("/a/b/00000000000000aa"));
+  ASSERT_TRUE(std::holds_alternative<CallerRequest>(R));
+  EXPECT_EQ(std::get<CallerRequest>(R).m_queue.m_name, "long");
+  EXPECT_EQ(std::get<CallerRequest>(R).m_account, "acc");
+}
+
+// Without a configuration "no such queue" would be a guess.
+TEST(Router, WithoutAConfigurationTheCallerComesBack) {
+  const auto R = route(std::nullopt, call("/a/00000000000000aa"));
+  ASSERT_TRUE(std::holds_alternative<CallerReply>(R));
+  EXPECT_EQ(std::get<CallerReply>(R).m_verdict, Verdict::Unavailable);
+  EXPECT_GT(std::get<CallerReply>(R).m_retryAfterMs, 0);
+}
+
+TEST(Router, TellsWhyACallIsNotServed) {
+  EXPECT_EQ(rejected(call("/none/00000000000000aa")), Verdict::NoQueue);
+  EXPECT_EQ(rejected(call("/a/00000000000000aa", "wrong")),
+            Verdict::Unauthorized);
+  EXPECT_EQ(rejected(call("/a/00000000000000aa", "")), Verdict::Unauthorized);
+  EXPECT_EQ(rejected(call("/a/xyz")), Verdict::BadRequest);
+  EXPECT_EQ(rejected(call("/open/00000000000000aa", "")), Verdict::Ok);
+}
+
+TEST(Router, APrefixAloneCountsTheQueue) {
+  const auto R = route(config(), call("/a/"));
+  ASSERT_TRUE(std::holds_alternative<CallerRequest>(R));
+  EXPECT_EQ(std::get<CallerRequest>(R).m_kind, CallerRequestKind::CountPending);
+}
+
+} // namespace
+} // namespace pomelokeel::node::tests
--- /dev/null
+++ b/tests/node/settings_test.cc
@@ -0,0 +1,55 @@
+#include "node/settings.h"
+
+#include <gtest/gtest.h>
+
+#include <cstdio>
+#include <fstream>
+#include <string>
+
+namespace pomelokeel::node::tests {
+namespace {
+
+constexpr const char *Entry =
+    R"("name":"e","dataCentre":"a","store":"1.2.3.4:5","controlListen":)"
+    R"("1.2.3.4:6","callerListen":"1.2.3.4:7","readyListen":"1.2.3.4:8")";
+
+base::Result<Settings> load(const std::string &Text, Role R) {
+  const std::string File = testing::TempDir() + "node_settings.json";
+  std::ofstream(File) << Text;
+  auto Out = loadSettings(File, R);
+  std::remove(File.c_str());
+  return Out;
+}
+
+TEST(NodeSettings, MissingFieldsKeepTheirDefaults) {
+  const auto S = load("{" + std::string(Entry) + "}", Role::Entry);
+  ASSERT_TRUE(S.ok()) << base::toString(S.error());
+  EXPECT_EQ(S->m_bounds.m_configApplyMs, Bounds{}.m_configApplyMs);
+}
+
+// A process that starts with a wrong setting fails later and elsewhere.
+TEST(NodeSettings, ErrorsNameFileAndKey) {
+  const struct {
+    std::string m_text;
+    const char *m_names;
+  } Rows[] = {
+      {"", "not valid JSON"},
+      {"{}", "name"},
+      {"{" + std::string(Entry) + ",\"odd\":1}", "odd"},
+      {"{" + std::string(Entry) + ",\"bounds\":{\"graceS\":0}}", "bounds"},
+      {R"({"name":"e","dataCentre":"a","store":"x","controlListen":"a:1"})",
+       "store"},
+  };
+  for (const auto &Row : Rows) {
+    const auto S = load(Row.m_text, Role::Entry);
+    ASSERT_FALSE(S.ok()) << Row.m_text;
+    EXPECT_NE(S.error().m_message.find("node_settings.json"),
+              std::string::npos);
+    EXPECT_NE(S.error().m_message.find(Row.m_names), std::string::npos)
+        << S.error().m_message;
+  }
+  EXPECT_FALSE(load("{" + std::string(Entry) + "}", Role::Agent).ok());
+}
+
+} // namespace
+} // namespace pomelokeel::node::tests
--- /dev/null
+++ b/tests/platform/decode_test.cc
@@ -0,0 +1,114 @@
+#include "platform/decode.h"
+
+#include <gtest/gtest.h>
+
+namespace pomelokeel::platform::tests {
+namespace {
+
+TEST(DecodeJob, ReadsStepsAndLeavesOutWhatIsAbsent) {
+  const auto S = decodeJob(
+      R"({"spec":"x","steps":[{"count":4,"cpu":500,"memMb":256,"gpu":2,)"
+      R"("estMs":900,"dataRack":"r1","gang":true,"rackLocal":true},)"
+      R"({"count":2,"after":[0],"savesProgress":true,"antiAffinity":1,)"
+      R"("requires":"a","newField":1}],"times":3,"initialMs":5})");
+  ASSERT_TRUE(S.ok()) << base::toString(S.error());
+  ASSERT_EQ(S->m_steps.size(), 2u);
+  EXPECT_EQ(S->m_steps[0].m_each, (batch::Resources{500, 256, 2}));
+  EXPECT_TRUE(S->m_steps[0].m_gang && S->m_steps[0].m_rackLocal);
+  EXPECT_EQ(S->m_steps[1].m_after, std::vector<int>{0});
+  EXPECT_EQ(S->m_steps[1].m_label, "a");
+  EXPECT_EQ(S->m_steps[1].m_perWorker, 1);
+  EXPECT_EQ(S->m_times, 3);
+}
+
+TEST(DecodeJob, NamesTheFieldThatIsWrong) {
+  for (const char *Body : {"", "[]", "{\"steps\":7}",
+                           "{\"steps\":[{\"count\":\"x\"}]}", "\xff\xfe"}) {
+    const auto S = decodeJob(Body);
+    ASSERT_FALSE(S.ok()) << Body;
+    EXPECT_FALSE(S.error().m_message.empty());
+  }
+}
+
+TEST(DecodeConfig, ReadsRoutesAccountsAndLimits) {
+  const auto C = decodeConfig(
+      {"config",
+       R"({"version":7,"routes":[{"name":"r","host":"h","pathPrefix":"/p/",)"
+       R"("service":"s","priority":2,"attempts":3,"stretch":1.5,"sloMs":400,)"
+       R"("public":true}],"tenants":[{"name":"t","apiKeys":["k"],)"
+       R"("guaranteed":{"gpu":16}}],"limits":{"maxBodyBytes":9}})"});
+  ASSERT_TRUE(C.ok()) << base::toString(C.error());
+  EXPECT_EQ(C->m_version, 7);
+  ASSERT_EQ(C->m_routes.size(), 1u);
+  EXPECT_EQ(C->m_routes[0].m_queue.m_stretch, 1.5);
+  EXPECT_TRUE(C->m_routes[0].m_public);
+  EXPECT_EQ(C->m_accounts[0].m_guaranteed, 16);
+  EXPECT_EQ(C->m_maxBodyBytes, 9u);
+}
+
+TEST(DecodeConfig, OtherRecordsAndBrokenOnesAreErrors) {
+  EXPECT_FALSE(decodeConfig({"wave/1", "{}"}).ok());
+  EXPECT_FALSE(decodeConfig({"config", "not json"}).ok());
+  EXPECT_FALSE(decodeConfig({"config", "{}"}).ok());
+}
+
+constexpr const char *Beat =
+    R"({"service":"s","addr":"a:1","zone":"z","state":"ready","seq":4,)"
+    R"("capacity":{"cpu":16000,"memMb":32768,"gpu":8},"labels":["a","r1-3"],)"
+    R"("born":1700000000123})";
+
+TEST(DecodeHeartbeat, TellsTheLifeAndTheRack) {
+  const auto H = decodeHeartbeat("i-1", Beat);
+  ASSERT_TRUE(H.ok()) << base::toString(H.error());
+  EXPECT_EQ(H->m_worker.m_rack, "r1-3");
+  EXPECT_EQ(H->m_worker.m_born, 1700000000123);
+  EXPECT_EQ(H->m_worker.m_life, lifeOf("i-1", 1700000000123));
+  EXPECT_EQ(H->m_worker.m_capacity.m_accelerators, 8);
+}
+
+// Other writers send what cannot be read; it must name no worker.
+TEST(DecodeHeartbeat, RefusesWhatIsMissingOrOfAnotherType) {
+  for (const char *Body :
+       {"{}", "\x01\x02", R"({"service":1})",
+        R"({"service":"s","addr":"a:1","zone":"z","state":"odd","seq":4,)"
+        R"("capacity":{}})",
+        R"({"service":"s","addr":"a:1","zone":"z","state":"ready","seq":"4",)"
+        R"("capacity":{}})"})
+    EXPECT_FALSE(decodeHeartbeat("i-1", Body).ok()) << Body;
+}
+
+TEST(DecodeLook, ReadsBothLists) {
+  const auto A = decodeLook(
+      "i-1", R"({"clockMs":5,"born":9,"running":[["t.0.0.0",2,"s",41,3]],)"
+             R"("ended":[[58,"t.0.0.1",1,"done",""]]})");
+  ASSERT_TRUE(A.m_answered);
+  EXPECT_EQ(A.m_clock, 5);
+  EXPECT_EQ(A.m_life, lifeOf("i-1", 9));
+  ASSERT_EQ(A.m_runs.size(), 1u);
+  EXPECT_EQ(A.m_runs[0].m_percent, 41);
+  ASSERT_EQ(A.m_ends.size(), 1u);
+  EXPECT_EQ(A.m_ends[0].m_kind, batch::EndKind::Done);
+}
+
+// Half of a list would make the rest look as if it had ended.
+TEST(DecodeLook, AListThatCannotBeReadIsNoAnswer) {
+  EXPECT_FALSE(decodeLook("i", "").m_answered);
+  EXPECT_FALSE(
+      decodeLook("i", R"({"running":[["t",1,"s",5],[7]]})").m_answered);
+  EXPECT_FALSE(
+      decodeLook("i", R"({"ended":[[1,"t",1,"exploded",""]]})").m_answered);
+}
+
+TEST(DecodeOrder, TellsWhatTheWorkerHasDone) {
+  using batch::OrderOutcome;
+  EXPECT_EQ(decodeOrder(200, R"({"clockMs":7})").m_outcome, OrderOutcome::Done);
+  EXPECT_EQ(decodeOrder(200, R"({"clockMs":7})").m_clock, 7);
+  EXPECT_EQ(decodeOrder(409, R"({"reason":"old"})").m_outcome,
+            OrderOutcome::Ended);
+  EXPECT_EQ(decodeOrder(409, R"({"reason":"room"})").m_reason, "room");
+  EXPECT_EQ(decodeOrder(503, "").m_outcome, OrderOutcome::Refused);
+  EXPECT_EQ(decodeOrder(421, R"({"clockMs":7})").m_clock, -1);
+}
+
+} // namespace
+} // namespace pomelokeel::platform::tests
--- /dev/null
+++ b/tests/platform/ingress_test.cc
@@ -0,0 +1,86 @@
+#include "platform/ingress.h"
+
+#include <gtest/gtest.h>
+
+namespace pomelokeel::platform::tests {
+namespace {
+
+using batch::Verdict;
+
+http::Request call(const std::string &Method, const std::string &Body = "") {
+  http::Request R;
+  R.m_method = Method;
+  R.m_target = "/q/00000000000000aa?x=1";
+  R.m_body = Body;
+  R.m_headers = {{"Host", "h.example:80"},
+                 {"Authorization", "Bearer key1"},
+                 {"X-Deadline-Ms", "2500"}};
+  return R;
+}
+
+TEST(DecodeCall, ReadsHostPathKeyAndDeadline) {
+  const auto C = decodeCall(call("GET"));
+  ASSERT_TRUE(C.has_value());
+  EXPECT_EQ(C->m_host, "h.example");
+  EXPECT_EQ(C->m_path, "/q/00000000000000aa");
+  EXPECT_EQ(C->m_key, "key1");
+  EXPECT_EQ(C->m_remainingMs, 2500);
+}
+
+TEST(DecodeCall, AMalformedJobKeepsItsProblem) {
+  const auto C = decodeCall(call("POST", "{"));
+  ASSERT_TRUE(C.has_value());
+  EXPECT_FALSE(C->m_spec.has_value());
+  EXPECT_FALSE(C->m_problem.empty());
+}
+
+TEST(DecodeCall, OtherMethodsHaveNoMeaning) {
+  EXPECT_FALSE(decodeCall(call("PATCH")).has_value());
+}
+
+// A status with another meaning would make callers repeat what has run, or give
+// up what has not.
+TEST(EncodeReply, TellsWhetherTheCallWasDone) {
+  const struct {
+    Verdict m_verdict;
+    int m_status;
+  } Rows[] = {{Verdict::Ok, 200},           {Verdict::Unknown, 504},
+              {Verdict::Gone, 410},         {Verdict::NoQueue, 404},
+              {Verdict::Unauthorized, 401}, {Verdict::BadRequest, 400},
+              {Verdict::Overloaded, 429},   {Verdict::Unavailable, 503}};
+  for (const auto &Row : Rows) {
+    batch::CallerReply R;
+    R.m_verdict = Row.m_verdict;
+    EXPECT_EQ(encodeReply(R, {}).m_status, Row.m_status);
+  }
+}
+
+TEST(EncodeReply, ARefusalTellsWhenToComeBack) {
+  batch::CallerReply R;
+  R.m_verdict = Verdict::Unavailable;
+  R.m_retryAfterMs = 1200;
+  const auto Out = encodeReply(R, {});
+  EXPECT_EQ(http::headerOf(Out.m_headers, "retry-after"), "2");
+}
+
+Heartbeat beat(const std::string &Id, std::int64_t Born, std::int64_t Number) {
+  Heartbeat H;
+  H.m_worker.m_id = Id;
+  H.m_born = Born;
+  H.m_sequence = Number;
+  return H;
+}
+
+// A heartbeat held up by a cut arrives after its sender's successor has come.
+TEST(HeartbeatOrder, LateHeartbeatsChangeNothing) {
+  HeartbeatOrder O;
+  EXPECT_TRUE(O.accept(beat("a", 10, 5)));
+  EXPECT_FALSE(O.accept(beat("a", 10, 4)));
+  EXPECT_TRUE(O.accept(beat("a", 20, 1)));
+  EXPECT_FALSE(O.accept(beat("a", 10, 9)));
+  EXPECT_TRUE(O.accept(beat("b", 30, 1)));
+  EXPECT_FALSE(O.accept(beat("a", 20, 2)));
+}
+
+} // namespace
+} // namespace pomelokeel::platform::tests
