--- a/src/base/counters.cc
+++ b/src/base/counters.cc
@@ -1,5 +1,8 @@
 #include "base/counters.h"
 
+#include <array>
+#include <cstddef>
+
 namespace pomelokeel::base {
 
 Counter &Counters::get(const std::string &Name) {
@@ -7,6 +10,28 @@
   return m_counters[Name];
 }
 
+void Counters::observe(const std::string &Name, std::int64_t Ms) {
+  // From a call within a data centre to the longest wait of a caller.
+  constexpr std::array<std::int64_t, 9> Bounds = {5,   20,   50,   100,  250,
+                                                  500, 1000, 2500, 10000};
+  const std::size_t Labels = Name.find('{');
+  const std::string Base = Name.substr(0, Labels);
+  const std::string Given =
+      Labels == std::string::npos
+          ? ""
+          : Name.substr(Labels + 1, Name.size() - Labels - 2);
+  const std::string Comma = Given.empty() ? "" : Given + ",";
+  const std::string Tail = Given.empty() ? "" : "{" + Given + "}";
+  for (const std::int64_t Bound : Bounds) {
+    if (Ms <= Bound)
+      ++get(Base + "_bucket{" + Comma + "le=\"" + std::to_string(Bound) +
+            "\"}");
+  }
+  ++get(Base + "_bucket{" + Comma + "le=\"+Inf\"}");
+  get(Base + "_sum" + Tail) += Ms;
+  ++get(Base + "_count" + Tail);
+}
+
 std::string Counters::render() const {
   const std::lock_guard Lock(m_mutex);
   std::string Out;
--- a/src/base/counters.h
+++ b/src/base/counters.h
@@ -19,6 +19,9 @@
   /// `bytes_sent{region="pacifico"}`.
   Counter &get(const std::string &Name);
 
+  /// Counts \p Ms in the histogram \p Name, which may carry labels.
+  void observe(const std::string &Name, std::int64_t Ms);
+
   /// Renders all counters in the Prometheus text format.
   std::string render() const;
 
--- a/src/batch/leader_schedule.cc
+++ b/src/batch/leader_schedule.cc
@@ -88,6 +88,9 @@
       T.m_saved = Saved;
   }
   changed(J);
+  m_counters.observe(fmt::format("start_wait_ms{{priority=\"{}\"}}",
+                                 J.m_spec.m_queue.m_priority),
+                     Now - J.m_acceptedAt);
   std::string Where;
   for (std::size_t I = 0; I < U.m_indices.size(); ++I) {
     Task &T = Tasks[static_cast<std::size_t>(U.m_indices[I])];
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -318,7 +318,7 @@
       --m_inFlight;
       m_counters.get(fmt::format("caller_answers{{verdict=\"{}\"}}",
                                  base::nameOf(R.m_verdict)))++;
-      m_counters.get("caller_answer_ms_total") += base::bootNow() - Begin;
+      m_counters.observe("caller_answer_ms", base::bootNow() - Begin);
     }
     Answer(std::move(R));
   };
--- a/tests/settings/docs_test.cc
+++ b/tests/settings/docs_test.cc
@@ -1,11 +1,14 @@
 #include "base/error.h"
+#include "node/settings.h"
 #include "settings/settings.h"
 
 #include <fmt/core.h>
 
 #include <gtest/gtest.h>
 
+#include <filesystem>
 #include <fstream>
+#include <regex>
 #include <sstream>
 
 using namespace pomelokeel;
@@ -44,6 +47,29 @@
 TEST(Docs, SettingsReferenceMatchesTheCode) {
   expectRows<settings::EntrySettings>("## Settings of `pomelokeel entry`");
   expectRows<settings::AgentSettings>("## Settings of `pomelokeel agent`");
+  expectRows<node::Settings>("## Settings of `pomelokeel platform`");
+  expectRows<node::Bounds>("### Bounds of `pomelokeel platform`");
+}
+
+// Guards against events that the page for on-call engineers does not explain.
+TEST(Docs, EachEventIsExplained) {
+  const std::string Page = readPage("OPERATIONS.md");
+  const std::regex Event("(?:event|record|m_event)\\(\\s*\"([a-zA-Z]+)\"");
+  int Found = 0;
+  for (const char *Folder : {"src/batch", "src/node", "platform"}) {
+    for (const auto &File : std::filesystem::directory_iterator(
+             std::string(POMELOKEEL_SOURCE_DIR) + "/" + Folder)) {
+      std::ifstream In(File.path());
+      std::stringstream Text;
+      Text << In.rdbuf();
+      const std::string Source = Text.str();
+      for (std::sregex_iterator It(Source.begin(), Source.end(), Event), End;
+           It != End; ++It, ++Found)
+        EXPECT_NE(Page.find("`" + (*It)[1].str() + "`"), std::string::npos)
+            << (*It)[1];
+    }
+  }
+  EXPECT_GT(Found, 30);
 }
 
 TEST(Docs, ErrorPageMatchesTheTable) {
