--- a/src/base/counters.cc
+++ b/src/base/counters.cc
@@ -1,5 +1,7 @@
 #include "base/counters.h"
 
+#include <fmt/format.h>
+
 #include <array>
 #include <cstddef>
 
@@ -20,14 +22,14 @@
       Labels == std::string::npos
           ? ""
           : Name.substr(Labels + 1, Name.size() - Labels - 2);
-  const std::string Comma = Given.empty() ? "" : Given + ",";
-  const std::string Tail = Given.empty() ? "" : "{" + Given + "}";
+  const char *Comma = Given.empty() ? "" : ",";
+  const std::string Tail = Given.empty() ? "" : fmt::format("{{{}}}", Given);
   for (const std::int64_t Bound : Bounds) {
     if (Ms <= Bound)
-      ++get(Base + "_bucket{" + Comma + "le=\"" + std::to_string(Bound) +
-            "\"}");
+      ++get(
+          fmt::format("{}_bucket{{{}{}le=\"{}\"}}", Base, Given, Comma, Bound));
   }
-  ++get(Base + "_bucket{" + Comma + "le=\"+Inf\"}");
+  ++get(fmt::format("{}_bucket{{{}{}le=\"+Inf\"}}", Base, Given, Comma));
   get(Base + "_sum" + Tail) += Ms;
   ++get(Base + "_count" + Tail);
 }
--- a/src/batch/leader_runs.cc
+++ b/src/batch/leader_runs.cc
@@ -361,17 +361,18 @@
 }
 
 void Leader::watchRuns(Millis Now) {
-  for (auto &[Id, J] : m_jobs) {
-    const std::string &Job = Id;
+  for (auto &Entry : m_jobs) {
+    const std::string &Id = Entry.first;
+    Job &J = Entry.second;
     std::set<std::pair<int, int>> BrokenGangs;
     forEachTask(J.m_progress, [&](int K, int S, int I, Task &T) {
       if (T.m_phase != TaskPhase::Placed || T.m_stop != StopReason::None)
         return;
       const Step &Kind = J.m_spec.m_steps[static_cast<std::size_t>(S)];
-      const StopReason Reason = judgeRun(Kind, T, Job, Now);
+      const StopReason Reason = judgeRun(Kind, T, Id, Now);
       if (Reason == StopReason::None)
         return;
-      stop(T, {Job, K, S, I}, Reason);
+      stop(T, {Id, K, S, I}, Reason);
       if (Kind.m_gang)
         BrokenGangs.emplace(K, S);
     });
@@ -379,7 +380,7 @@
       continue;
     forEachTask(J.m_progress, [&](int K, int S, int I, Task &T) {
       if (BrokenGangs.contains({K, S}))
-        stop(T, {Job, K, S, I}, StopReason::Broken);
+        stop(T, {Id, K, S, I}, StopReason::Broken);
     });
   }
 }
