Repeat a stop that the worker has refused

Cause: an unhealthy worker answers orders with 503 and does nothing. The agent took any answer to a stop for its outcome, so the stop was never repeated. A run of a cancelled job went on for 12 s and a job's task that was to be replaced could count as void while its start was still to be carried out. Ruled out: a lost stop order (the leader's stop is in the log of its agent), an unanswered one (those are repeated). Tests, red first: AgentTest.AStopThatTheWorkerRefusedIsRepeated, AgentTest.ARefusedStopDoesNotVoidAnUnansweredStart.

--- a/src/batch/agent.cc
+++ b/src/batch/agent.cc
@@ -225,7 +225,15 @@
   Run &R = It->second;
   R.m_calling = false;
   R.m_retryAt = Now + OrderRetryMs;
-  if (A.m_outcome == OrderOutcome::Unanswered)
+  m_counters.get(fmt::format("worker_stops{{outcome=\"{}\"}}",
+                             static_cast<int>(A.m_outcome)))++;
+  // A worker that refuses a stop has done nothing: it is asked again.
+  if (A.m_outcome == OrderOutcome::Refused)
+    m_ports.event(
+        "stopRefused", "",
+        fmt::format("task={} run={} reason={}", Task, RunNumber, A.m_reason));
+  if (A.m_outcome == OrderOutcome::Unanswered ||
+      A.m_outcome == OrderOutcome::Refused)
     return;
   R.m_stopped = true;
   R.m_settledBy = m_serial;
--- a/tests/batch/agent_test.cc
+++ b/tests/batch/agent_test.cc
@@ -121,6 +121,34 @@
   EXPECT_TRUE(m_worker.reported(EndKind::Void));
 }
 
+// A cancelled run went on for 12 s: an unhealthy worker had refused the stop,
+// which counted as done and was not repeated.
+TEST_F(AgentTest, AStopThatTheWorkerRefusedIsRepeated) {
+  startA();
+  m_worker.m_stopRefusal = "status503";
+  AgentReply R;
+  R.m_stops = {{TaskA, 1}};
+  m_worker.reply(R);
+  m_worker.pass(1000);
+  ASSERT_EQ(m_worker.m_runs.size(), 1u);
+  m_worker.m_stopRefusal.clear();
+  m_worker.pass(1000);
+  EXPECT_TRUE(m_worker.m_runs.empty());
+  EXPECT_TRUE(m_worker.reported(EndKind::Stopped));
+}
+
+// The refusal of a stop says nothing of a start that may still be carried out.
+TEST_F(AgentTest, ARefusedStopDoesNotVoidAnUnansweredStart) {
+  m_worker.m_delaysStarts = true;
+  startA();
+  m_worker.m_stopRefusal = "status503";
+  AgentReply R;
+  R.m_stops = {{TaskA, 1}};
+  m_worker.reply(R);
+  m_worker.pass(1000);
+  EXPECT_FALSE(m_worker.reported(EndKind::Void));
+}
+
 TEST_F(AgentTest, IgnoresALeaderThatWasReplaced) {
   m_worker.m_epoch = 5;
   m_worker.reply({});
--- a/tests/batch/fake_worker.h
+++ b/tests/batch/fake_worker.h
@@ -31,6 +31,7 @@
   bool m_delaysStarts = false; ///< Starts are done by applyLate().
   bool m_leaderSilent = false; ///< Reports fail.
   std::string m_refusal;       ///< Reason that starts are refused with.
+  std::string m_stopRefusal;   ///< Reason that stops are refused with.
 
   Millis m_now = 1000;
 
@@ -165,6 +166,11 @@
         m_agent.onStop(C.m_task, C.m_run,
                        {OrderOutcome::Unanswered, "timeout", -1}, m_now);
       });
+    if (!m_stopRefusal.empty())
+      return later([this, C] {
+        m_agent.onStop(C.m_task, C.m_run,
+                       {OrderOutcome::Refused, m_stopRefusal, -1}, m_now);
+      });
     m_stopped[C.m_task] = std::max(m_stopped[C.m_task], C.m_run);
     if (m_runs.contains({C.m_task, C.m_run}))
       end(C.m_task, C.m_run, EndKind::Stopped, "saved");
