--- a/src/batch/leader_callers.cc
+++ b/src/batch/leader_callers.cc
@@ -26,6 +26,18 @@
   return Out;
 }
 
+// What decides where and when a job can run.
+std::string describe(const JobSpec &S) {
+  std::string Steps;
+  for (const Step &Each : S.m_steps)
+    Steps += fmt::format("{}{}x{}", Steps.empty() ? "" : ",", Each.m_count,
+                         Each.m_each.m_accelerators);
+  return fmt::format("queue={} account={} priority={} gang={} steps={} "
+                     "estimateMs={}",
+                     S.m_queue.m_name, S.m_account, S.m_queue.m_priority,
+                     S.m_steps.front().m_gang, Steps, chainMs(S));
+}
+
 } // namespace
 
 void Leader::submit(const CallerRequest &R, Millis Now, Millis Wall,
@@ -60,10 +72,7 @@
     It = m_jobs.emplace(R.m_id, std::move(J)).first;
     changed(It->second);
     addOccurrences(Wall);
-    m_ports.event("jobSubmitted", R.m_id,
-                  fmt::format("queue={} account={} priority={} steps={}",
-                              R.m_queue.m_name, R.m_account,
-                              R.m_queue.m_priority, R.m_spec->m_steps.size()));
+    m_ports.event("jobSubmitted", R.m_id, describe(It->second.m_spec));
     m_counters.get("jobs_submitted")++;
   }
   m_waiters.push_back({It->second.m_acceptBatch, R.m_id, true,
--- a/tests/scenario/runner.cc
+++ b/tests/scenario/runner.cc
@@ -357,7 +357,11 @@
     std::string Last;
     const auto Reached =
         until(S, C->view().m_name + " is in another phase", [&] {
-          if (C->view().m_job.empty())
+          const CallerView V = C->view();
+          if (!V.m_told.empty())
+            Last =
+                fmt::format("told {}", base::nameOf(V.m_told.back().m_outcome));
+          if (V.m_job.empty())
             return false;
           const auto Answer = callAny("GET", "/v1/jobs/" + C->view().m_job);
           Last = Answer ? Answer->value("phase", "") : "";
