Keep sites for gangs that wait for enough room at the same time

Cause: a gang that did not fit was passed over in each look at the queue, so that smaller units took each room that became free.

- A gang for which no stop makes room keeps the sites where it fits soonest by the expected ends of runs.
Gangs without a guarantee keep at most a fifth of all accelerators idle.
- Guaranteed jobs come in the order of their acceptance, from which their bound counts, not by declared times.
- A guaranteed gang leaves its rack at half of the reclaim bound (a new bound in the settings).
- Room that is becoming free is taken from the emptiest sites: taking it from the fullest gave away what was free, and the gang went on to wait for other sites (seen in the new load test).

Tests, red before: LoadTest (pattern: a large gang amid a stream of small ones), ScheduleTest.AWaitingGangKeepsItsSites..., AGuaranteedGangLeavesItsRack..., GuaranteedJobsComeInTheOrder...

--- a/src/batch/leader.h
+++ b/src/batch/leader.h
@@ -28,6 +28,8 @@
   Millis m_confirmMs = 3000;
   Millis m_stopGraceMs = 900;
   Millis m_gangTimeoutMs = 3000;
+  /// From acceptance until a job within its account's guarantee has begun.
+  Millis m_reclaimMs = 3000;
   /// Silence of an agent after which it gets no new work.
   Millis m_silentMs = 2500;
   Millis m_retentionMs = 180000; ///< How long ended jobs are kept.
--- a/src/batch/leader_schedule.cc
+++ b/src/batch/leader_schedule.cc
@@ -116,7 +116,7 @@
   m_scheduleWanted = false;
   m_scheduledAt = Now;
   const std::vector<Site> Sites = makeSites(Now);
-  const Plan P = plan(m_jobs, Sites, m_guarantees, Now);
+  const Plan P = plan(m_jobs, Sites, m_guarantees, m_timing.m_reclaimMs, Now);
   for (const TaskName &Name : P.m_preempted)
     stop(*find(Name), Name, StopReason::Preempted);
   m_counters.get("preemptions") +=
--- a/src/batch/placement.cc
+++ b/src/batch/placement.cc
@@ -34,6 +34,15 @@
   return Count;
 }
 
+/// When the room of Horizon::Soon is expected on average.
+constexpr Millis SoonMs = 500;
+
+Resources least(const Resources &A, const Resources &B) {
+  return {std::min(A.m_milliCores, B.m_milliCores),
+          std::min(A.m_memoryMb, B.m_memoryMb),
+          std::min(A.m_accelerators, B.m_accelerators)};
+}
+
 using Rooms = std::vector<std::int64_t>; // Tasks that fit, by site.
 
 // What stays the same while one unit is fitted into a fleet whose room changes.
@@ -86,7 +95,8 @@
 // else one scope of all sites.
 std::vector<const Scope *> scopesOf(const Fit &X) {
   const Fleet &F = X.m_fleet;
-  if (!X.m_unit.m_step->m_gang || !X.m_unit.m_step->m_rackLocal)
+  if (!X.m_unit.m_step->m_gang || !X.m_unit.m_step->m_rackLocal ||
+      X.m_unit.m_anyRack)
     return {&F.m_all};
   std::vector<const Scope *> Out;
   for (const Scope &Rack : F.m_racks) {
@@ -105,25 +115,28 @@
   m_scopes = scopesOf(*this);
 }
 
-// Lower is better: data nearby, not where it failed, sound, then fullest.
-auto rankOf(const Unit &U, const Site &S) {
+// Lower is better: data nearby, not where it failed, sound, then fullest. With
+// Horizon::Soon the emptiest: what is free there would be given away, and the
+// unit would go on to wait for another site.
+auto rankOf(const Unit &U, const Site &S, Horizon When) {
   const bool Far =
       !U.m_step->m_dataRack.empty() && U.m_step->m_dataRack != S.m_rack;
   const bool Avoided = contains(U.m_avoid, S.m_agent);
+  const std::int64_t Sign = When == Horizon::Now ? 1 : -1;
   return std::tuple(Far, Avoided, S.m_failures, S.m_slowness,
-                    S.m_free.m_accelerators, S.m_free.m_milliCores,
-                    S.m_free.m_memoryMb);
+                    Sign * S.m_free.m_accelerators,
+                    Sign * S.m_free.m_milliCores, Sign * S.m_free.m_memoryMb);
 }
 
 std::optional<Assignment> fill(const Unit &U, const std::vector<Site> &Sites,
-                               const Rooms &Room, Scope Order) {
+                               Horizon When, const Rooms &Room, Scope Order) {
   const std::size_t Needed = U.m_indices.size();
   if (total(Room, Order) < static_cast<std::int64_t>(Needed))
     return std::nullopt;
-  std::stable_sort(Order.begin(), Order.end(),
-                   [&](std::size_t A, std::size_t B) {
-                     return rankOf(U, Sites[A]) < rankOf(U, Sites[B]);
-                   });
+  std::stable_sort(
+      Order.begin(), Order.end(), [&](std::size_t A, std::size_t B) {
+        return rankOf(U, Sites[A], When) < rankOf(U, Sites[B], When);
+      });
   Assignment Out;
   for (const std::size_t I : Order) {
     for (std::int64_t N = 0; N < Room[I] && Out.size() < Needed; ++N)
@@ -198,6 +211,18 @@
   return Out;
 }
 
+// The unit and the fleet without the agents that failed it, if others could
+// hold it.
+std::optional<std::pair<Unit, Fleet>> avoiding(const Unit &U, const Fleet &F) {
+  if (U.m_avoid.empty())
+    return std::nullopt;
+  std::pair Out(U, without(F, U.m_avoid));
+  Out.first.m_avoid.clear();
+  if (!canEverFit(Out.first, Out.second))
+    return std::nullopt;
+  return Out;
+}
+
 } // namespace
 
 Fleet makeFleet(std::vector<Site> Sites) {
@@ -218,13 +243,8 @@
 }
 
 std::optional<Assignment> place(const Unit &U, const Fleet &F, Horizon When) {
-  if (!U.m_avoid.empty()) {
-    const Fleet Others = without(F, U.m_avoid);
-    Unit Anywhere = U;
-    Anywhere.m_avoid.clear();
-    if (canEverFit(Anywhere, Others))
-      return place(Anywhere, Others, When);
-  }
+  if (const auto Elsewhere = avoiding(U, F))
+    return place(Elsewhere->first, Elsewhere->second, When);
   const Fit X(U, F);
   Rooms Room(F.m_sites.size(), 0);
   for (std::size_t I = 0; I < Room.size(); ++I)
@@ -232,7 +252,7 @@
   std::optional<Assignment> Best;
   std::tuple<double, std::int64_t> BestCost;
   for (const Scope *S : X.m_scopes) {
-    auto Found = fill(U, F.m_sites, Room, *S);
+    auto Found = fill(U, F.m_sites, When, Room, *S);
     if (!Found)
       continue;
     const auto Cost = costOf(*Found, F.m_sites, *S);
@@ -244,6 +264,47 @@
   return Best;
 }
 
+std::optional<Assignment> placeAfter(const Unit &U, const Fleet &F,
+                                     const Releases &R) {
+  if (const auto Elsewhere = avoiding(U, F))
+    return placeAfter(Elsewhere->first, Elsewhere->second, R);
+  const Fit X(U, F);
+  std::optional<Assignment> Best;
+  Millis BestMs = std::numeric_limits<Millis>::max();
+  for (const Scope *S : X.m_scopes) {
+    std::vector<std::pair<Millis, std::size_t>> Slots; // A task fits from then.
+    for (const std::size_t I : *S) {
+      const Site &Here = F.m_sites[I];
+      const std::int64_t Idle = tasksIn(X, I, least(Here.m_free, Here.m_soon));
+      std::int64_t Tasks = tasksIn(X, I, Here.m_soon);
+      Slots.insert(Slots.end(), static_cast<std::size_t>(Idle), {0, I});
+      Slots.insert(Slots.end(), static_cast<std::size_t>(Tasks - Idle),
+                   {SoonMs, I});
+      Resources Room = Here.m_soon;
+      for (const Release &Next : R[I]) {
+        Room = Room + Next.m_room;
+        const std::int64_t More = tasksIn(X, I, Room) - Tasks;
+        if (More <= 0)
+          continue;
+        Slots.insert(Slots.end(), static_cast<std::size_t>(More),
+                     {Next.m_inMs, I});
+        Tasks += More;
+      }
+    }
+    const std::size_t Needed = U.m_indices.size();
+    if (Slots.size() < Needed)
+      continue;
+    std::stable_sort(Slots.begin(), Slots.end());
+    if (Slots[Needed - 1].first >= BestMs)
+      continue;
+    BestMs = Slots[Needed - 1].first;
+    Best.emplace();
+    for (std::size_t N = 0; N < Needed; ++N)
+      Best->push_back(Slots[N].second);
+  }
+  return Best;
+}
+
 bool canEverFit(const Unit &U, const Fleet &F) {
   const Fit X(U, F);
   return std::any_of(X.m_scopes.begin(), X.m_scopes.end(), [&](const Scope *S) {
@@ -256,15 +317,12 @@
   for (const std::size_t I : A) {
     Site &S = F.m_sites[I];
     S.m_soon = S.m_soon - Each;
-    if (When == Horizon::Now) {
+    // What is free there now would only be lost to others.
+    if (When != Horizon::Soon) {
       S.m_free = S.m_free - Each;
       continue;
     }
-    S.m_free.m_milliCores =
-        std::min(S.m_free.m_milliCores, S.m_soon.m_milliCores);
-    S.m_free.m_memoryMb = std::min(S.m_free.m_memoryMb, S.m_soon.m_memoryMb);
-    S.m_free.m_accelerators =
-        std::min(S.m_free.m_accelerators, S.m_soon.m_accelerators);
+    S.m_free = least(S.m_free, S.m_soon);
   }
 }
 
--- a/src/batch/placement.h
+++ b/src/batch/placement.h
@@ -34,10 +34,12 @@
   /// Tasks of the same step and occurrence that each site already runs.
   std::vector<int> m_running;
   std::vector<std::string> m_avoid; ///< Agents where it failed before.
+  bool m_anyRack = false; ///< To be placed even where it runs much slower.
 };
 
-/// Which of a site's figures to place against.
-enum class Horizon { Now, Soon };
+/// Which of a site's figures to place against. Later: when further runs have
+/// ended.
+enum class Horizon { Now, Soon, Later };
 
 /// Sites that a unit may be spread over, by index.
 using Scope = std::vector<std::size_t>;
@@ -61,11 +63,25 @@
 /// from workers that failed them unless no others could.
 std::optional<Assignment> place(const Unit &U, const Fleet &F, Horizon When);
 
+/// Room that a site gets back when a run there ends.
+struct Release {
+  Millis m_inMs = 0; ///< Expected time until then.
+  Resources m_room;
+};
+
+/// Expected releases by site.
+using Releases = std::vector<std::vector<Release>>;
+
+/// Chooses the sites where all tasks of \p U fit soonest as runs end, or none
+/// if they never do. Starts from Horizon::Soon.
+std::optional<Assignment> placeAfter(const Unit &U, const Fleet &F,
+                                     const Releases &R);
+
 /// True if the unit fits on \p F when all workers are idle.
 bool canEverFit(const Unit &U, const Fleet &F);
 
-/// Takes the room of \p A from the free figures. With Horizon::Soon the room is
-/// kept from others until the runs that hold it have ended.
+/// Takes the room of \p A from the free figures. With Horizon::Soon and Later
+/// the room is kept from others until the runs that hold it have ended.
 void take(const Unit &U, const Assignment &A, Horizon When, Fleet &F);
 
 /// A run that may be stopped for a more urgent one.
--- a/src/batch/schedule.cc
+++ b/src/batch/schedule.cc
@@ -30,6 +30,13 @@
 /// About what a stop takes until the room is free.
 constexpr Millis EndsSoonMs = 1000;
 
+/// Share of the reclaim bound after which a guaranteed gang does without one
+/// rack: the rest is for stopping others, for the orders and for the starts.
+constexpr double OneRackShare = 0.5;
+
+/// Share of all accelerators that may stand idle for gangs without a guarantee.
+constexpr double ReservedShare = 0.2;
+
 double weightOf(const Resources &R) {
   return static_cast<double>(R.m_milliCores) / MilliCoresPerCore +
          CoresPerAccelerator * static_cast<double>(R.m_accelerators);
@@ -72,7 +79,11 @@
   Unit m_unit;
 };
 
-Millis dueOf(const JobSpec &S, std::size_t Occurrence) {
+// When the jobs of a class are due. A guarantee is a bound from acceptance; the
+// estimates that the others go by may be far off.
+Millis dueOf(const JobSpec &S, int Class, std::size_t Occurrence) {
+  if (Class == GuaranteedClass)
+    return S.m_acceptedMs;
   const Millis Begin =
       S.m_times > 0
           ? S.m_firstMs + static_cast<Millis>(Occurrence) * S.m_intervalMs
@@ -126,8 +137,8 @@
       U.m_indices = std::move(Waiting);
       U.m_spec = &J.m_spec;
       U.m_step = &Kind;
-      Out.push_back(
-          {{classOf(J.m_spec, Guaranteed), dueOf(J.m_spec, K)}, std::move(U)});
+      const int Class = classOf(J.m_spec, Guaranteed);
+      Out.push_back({{Class, dueOf(J.m_spec, Class, K)}, std::move(U)});
     }
   }
 }
@@ -204,27 +215,43 @@
   bool operator==(const Shape &) const = default;
 };
 
+// True if a unit of shape A needs no less than one of shape B that fits
+// nowhere. What racks can hold it depends on the shape, so those must be the
+// same.
+bool needsAsMuch(const Shape &A, const Shape &B) {
+  if (B.m_oneRack || A.m_class != B.m_class || A.m_label != B.m_label ||
+      A.m_service != B.m_service)
+    return A == B;
+  return A.m_count >= B.m_count && fits(B.m_each, A.m_each);
+}
+
 Shape shapeOf(const Unit &U, const Rank &R) {
   return {chargeOf(*U.m_step),
           U.m_indices.size(),
-          U.m_step->m_gang && U.m_step->m_rackLocal,
+          U.m_step->m_gang && U.m_step->m_rackLocal && !U.m_anyRack,
           R.m_class,
           U.m_step->m_label,
           U.m_spec->m_queue.m_service};
 }
 
-bool contains(const std::vector<Shape> &All, const Shape &One) {
-  return std::find(All.begin(), All.end(), One) != All.end();
+bool fitsNowhere(const std::vector<Shape> &Failed, const Shape &Wanted) {
+  return std::any_of(Failed.begin(), Failed.end(),
+                     [&](const Shape &B) { return needsAsMuch(Wanted, B); });
 }
 
 // One look at all waiting units, most urgent first.
 class Pass {
 public:
   Pass(const JobTable &Jobs, std::vector<Site> Sites,
-       const Guarantees &Promised, Millis Now)
+       const Guarantees &Promised, Millis ReclaimMs, Millis Now)
       : m_jobs(Jobs), m_fleet(makeFleet(std::move(Sites))),
         m_index(indexOf(m_fleet.m_sites)),
-        m_guaranteed(guaranteedJobs(Jobs, Promised)), m_now(Now) {}
+        m_guaranteed(guaranteedJobs(Jobs, Promised)), m_reclaimMs(ReclaimMs),
+        m_now(Now) {
+    for (const Site &S : m_fleet.m_sites)
+      m_mayReserve += static_cast<double>(S.m_capacity.m_accelerators);
+    m_mayReserve *= ReservedShare;
+  }
 
   Plan run() {
     std::vector<Candidate> Units;
@@ -254,24 +281,109 @@
 private:
   // Starts the unit, or keeps room for it that is becoming free, or makes room.
   std::optional<Assignment> tryUnit(const Unit &U, const Rank &R) {
-    if (auto At = place(U, m_fleet, Horizon::Now)) {
-      take(U, *At, Horizon::Now, m_fleet);
-      m_plan.m_starts.push_back({U, *At});
-      return At;
-    }
     const Shape Wanted = shapeOf(U, R);
-    if (contains(m_hopeless, Wanted))
-      return std::nullopt;
-    auto At = place(U, m_fleet, Horizon::Soon);
-    if (!At && R.m_class <= UrgentClass && preempt(U, R))
-      At = place(U, m_fleet, Horizon::Soon);
-    if (At)
-      take(U, *At, Horizon::Soon, m_fleet);
-    else if (U.m_step->m_perWorker == 0 && U.m_avoid.empty())
-      m_hopeless.push_back(Wanted);
+    // What other limits a unit has is not part of its shape.
+    const bool ByShape = U.m_step->m_perWorker == 0 && U.m_avoid.empty();
+    if (!fitsNowhere(m_full, Wanted)) {
+      if (auto At = place(U, m_fleet, Horizon::Now)) {
+        take(U, *At, Horizon::Now, m_fleet);
+        m_plan.m_starts.push_back({U, *At});
+        return At;
+      }
+      if (ByShape)
+        m_full.push_back(Wanted);
+    }
+    if (!fitsNowhere(m_hopeless, Wanted)) {
+      auto At = place(U, m_fleet, Horizon::Soon);
+      if (!At && R.m_class <= UrgentClass && preempt(U, R))
+        At = place(U, m_fleet, Horizon::Soon);
+      if (At) {
+        take(U, *At, Horizon::Soon, m_fleet);
+        return std::nullopt;
+      }
+      if (ByShape)
+        m_hopeless.push_back(Wanted);
+    }
+    if (mustLeaveItsRack(U, R)) {
+      Unit Spread = U;
+      Spread.m_anyRack = true;
+      return tryUnit(Spread, R);
+    }
+    if (U.m_step->m_gang)
+      reserve(U, R);
     return std::nullopt;
   }
 
+  // True for a guaranteed gang that waits for one rack, once its bound nears.
+  bool mustLeaveItsRack(const Unit &U, const Rank &R) const {
+    const JobState &J = m_jobs.at(U.m_name.m_job);
+    return R.m_class == GuaranteedClass && !U.m_anyRack && U.m_step->m_gang &&
+           U.m_step->m_rackLocal &&
+           static_cast<double>(m_now - J.m_acceptedAt) >
+               static_cast<double>(m_reclaimMs) * OneRackShare;
+  }
+
+  // Keeps the sites where the gang fits soonest from whatever comes after it in
+  // order. Without it small units take each room that becomes free, and a large
+  // gang never finds enough of them at the same time.
+  void reserve(const Unit &U, const Rank &R) {
+    const bool Guaranteed = R.m_class == GuaranteedClass;
+    if (!Guaranteed && m_mayReserve <= 0)
+      return;
+    const auto At = placeAfter(U, m_fleet, releases(R));
+    if (!At)
+      return;
+    const std::set<std::size_t> Sites(At->begin(), At->end());
+    if (!Guaranteed) {
+      for (const std::size_t I : Sites)
+        m_mayReserve -= static_cast<double>(std::max<std::int64_t>(
+            m_fleet.m_sites[I].m_free.m_accelerators, 0));
+    }
+    take(U, *At, Horizon::Later, m_fleet);
+  }
+
+  // When the runs of each site are expected to end. What a unit of this rank
+  // may stop is there at any time.
+  const Releases &releases(const Rank &R) {
+    const bool Stops = R.m_class <= UrgentClass;
+    const int Key = Stops ? R.m_class : UrgentClass + 1;
+    const auto [It, New] = m_releases.try_emplace(Key);
+    if (!New)
+      return It->second;
+    It->second.resize(m_fleet.m_sites.size());
+    for (const auto &[Id, J] : m_jobs) {
+      const bool Stoppable =
+          Stops && classOf(J.m_spec, m_guaranteed) > R.m_class;
+      addReleases(J, Stoppable, It->second);
+    }
+    for (auto &OfSite : It->second)
+      std::stable_sort(OfSite.begin(), OfSite.end(),
+                       [](const Release &A, const Release &B) {
+                         return A.m_inMs < B.m_inMs;
+                       });
+    return It->second;
+  }
+
+  void addReleases(const JobState &J, bool Stoppable, Releases &Out) const {
+    forEachTask(J.m_progress, [&](int, int S, int, const Task &T) {
+      if (T.m_phase != TaskPhase::Placed || T.m_stop != StopReason::None ||
+          endsSoon(T, m_now))
+        return;
+      const auto At = m_index.find({T.m_agent, T.m_life});
+      if (At == m_index.end())
+        return;
+      const Step &Kind = J.m_spec.m_steps[static_cast<std::size_t>(S)];
+      Out[At->second].push_back(
+          {Stoppable ? 0 : expectedMs(Kind, T), chargeOf(Kind)});
+    });
+  }
+
+  // By its progress; before there is any, by the declared time.
+  Millis expectedMs(const Step &S, const Task &T) const {
+    const Millis Left = remainingOf(T, m_now);
+    return Left >= 0 ? Left : S.m_estimateMs;
+  }
+
   bool preempt(const Unit &U, const Rank &R) {
     if (!m_running) {
       m_running.emplace();
@@ -305,10 +417,14 @@
   Fleet m_fleet;
   SiteIndex m_index;
   std::set<std::string> m_guaranteed;
+  Millis m_reclaimMs;
   Millis m_now;
+  double m_mayReserve = 0; ///< Accelerators, for gangs without a guarantee.
+  std::map<int, Releases> m_releases; ///< By what the unit may stop.
   std::optional<std::vector<Stoppable>> m_running; // Made when first needed.
-  /// Shapes for which there was no room and nothing to stop: rooms only shrink
-  /// until something is stopped.
+  /// Shapes for which there was no room now, and nothing to stop either: rooms
+  /// only shrink until something is stopped.
+  std::vector<Shape> m_full;
   std::vector<Shape> m_hopeless;
   Plan m_plan;
 };
@@ -332,8 +448,8 @@
 }
 
 Plan plan(const JobTable &Jobs, const std::vector<Site> &Sites,
-          const Guarantees &Promised, Millis Now) {
-  return Pass(Jobs, Sites, Promised, Now).run();
+          const Guarantees &Promised, Millis ReclaimMs, Millis Now) {
+  return Pass(Jobs, Sites, Promised, ReclaimMs, Now).run();
 }
 
 } // namespace pomelokeel::batch
--- a/src/batch/schedule.h
+++ b/src/batch/schedule.h
@@ -49,7 +49,11 @@
 /// priority 0 first, then by priority, then by due time. Jobs within their
 /// account's guarantee displace any others, other jobs of priority 0 those of
 /// lower priority.
+///
+/// A gang that no stop makes room for keeps the sites where it will fit
+/// soonest; one within its guarantee leaves its rack in time to begin within
+/// \p ReclaimMs.
 Plan plan(const JobTable &Jobs, const std::vector<Site> &Sites,
-          const Guarantees &Promised, Millis Now);
+          const Guarantees &Promised, Millis ReclaimMs, Millis Now);
 
 } // namespace pomelokeel::batch
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -74,6 +74,7 @@
   T.m_leaseMs = std::min(B.m_leaseMaxMs, LeaseMs);
   T.m_stopGraceMs = B.m_stopGraceMs;
   T.m_gangTimeoutMs = B.m_gangTimeoutMs;
+  T.m_reclaimMs = B.m_reclaimMs;
   T.m_retentionMs =
       static_cast<Millis>(B.m_statusS * MsPerSecond) + RetentionMarginMs;
   return T;
--- a/src/node/settings.cc
+++ b/src/node/settings.cc
@@ -49,7 +49,8 @@
                  "\"eventRing\" and \"maxConnections\" must be positive"};
   const Bounds &B = S.m_bounds;
   if (B.m_leaseMaxMs < 1000 || B.m_stopGraceMs < 0 || B.m_gangTimeoutMs < 1 ||
-      B.m_configApplyMs < 1 || B.m_graceS <= 0 || B.m_statusS <= 0)
+      B.m_configApplyMs < 1 || B.m_reclaimMs < 1 || B.m_graceS <= 0 ||
+      B.m_statusS <= 0)
     return Error{ErrorKind::BadSettings, "\"bounds\" are out of range"};
   if (auto Checked = checkAddresses(S, Common); !Checked)
     return Checked;
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -19,15 +19,16 @@
   double m_graceS = 6;           ///< From SIGTERM to the kill.
   double m_statusS = 120;        ///< How long an ended job can be asked for.
   Millis m_configApplyMs = 2500; ///< A configuration is in force by then.
+  Millis m_reclaimMs = 3000;     ///< A guaranteed job has begun by then.
 
   static constexpr auto fields() {
-    return std::tuple{
-        base::optional("leaseMaxMs", &Bounds::m_leaseMaxMs),
-        base::optional("stopGraceMs", &Bounds::m_stopGraceMs),
-        base::optional("gangTimeoutMs", &Bounds::m_gangTimeoutMs),
-        base::optional("graceS", &Bounds::m_graceS),
-        base::optional("statusS", &Bounds::m_statusS),
-        base::optional("configApplyMs", &Bounds::m_configApplyMs)};
+    return std::tuple{base::optional("leaseMaxMs", &Bounds::m_leaseMaxMs),
+                      base::optional("stopGraceMs", &Bounds::m_stopGraceMs),
+                      base::optional("gangTimeoutMs", &Bounds::m_gangTimeoutMs),
+                      base::optional("graceS", &Bounds::m_graceS),
+                      base::optional("statusS", &Bounds::m_statusS),
+                      base::optional("configApplyMs", &Bounds::m_configApplyMs),
+                      base::optional("reclaimMs", &Bounds::m_reclaimMs)};
   }
 };
 
--- /dev/null
+++ b/tests/batch/load_test.cc
@@ -0,0 +1,202 @@
+#include "batch/schedule.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace pomelokeel::batch::tests {
+namespace {
+
+constexpr Millis TickMs = 50;
+constexpr Millis ReclaimMs = 3000;
+constexpr Millis StopMs = 500; ///< From an order to stop to the free room.
+
+Step stepOf(std::int64_t Count, std::int64_t Accelerators, Millis RunMs) {
+  Step S;
+  S.m_count = Count;
+  S.m_each = {1000 * Accelerators, 100, Accelerators};
+  S.m_estimateMs = RunMs;
+  return S;
+}
+
+Step gangOf(std::int64_t Count, std::int64_t Accelerators, Millis RunMs) {
+  Step S = stepOf(Count, Accelerators, RunMs);
+  S.m_gang = true;
+  S.m_rackLocal = true;
+  return S;
+}
+
+/// Plays plans over time on workers of 8 accelerators, six to a rack. Runs take
+/// what is declared; orders take no time.
+class Load {
+public:
+  explicit Load(int Workers) {
+    for (int I = 0; I < Workers; ++I) {
+      Site S;
+      S.m_agent = "w" + std::to_string(I);
+      S.m_life = S.m_agent + "@1";
+      S.m_service = "s";
+      S.m_rack = "r" + std::to_string(I / 6);
+      S.m_capacity = {16000, 10000, 8};
+      m_sites.push_back(S);
+    }
+  }
+
+  void submit(const std::string &Id, int Priority, const Step &S) {
+    JobState J;
+    J.m_spec.m_id = Id;
+    J.m_spec.m_queue.m_service = "s";
+    J.m_spec.m_queue.m_priority = Priority;
+    J.m_spec.m_queue.m_stretch = 1.5;
+    J.m_spec.m_queue.m_slackMs = 400;
+    J.m_spec.m_account = "acc";
+    J.m_spec.m_acceptedMs = J.m_acceptedAt = m_now;
+    J.m_spec.m_steps = {S};
+    J.m_progress.m_occurrences = {makeOccurrence(J.m_spec)};
+    m_jobs[Id] = std::move(J);
+  }
+
+  void tick() {
+    m_now += TickMs;
+    for (auto &Entry : m_jobs)
+      advance(Entry.second);
+    const Plan P = plan(m_jobs, sites(), m_guarantees, ReclaimMs, m_now);
+    for (const TaskName &Name : P.m_preempted) {
+      Task &T = taskOf(Name);
+      T.m_stop = StopReason::Preempted;
+      T.m_stopSentAt = m_now;
+    }
+    for (const Start &S : P.m_starts)
+      start(S);
+  }
+
+  /// When the job began, or -1.
+  Millis begun(const std::string &Id) const {
+    const auto It = m_begun.find(Id);
+    return It == m_begun.end() ? -1 : It->second;
+  }
+
+  bool done(const std::string &Id) const {
+    return isDone(m_jobs.at(Id).m_progress.m_occurrences[0]);
+  }
+
+  Millis m_now = 100000;
+  Guarantees m_guarantees;
+
+private:
+  Task &taskOf(const TaskName &Name) {
+    return m_jobs[Name.m_job]
+        .m_progress.m_occurrences[0][0][static_cast<std::size_t>(Name.m_index)];
+  }
+
+  void advance(JobState &J) {
+    const Millis RunMs = J.m_spec.m_steps[0].m_estimateMs;
+    bool Done = true;
+    for (Task &T : J.m_progress.m_occurrences[0][0]) {
+      if (T.m_phase == TaskPhase::Placed) {
+        T.m_percent = static_cast<int>(100 * (m_now - T.m_placedAt) / RunMs);
+        T.m_seenAt = m_now;
+        if (T.m_stop != StopReason::None && m_now - T.m_stopSentAt >= StopMs)
+          T = Task{};
+        else if (T.m_stop == StopReason::None && T.m_percent >= 100)
+          T.m_phase = TaskPhase::Done;
+      }
+      Done = Done && T.m_phase == TaskPhase::Done;
+    }
+    if (Done)
+      J.m_progress.m_phase = JobPhase::Done;
+  }
+
+  std::vector<Site> sites() const {
+    std::vector<Site> Out = m_sites;
+    for (Site &S : Out)
+      S.m_free = S.m_soon = S.m_capacity;
+    for (const auto &[Id, J] : m_jobs) {
+      const Resources Each = chargeOf(J.m_spec.m_steps[0]);
+      for (const Task &T : J.m_progress.m_occurrences[0][0]) {
+        if (T.m_phase != TaskPhase::Placed)
+          continue;
+        for (Site &S : Out) {
+          if (S.m_agent != T.m_agent)
+            continue;
+          S.m_free = S.m_free - Each;
+          if (T.m_stop == StopReason::None && !endsSoon(T, m_now))
+            S.m_soon = S.m_soon - Each;
+        }
+      }
+    }
+    return Out;
+  }
+
+  void start(const Start &S) {
+    m_begun.emplace(S.m_unit.m_name.m_job, m_now);
+    for (std::size_t I = 0; I < S.m_sites.size(); ++I) {
+      TaskName Name = S.m_unit.m_name;
+      Name.m_index = S.m_unit.m_indices[I];
+      Task &T = taskOf(Name);
+      T.m_phase = TaskPhase::Placed;
+      T.m_agent = m_sites[S.m_sites[I]].m_agent;
+      T.m_life = m_sites[S.m_sites[I]].m_life;
+      T.m_running = true;
+      T.m_placedAt = T.m_firstSeenAt = m_now;
+    }
+  }
+
+  std::vector<Site> m_sites;
+  JobTable m_jobs;
+  std::map<std::string, Millis> m_begun;
+};
+
+// Pattern: a large urgent gang in a steady stream of small urgent jobs that
+// fills the fleet. Each room that became free went to a small one, and gangs of
+// 12 whole workers waited up to 15 s on a played day. It may begin as late as
+// three times its objective still allows.
+TEST(LoadTest, ALargeGangBeginsAmidAStreamOfSmallUrgentJobs) {
+  constexpr Millis RunMs = 2000;
+  constexpr Millis ObjectiveMs = RunMs * 3 / 2 + 400;
+  Load L(12);
+  int Small = 0;
+  const auto Arrive = [&] {
+    // 44 a second of 2 s each on 96 accelerators.
+    for (int I = 0; I < (Small % 11 == 0 ? 3 : 2); ++I)
+      L.submit("small" + std::to_string(Small++), 0, stepOf(1, 1, RunMs));
+  };
+  while (L.m_now < 105000) {
+    Arrive();
+    L.tick();
+  }
+  const Millis Submitted = L.m_now;
+  L.submit("large", 0, gangOf(8, 8, RunMs));
+  while (L.m_now < Submitted + 20000 && !L.done("large")) {
+    Arrive();
+    L.tick();
+  }
+  ASSERT_TRUE(L.done("large"));
+  EXPECT_LE(L.begun("large") - Submitted, 3 * ObjectiveMs - RunMs);
+}
+
+// Pattern: a large gang that may stop nobody, behind a backlog of small jobs of
+// lower priority. It begins once the longest of what ran has ended.
+TEST(LoadTest, ALargeGangThatStopsNobodyBeginsBeforeABacklogOfLowerPriority) {
+  constexpr Millis RunMs = 3000;
+  constexpr Millis SpreadMs = 1000;
+  Load L(12);
+  for (int I = 0; I < 1000; ++I)
+    L.submit("small" + std::to_string(I), 2,
+             stepOf(1, 1, RunMs + 37 * I % SpreadMs));
+  for (int I = 0; I < 40; ++I)
+    L.tick();
+  const Millis Submitted = L.m_now;
+  L.submit("large", 1, gangOf(6, 8, RunMs));
+  while (L.m_now < Submitted + 20000 && !L.done("large"))
+    L.tick();
+  ASSERT_TRUE(L.done("large"));
+  EXPECT_LE(L.begun("large") - Submitted, RunMs + SpreadMs);
+}
+
+} // namespace
+} // namespace pomelokeel::batch::tests
--- a/tests/batch/schedule_test.cc
+++ b/tests/batch/schedule_test.cc
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr Millis Now = 100000;
+constexpr Millis ReclaimMs = 3000;
 
 Step step(std::int64_t Count, std::int64_t Accelerators) {
   Step S;
@@ -75,7 +76,7 @@
     }
   }
 
-  Plan planNow() { return plan(m_jobs, m_sites, m_guarantees, Now); }
+  Plan planNow() { return plan(m_jobs, m_sites, m_guarantees, ReclaimMs, Now); }
 
   static std::set<std::string> started(const Plan &P) {
     std::set<std::string> Out;
@@ -133,6 +134,53 @@
   EXPECT_EQ(preempted(planNow()), std::set<std::string>{"young"});
 }
 
+// A guaranteed gang that waited for one rack lost the reclaim bound on a played
+// day: each rack held an urgent run that it may not stop.
+TEST_F(ScheduleTest, AGuaranteedGangLeavesItsRackWhenItsBoundNears) {
+  addWorkers(6);
+  run(addJob("first", 0, {step(1, 8)}), {0}, 100);
+  run(addJob("second", 0, {step(1, 8)}), {3}, 100);
+  JobState &J = addJob("gang", 0, {gang(3, 8)});
+  J.m_spec.m_account = "owner";
+  m_guarantees = {{"acc", 16}, {"owner", 24}};
+  J.m_acceptedAt = Now - 1000;
+  EXPECT_TRUE(planNow().m_starts.empty());
+  J.m_acceptedAt = Now - ReclaimMs / 2 - 1;
+  EXPECT_EQ(started(planNow()), std::set<std::string>{"gang"});
+}
+
+// Guaranteed jobs were ordered by declared run times, which may be far off,
+// though their bound counts from acceptance.
+TEST_F(ScheduleTest, GuaranteedJobsComeInTheOrderOfTheirAcceptance) {
+  addWorkers(1);
+  JobState &Long = addJob("long", 0, {step(1, 8)});
+  Long.m_spec.m_steps[0].m_estimateMs = 60000;
+  addJob("short", 0, {step(1, 8)});
+  m_guarantees["acc"] = 16;
+  EXPECT_EQ(started(planNow()), std::set<std::string>{"long"});
+}
+
+// Small jobs took each worker that became free, so that a gang of two whole
+// workers never found both.
+TEST_F(ScheduleTest, AWaitingGangKeepsItsSitesFromWhatComesAfterIt) {
+  addWorkers(2);
+  run(addJob("running", 0, {step(1, 8)}), {0}, 100);
+  addJob("gang", 0, {gang(2, 8)});
+  addJob("small", 2, {step(1, 1)});
+  EXPECT_TRUE(planNow().m_starts.empty());
+}
+
+// Room that stands idle for gangs without a guarantee is limited.
+TEST_F(ScheduleTest, GangsWithoutAGuaranteeKeepOnlyAShareOfTheFleet) {
+  addWorkers(30);
+  for (std::size_t I = 0; I < 30; I += 3)
+    run(addJob("running" + std::to_string(I), 0, {step(1, 8)}), {I}, 100);
+  for (int I = 0; I < 10; ++I)
+    addJob("gang" + std::to_string(I), 0, {gang(3, 8)});
+  addJob("small", 2, {step(100, 1)});
+  EXPECT_EQ(started(planNow()), std::set<std::string>{"small"});
+}
+
 TEST_F(ScheduleTest, AStepWaitsForTheStepsBeforeIt) {
   addWorkers(2);
   Step Second = step(1, 1);
