--- a/src/batch/leader.h
+++ b/src/batch/leader.h
@@ -166,7 +166,7 @@
   void stop(Task &T, const TaskName &Name, StopReason Reason);
   void stopAll(Job &J, StopReason Reason);
   void finishJob(Job &J, JobPhase Phase, Millis Wall);
-  void noteOutcome(AgentView &A, const TaskName &Name, EndKind Kind,
+  void noteOutcome(AgentView &A, const TaskName &Name, const EndReport &E,
                    Millis Now);
   void matchRuns(AgentView &A, Millis Now);
   void watchRuns(Millis Now);
--- a/src/batch/leader_runs.cc
+++ b/src/batch/leader_runs.cc
@@ -150,7 +150,7 @@
                             E.m_detail.empty() ? "" : " detail=", E.m_detail));
   if (Current) {
     const TaskName Name = *parseTaskName(E.m_task);
-    noteOutcome(A, Name, E.m_kind, Now);
+    noteOutcome(A, Name, E, Now);
     Job &J = m_jobs[Name.m_job];
     if (E.m_kind == EndKind::Failed)
       find(Name)->m_avoid.push_back(A.m_name);
@@ -237,15 +237,19 @@
   reset(Ended);
 }
 
-void Leader::noteOutcome(AgentView &A, const TaskName &Name, EndKind Kind,
+void Leader::noteOutcome(AgentView &A, const TaskName &Name, const EndReport &E,
                          Millis Now) {
-  if (Kind == EndKind::Done) {
+  // It would refuse the next order too.
+  if (E.m_kind == EndKind::Void && E.m_detail == UnhealthyReason &&
+      Now >= A.m_quarantinedUntil)
+    return quarantine(A, Name.m_job, "refuses", Now);
+  if (E.m_kind == EndKind::Done) {
     A.m_lastSuccess = Now;
     A.m_failures.clear();
     A.m_quarantineMs = 0;
     return;
   }
-  if (Kind != EndKind::Failed)
+  if (E.m_kind != EndKind::Failed)
     return;
   const std::string Task = toString(Name);
   std::erase_if(A.m_failures, [&](const auto &F) {
--- a/src/batch/messages.h
+++ b/src/batch/messages.h
@@ -71,6 +71,9 @@
 /// How far an agent is with a run.
 enum class RunPhase { Starting, Running, Stopping };
 
+/// Why a worker refused an order: it is unhealthy and has done nothing.
+constexpr const char *UnhealthyReason = "unhealthy";
+
 /// How a run ended. Void: it was never there and cannot start any more.
 enum class EndKind { Done, Failed, Stopped, Lapsed, Broken, Alone, Void };
 
--- a/src/batch/placement.cc
+++ b/src/batch/placement.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <limits>
 #include <map>
+#include <numeric>
 #include <tuple>
 
 namespace pomelokeel::batch {
@@ -23,10 +24,13 @@
 
 // How many tasks of the step fit into Room.
 std::int64_t roomFor(const Resources &Each, const Resources &Room) {
+  // Most sites of a busy fleet have none, and divisions are slow.
+  if (!fits(Each, Room))
+    return 0;
   std::int64_t Count = std::numeric_limits<std::int64_t>::max();
   auto Limit = [&](std::int64_t Need, std::int64_t Free) {
     if (Need > 0)
-      Count = std::min(Count, std::max<std::int64_t>(Free, 0) / Need);
+      Count = std::min(Count, Free / Need);
   };
   Limit(Each.m_milliCores, Room.m_milliCores);
   Limit(Each.m_memoryMb, Room.m_memoryMb);
@@ -326,37 +330,38 @@
   }
 }
 
-std::optional<std::vector<std::size_t>>
-chooseVictims(const Unit &U, const Fleet &F,
-              const std::vector<const Victim *> &Victims) {
-  const Fit X(U, F);
-  const bool ByRack = X.m_scopes.front() != &F.m_all;
-  // Victims that hold room in a rack, or all of them in the one scope.
-  std::vector<std::vector<std::size_t>> Holders(ByRack ? F.m_racks.size()
-                                                       : std::size_t(1));
-  for (std::size_t V = 0; V < Victims.size(); ++V) {
-    if (!useful(X, *Victims[V]))
-      continue;
-    for (const auto &[Index, Room] : Victims[V]->m_room) {
-      auto &Rack = Holders[ByRack ? F.m_rackOf[Index] : 0];
+Victims makeVictims(std::vector<const Victim *> Cheapest, const Fleet &F) {
+  Victims Out{std::move(Cheapest), std::vector<Scope>(F.m_racks.size())};
+  for (std::size_t V = 0; V < Out.m_all.size(); ++V) {
+    for (const auto &[Index, Room] : Out.m_all[V]->m_room) {
+      Scope &Rack = Out.m_byRack[F.m_rackOf[Index]];
       if (Rack.empty() || Rack.back() != V)
         Rack.push_back(V);
     }
   }
+  return Out;
+}
+
+std::optional<std::vector<std::size_t>>
+chooseVictims(const Unit &U, const Fleet &F, const Victims &All) {
+  const Fit X(U, F);
+  const std::vector<const Victim *> &Victims = All.m_all;
+  Scope Everywhere;
+  if (X.m_scopes.front() == &F.m_all) {
+    Everywhere.resize(Victims.size());
+    std::iota(Everywhere.begin(), Everywhere.end(), std::size_t(0));
+  }
   std::optional<std::vector<std::size_t>> Best;
   double BestCost = 0;
   for (const Scope *S : X.m_scopes) {
-    auto &Cheapest = Holders[ByRack ? F.m_rackOf[S->front()] : 0];
-    std::stable_sort(Cheapest.begin(), Cheapest.end(),
-                     [&](std::size_t A, std::size_t B) {
-                       return Victims[A]->m_cost < Victims[B]->m_cost;
-                     });
+    const Scope &Cheapest =
+        S == &F.m_all ? Everywhere : All.m_byRack[F.m_rackOf[S->front()]];
     Gain G(X, *S);
     std::vector<std::size_t> Chosen;
     for (const std::size_t V : Cheapest) {
       if (G.enough())
         break;
-      if (G.change(*Victims[V], true))
+      if (useful(X, *Victims[V]) && G.change(*Victims[V], true))
         Chosen.push_back(V);
     }
     if (!G.enough())
--- a/src/batch/placement.h
+++ b/src/batch/placement.h
@@ -91,10 +91,18 @@
   double m_cost = 0; ///< Work that is lost, in core-seconds.
 };
 
+/// Runs that may be stopped, cheapest first.
+struct Victims {
+  std::vector<const Victim *> m_all;
+  std::vector<Scope> m_byRack; ///< Positions in m_all, by rack of the fleet.
+};
+
+/// \p Cheapest are sorted by cost.
+Victims makeVictims(std::vector<const Victim *> Cheapest, const Fleet &F);
+
 /// Chooses runs to stop so that \p U fits: the cheapest found, without any that
-/// turns out not to be needed. Returns positions in \p Victims, or nothing.
+/// turns out not to be needed. Returns positions in Victims::m_all, or nothing.
 std::optional<std::vector<std::size_t>>
-chooseVictims(const Unit &U, const Fleet &F,
-              const std::vector<const Victim *> &Victims);
+chooseVictims(const Unit &U, const Fleet &F, const Victims &V);
 
 } // namespace pomelokeel::batch
--- a/src/batch/schedule.cc
+++ b/src/batch/schedule.cc
@@ -150,6 +150,11 @@
   std::vector<TaskName> m_tasks;
 };
 
+struct Stoppables {
+  Victims m_victims;
+  std::vector<Stoppable *> m_owners; ///< Of the victims.
+};
+
 double costOf(const Step &S, const Task &T, Millis Now) {
   // A stop takes a checkpoint where the step has them.
   if (S.m_checkpoints || !T.m_running)
@@ -196,6 +201,12 @@
   }
 }
 
+// Declared work of a unit in core-seconds.
+double workOf(const Unit &U) {
+  return weightOf(U.m_step->m_each) * static_cast<double>(U.m_indices.size()) *
+         static_cast<double>(U.m_step->m_estimateMs) / MsPerSecond;
+}
+
 Unit unitOf(const Unit &All, int Index) {
   Unit One = All;
   One.m_indices = {Index};
@@ -212,16 +223,19 @@
   std::string m_label;
   std::string m_service;
 
-  bool operator==(const Shape &) const = default;
+  double m_work = 0; ///< Limits what it may stop, or 0.
 };
 
-// True if a unit of shape A needs no less than one of shape B that fits
-// nowhere. What racks can hold it depends on the shape, so those must be the
-// same.
+// True if a unit of shape A can fit nowhere because one of shape B does not.
 bool needsAsMuch(const Shape &A, const Shape &B) {
-  if (B.m_oneRack || A.m_class != B.m_class || A.m_label != B.m_label ||
-      A.m_service != B.m_service)
-    return A == B;
+  if (A.m_class != B.m_class || A.m_label != B.m_label ||
+      A.m_service != B.m_service || A.m_oneRack != B.m_oneRack ||
+      A.m_work > B.m_work)
+    return false;
+  // The count decides which racks could hold it.
+  if (A.m_oneRack)
+    return A.m_count == B.m_count && fits(B.m_each, A.m_each) &&
+           fits(A.m_each, B.m_each);
   return A.m_count >= B.m_count && fits(B.m_each, A.m_each);
 }
 
@@ -231,7 +245,8 @@
           U.m_step->m_gang && U.m_step->m_rackLocal && !U.m_anyRack,
           R.m_class,
           U.m_step->m_label,
-          U.m_spec->m_queue.m_service};
+          U.m_spec->m_queue.m_service,
+          R.m_class == UrgentClass ? workOf(U) : 0};
 }
 
 bool fitsNowhere(const std::vector<Shape> &Failed, const Shape &Wanted) {
@@ -249,8 +264,8 @@
         m_guaranteed(guaranteedJobs(Jobs, Promised)), m_reclaimMs(ReclaimMs),
         m_now(Now) {
     for (const Site &S : m_fleet.m_sites)
-      m_mayReserve += static_cast<double>(S.m_capacity.m_accelerators);
-    m_mayReserve *= ReservedShare;
+      m_accelerators += S.m_capacity.m_accelerators;
+    m_mayReserve = static_cast<double>(m_accelerators) * ReservedShare;
   }
 
   Plan run() {
@@ -328,7 +343,7 @@
   // gang never finds enough of them at the same time.
   void reserve(const Unit &U, const Rank &R) {
     const bool Guaranteed = R.m_class == GuaranteedClass;
-    if (!Guaranteed && m_mayReserve <= 0)
+    if (m_reserved >= m_accelerators || (!Guaranteed && m_mayReserve <= 0))
       return;
     const auto At = placeAfter(U, m_fleet, releases(R));
     if (!At)
@@ -340,6 +355,8 @@
             m_fleet.m_sites[I].m_free.m_accelerators, 0));
     }
     take(U, *At, Horizon::Later, m_fleet);
+    m_reserved += U.m_step->m_each.m_accelerators *
+                  static_cast<std::int64_t>(U.m_indices.size());
   }
 
   // When the runs of each site are expected to end. What a unit of this rank
@@ -389,39 +406,64 @@
       m_running.emplace();
       for (const auto &[Id, J] : m_jobs)
         addStoppable(J, m_guaranteed, m_index, m_now, *m_running);
+      std::stable_sort(m_running->begin(), m_running->end(),
+                       [](const Stoppable &A, const Stoppable &B) {
+                         return A.m_victim.m_cost < B.m_victim.m_cost;
+                       });
     }
-    std::vector<const Victim *> Victims;
-    std::vector<Stoppable *> Owners;
-    for (Stoppable &S : *m_running) {
-      if (S.m_class <= R.m_class || S.m_tasks.empty())
-        continue;
-      Victims.push_back(&S.m_victim);
-      Owners.push_back(&S);
-    }
-    const auto Chosen = chooseVictims(U, m_fleet, Victims);
+    const Stoppables &Lower = lowerThan(R.m_class);
+    const auto Chosen = chooseVictims(U, m_fleet, Lower.m_victims);
     if (!Chosen)
       return false;
+    double Lost = 0;
+    for (const std::size_t V : *Chosen)
+      Lost += Lower.m_victims.m_all[V]->m_cost;
+    // Without a guarantee, throwing away more work than the unit's own makes
+    // the fleet finish later; the unit waits for room that it keeps instead.
+    if (R.m_class != GuaranteedClass && Lost > workOf(U))
+      return false;
     m_hopeless.clear();
     for (const std::size_t V : *Chosen) {
-      Stoppable &S = *Owners[V];
+      Stoppable &S = *Lower.m_owners[V];
       for (const auto &[At, Room] : S.m_victim.m_room)
         m_fleet.m_sites[At].m_soon = m_fleet.m_sites[At].m_soon + Room;
       std::move(S.m_tasks.begin(), S.m_tasks.end(),
                 std::back_inserter(m_plan.m_preempted));
       S.m_tasks.clear();
     }
+    m_lower.clear();
     return true;
   }
 
+  // What a unit of this class may stop and is not stopped yet.
+  const Stoppables &lowerThan(int Class) {
+    const auto [It, New] = m_lower.try_emplace(Class);
+    Stoppables &Out = It->second;
+    if (!New)
+      return Out;
+    std::vector<const Victim *> Cheapest;
+    for (Stoppable &S : *m_running) {
+      if (S.m_class <= Class || S.m_tasks.empty())
+        continue;
+      Cheapest.push_back(&S.m_victim);
+      Out.m_owners.push_back(&S);
+    }
+    Out.m_victims = makeVictims(std::move(Cheapest), m_fleet);
+    return Out;
+  }
+
   const JobTable &m_jobs;
   Fleet m_fleet;
   SiteIndex m_index;
   std::set<std::string> m_guaranteed;
   Millis m_reclaimMs;
   Millis m_now;
-  double m_mayReserve = 0; ///< Accelerators, for gangs without a guarantee.
+  std::int64_t m_accelerators = 0; ///< Of the fleet.
+  std::int64_t m_reserved = 0;     ///< Those that gangs wait for.
+  double m_mayReserve = 0; ///< Idle ones, for gangs without a guarantee.
   std::map<int, Releases> m_releases; ///< By what the unit may stop.
   std::optional<std::vector<Stoppable>> m_running; // Made when first needed.
+  std::map<int, Stoppables> m_lower; ///< By class, until something is stopped.
   /// Shapes for which there was no room now, and nothing to stop either: rooms
   /// only shrink until something is stopped.
   std::vector<Shape> m_full;
--- a/src/batch/schedule.h
+++ b/src/batch/schedule.h
@@ -48,7 +48,7 @@
 /// Decides what starts where and what is stopped for it: guaranteed jobs of
 /// priority 0 first, then by priority, then by due time. Jobs within their
 /// account's guarantee displace any others, other jobs of priority 0 those of
-/// lower priority.
+/// lower priority, unless that throws away more work than their own.
 ///
 /// A gang that no stop makes room for keeps the sites where it will fit
 /// soonest; one within its guarantee leaves its rack in time to begin within
--- a/tests/batch/leader_test.cc
+++ b/tests/batch/leader_test.cc
@@ -238,6 +238,22 @@
   EXPECT_TRUE(m_starts.empty());
 }
 
+// An unhealthy worker refuses at once and is the first to be free again: each
+// task that waited was sent to it, refused and sent to it again.
+TEST_F(LeaderTest, AWorkerThatRefusesOrdersGetsNoneForAWhile) {
+  addAgent("a");
+  submit("00000000000000aa", jobOf({step(1, 1)}));
+  pass(100);
+  const std::string Task = "00000000000000aa.0.0.0";
+  ASSERT_EQ(m_starts[Task], 1);
+  end("a", Task, EndKind::Void);
+  m_agents["a"].m_ends.back().m_detail = UnhealthyReason;
+  pass(1000);
+  EXPECT_EQ(m_starts[Task], 1);
+  pass(3000);
+  EXPECT_EQ(m_starts[Task], 2);
+}
+
 TEST_F(LeaderTest, OccurrencesStartWhenTheyAreDue) {
   addAgent("w");
   JobSpec S = jobOf({step(1, 1)});
--- a/tests/batch/schedule_test.cc
+++ b/tests/batch/schedule_test.cc
@@ -181,6 +181,28 @@
   EXPECT_EQ(started(planNow()), std::set<std::string>{"small"});
 }
 
+// Short urgent jobs threw away hours of gangs that take no checkpoints. Within
+// its guarantee a job may always do so.
+TEST_F(ScheduleTest, AnUrgentJobStopsNoMoreWorkThanItsOwn) {
+  addWorkers(1);
+  run(addJob("low", 2, {step(1, 8)}), {0}, 5000);
+  addJob("urgent", 0, {step(1, 8)});
+  EXPECT_TRUE(planNow().m_preempted.empty());
+  m_jobs["urgent"].m_spec.m_steps[0].m_estimateMs = 6000;
+  EXPECT_EQ(preempted(planNow()), std::set<std::string>{"low"});
+  m_jobs["urgent"].m_spec.m_steps[0].m_estimateMs = 1000;
+  m_guarantees["acc"] = 8;
+  EXPECT_EQ(preempted(planNow()), std::set<std::string>{"low"});
+}
+
+TEST_F(ScheduleTest, ALongerUrgentJobMayStopWhatAShorterOneMayNot) {
+  addWorkers(1);
+  run(addJob("low", 2, {step(1, 8)}), {0}, 5000);
+  addJob("short", 0, {step(1, 8)});
+  addJob("long", 0, {step(1, 8)}).m_spec.m_steps[0].m_estimateMs = 6000;
+  EXPECT_EQ(preempted(planNow()), std::set<std::string>{"low"});
+}
+
 TEST_F(ScheduleTest, AStepWaitsForTheStepsBeforeIt) {
   addWorkers(2);
   Step Second = step(1, 1);
--- a/tests/platform/decode_test.cc
+++ b/tests/platform/decode_test.cc
@@ -107,6 +107,8 @@
             OrderOutcome::Ended);
   EXPECT_EQ(decodeOrder(409, R"({"reason":"room"})").m_reason, "room");
   EXPECT_EQ(decodeOrder(503, "").m_outcome, OrderOutcome::Refused);
+  EXPECT_EQ(decodeOrder(503, "").m_reason, batch::UnhealthyReason);
+  EXPECT_EQ(decodeOrder(429, "").m_reason, batch::UnhealthyReason);
   EXPECT_EQ(decodeOrder(421, R"({"clockMs":7})").m_clock, -1);
 }
 
