Void late copies of starts in the next life of a worker

Cause: a start that was not answered is repeated, and its copies may be carried out seconds later. The agent forgot the unanswered copy once a repeat was answered or the run had ended; the worker crashed, started again under the same id, and took the old copy as a new start, where another run had the room. Unanswered starts are now remembered for 20 s, and their runs are stopped in the next life. Ruled out: the leader's room (it counts the runs of the earlier life as lost, which they are). Test, red before: AgentTest.ALateCopyOfAnAnsweredStartIsVoidedInTheNextLife.

A job whose record cannot be read at a takeover is refused with a reason instead of being unknown (and gone to its caller): LeaderTest.AJobWhoseRecordCannotBeReadIsNeitherGoneNorSubmittedAnew.

--- a/src/batch/agent.cc
+++ b/src/batch/agent.cc
@@ -14,6 +14,10 @@
 /// For the way of the last grant and late timers.
 constexpr Millis LeaseMarginMs = 300;
 
+/// How long an order that was not answered may still be carried out. The
+/// platform says seconds; 12 s were seen.
+constexpr Millis LateOrderMs = 20000;
+
 /// Pause before an order that was not answered is repeated.
 constexpr Millis OrderRetryMs = 150;
 /// Pause before a look that failed is repeated.
@@ -50,20 +54,27 @@
   advance(Now);
 }
 
-// The life before runs nothing any more. What may still reach the new one is
-// an order to the same worker that was not answered: its run is stopped there.
+void Agent::noteLate(const Key &K, Millis Now) {
+  std::erase_if(m_late, [&](const auto &L) { return L.second < Now; });
+  m_late[K] = Now + LateOrderMs;
+}
+
+// The life before runs nothing any more. What may still reach the new one are
+// starts that were not answered, even those of runs that have ended since: such
+// runs are stopped there, so that it takes them no more.
 void Agent::forgetLife(Millis Now) {
+  for (const auto &[K, R] : m_runs) {
+    if (R.m_calling)
+      noteLate(K, Now);
+  }
   std::map<Key, Run> Open;
-  for (auto &[K, R] : m_runs) {
-    if (!R.m_unanswered)
+  for (const auto &[K, Until] : m_late) {
+    if (Until < Now)
       continue;
-    Run Void;
-    Void.m_report = {
-        R.m_report.m_task, R.m_report.m_run, RunPhase::Stopping, 0, "", 0};
+    Run &Void = Open[K];
+    Void.m_report = {K.first, K.second, RunPhase::Stopping, 0, "", 0};
     Void.m_stopWanted = true;
-    Void.m_unanswered = true;
     Void.m_retryAt = Now;
-    Open[K] = std::move(Void);
   }
   m_runs = std::move(Open);
   m_ends.clear();
@@ -191,7 +202,6 @@
                              static_cast<int>(A.m_outcome)))++;
   switch (A.m_outcome) {
   case OrderOutcome::Done:
-    R.m_unanswered = false;
     R.m_settledBy = m_serial;
     if (!R.m_stopWanted)
       R.m_report.m_phase = RunPhase::Running;
@@ -203,13 +213,13 @@
         fmt::format("task={} run={} reason={}", Task, RunNumber, A.m_reason));
     // An earlier attempt may still be carried out, or the run may have ended:
     // a stop and a look after it tell.
-    if (R.m_unanswered || A.m_outcome == OrderOutcome::Ended)
+    if (m_late.contains(It->first) || A.m_outcome == OrderOutcome::Ended)
       R.m_stopWanted = true;
     else if (!R.m_stopWanted)
       return endWithout({Task, RunNumber}, EndKind::Void, A.m_reason);
     break;
   case OrderOutcome::Unanswered:
-    R.m_unanswered = true;
+    noteLate(It->first, Now);
     break;
   }
   if (R.m_stopWanted)
--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -111,8 +111,7 @@
   struct Run {
     StartOrder m_order; ///< Empty payload if learned from the worker.
     RunReport m_report;
-    bool m_calling = false;    ///< A start or stop is on its way.
-    bool m_unanswered = false; ///< A start may still be carried out.
+    bool m_calling = false; ///< A start or stop is on its way.
     bool m_stopWanted = false;
     bool m_stopped = false;        ///< The worker has answered a stop.
     std::uint64_t m_settledBy = 0; ///< Looks after this one tell its state.
@@ -131,6 +130,7 @@
   void addEnd(const EndReport &E);
   void endWithout(const Key &K, EndKind Kind, const std::string &Detail);
   void forgetLife(Millis Now);
+  void noteLate(const Key &K, Millis Now);
   void expireLease(Millis Now);
   void reconcile(const LookAnswer &A);
   void setClock(Millis Clock, Millis Now);
@@ -153,6 +153,8 @@
   std::uint64_t m_epoch = 0;
   Millis m_contactAt = -1; ///< When a report was sent that was answered.
   std::map<Key, Run> m_runs;
+  /// Starts that were not answered and may still be carried out, until then.
+  std::map<Key, Millis> m_late;
   std::vector<EndReport> m_ends;
   std::int64_t m_highestEnd = 0;
   std::int64_t m_noted = 0;
--- a/src/batch/journal.h
+++ b/src/batch/journal.h
@@ -6,6 +6,7 @@
 #include <functional>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace pomelokeel::batch {
@@ -19,6 +20,14 @@
   std::string m_value;
 };
 
+/// Begin of the keys of a job's records: as submitted, and what changes.
+constexpr std::string_view SpecKey = "spec/";
+constexpr std::string_view StateKey = "state/";
+
+inline std::string keyOf(std::string_view Kind, const std::string &Job) {
+  return std::string(Kind) + Job;
+}
+
 /// Records that are appended all or none. Number and epoch make an append that
 /// is repeated take effect once, and one of a replaced leader never.
 struct JournalBatch {
--- a/src/batch/leader.cc
+++ b/src/batch/leader.cc
@@ -11,17 +11,10 @@
 namespace pomelokeel::batch {
 namespace {
 
-constexpr std::string_view SpecPrefix = "spec/";
-constexpr std::string_view StatePrefix = "state/";
-
 /// Longest time between two looks at what could be started. Changes cause one
 /// at once; this covers what only time changes (quarantine, silence).
 constexpr Millis ScheduleEveryMs = 250;
 
-std::string keyOf(std::string_view Prefix, const std::string &Id) {
-  return std::string(Prefix) + Id;
-}
-
 template <typename T> std::string pack(const T &Value) {
   return base::dumpJson(base::encodeCompact(Value));
 }
@@ -47,22 +40,23 @@
 base::Status Leader::load(const std::vector<KeyedRecord> &Records) {
   base::Status Out = base::success();
   auto Keep = [&](const KeyedRecord &R, const base::Status &S) {
-    if (S || !Out)
+    m_unreadable.insert(R.m_key.substr(R.m_key.find('/') + 1));
+    if (!Out)
       return;
     Out = base::Error{base::ErrorKind::Internal,
                       R.m_key + ": " + S.error().m_message};
   };
   std::map<std::string, Progress> States;
   for (const KeyedRecord &R : Records) {
-    if (R.m_key.starts_with(StatePrefix)) {
+    if (R.m_key.starts_with(StateKey)) {
       Progress P;
       if (auto S = unpack(R, P); S)
-        States[R.m_key.substr(StatePrefix.size())] = std::move(P);
+        States[R.m_key.substr(StateKey.size())] = std::move(P);
       else
         Keep(R, S);
       continue;
     }
-    if (!R.m_key.starts_with(SpecPrefix))
+    if (!R.m_key.starts_with(SpecKey))
       continue;
     Job J;
     if (auto S = unpack(R, J.m_spec); S)
@@ -70,6 +64,8 @@
     else
       Keep(R, S);
   }
+  for (const std::string &Id : m_unreadable)
+    m_jobs.erase(Id);
   for (auto &[Id, J] : m_jobs) {
     J.m_specStored = true;
     J.m_acceptedAt = m_startedAt;
@@ -115,6 +111,8 @@
     Out.m_reason = "leadership is not confirmed";
     return Answer(std::move(Out));
   }
+  if (refuseUnreadable(R, Answer))
+    return;
   switch (R.m_kind) {
   case CallerRequestKind::Submit:
     submit(R, Now, Wall, std::move(Answer));
@@ -283,13 +281,13 @@
       continue;
     Job &J = It->second;
     if (!J.m_specStored)
-      Records.push_back({keyOf(SpecPrefix, Id), pack(J.m_spec)});
-    Records.push_back({keyOf(StatePrefix, Id), pack(J.m_progress)});
+      Records.push_back({keyOf(SpecKey, Id), pack(J.m_spec)});
+    Records.push_back({keyOf(StateKey, Id), pack(J.m_progress)});
     m_flushedPhases[Id] = J.m_progress.m_phase;
   }
   for (const std::string &Id : m_dropped) {
-    Records.push_back({keyOf(SpecPrefix, Id), ""});
-    Records.push_back({keyOf(StatePrefix, Id), ""});
+    Records.push_back({keyOf(SpecKey, Id), ""});
+    Records.push_back({keyOf(StateKey, Id), ""});
   }
   m_dirty.clear();
   m_dropped.clear();
--- a/src/batch/leader.h
+++ b/src/batch/leader.h
@@ -78,7 +78,6 @@
   std::uint64_t m_entriesTold = 0; ///< Version of the list of entries.
   /// Failed tasks since the last success, for quarantine.
   std::vector<std::pair<Millis, std::string>> m_failures;
-  Millis m_lastSuccess = -1;
   Millis m_quarantinedUntil = 0;
   Millis m_quarantineMs = 0;
   Millis m_lastStuck = -1;
@@ -103,7 +102,8 @@
          std::uint64_t Epoch, Millis Now, Millis Wall);
 
   /// Takes the newest records of the journal. Error: internal, naming the key
-  /// of the first record that cannot be read; the others are taken.
+  /// of the first record that cannot be read; the others are taken. Requests
+  /// for a job with such a record are refused.
   base::Status load(const std::vector<KeyedRecord> &Records);
 
   /// Takes other bounds; promises made before are kept by the longer ones.
@@ -152,6 +152,7 @@
   void answerWaiters(Millis Now);
   void withdrawSubmissions(bool OfCurrentBatch);
   void refuseWhileStalled(Millis Now);
+  bool refuseUnreadable(const CallerRequest &R, const CallerAnswer &Answer);
 
   // leader_runs.cc
   void takeEnd(AgentView &A, const EndReport &E, Millis Now, Millis Wall);
@@ -210,6 +211,7 @@
   std::uint64_t m_entriesVersion = 0;
   JobTable m_jobs;
   std::set<std::string> m_dirty;
+  std::set<std::string> m_unreadable; ///< Jobs with such a record.
   std::vector<std::string> m_dropped; ///< Jobs whose keys are to be dropped.
   std::map<std::string, JobPhase> m_flushedPhases; ///< Of the current batch.
   std::map<std::string, AgentView> m_agents;
--- a/src/batch/leader_callers.cc
+++ b/src/batch/leader_callers.cc
@@ -40,6 +40,19 @@
 
 } // namespace
 
+// Nothing true can be said of a job whose record this version cannot read:
+// neither that it is gone nor that it may be submitted anew.
+bool Leader::refuseUnreadable(const CallerRequest &R,
+                              const CallerAnswer &Answer) {
+  if (!m_unreadable.contains(R.m_id))
+    return false;
+  m_ports.event("jobRefused", R.m_id, "reason=recordUnreadable");
+  m_counters.get("jobs_refused{reason=\"record\"}")++;
+  Answer(refusal(Verdict::Unavailable, RetryJournalMs,
+                 "the record of the job cannot be read"));
+  return true;
+}
+
 void Leader::submit(const CallerRequest &R, Millis Now, Millis Wall,
                     CallerAnswer Answer) {
   if (!R.m_spec)
@@ -171,9 +184,9 @@
     m_jobs.erase(Id);
     m_dirty.erase(Id);
     m_flushedPhases.erase(Id);
-    for (const char *Prefix : {"spec/", "state/"}) {
+    for (const std::string_view Kind : {SpecKey, StateKey}) {
       if (OfCurrentBatch && m_journal.busy())
-        m_journal.withdraw(Prefix + Id);
+        m_journal.withdraw(keyOf(Kind, Id));
     }
   }
   for (const CallerAnswer &Answer : Refused)
--- a/src/batch/leader_runs.cc
+++ b/src/batch/leader_runs.cc
@@ -244,7 +244,6 @@
       Now >= A.m_quarantinedUntil)
     return quarantine(A, Name.m_job, "refuses", Now);
   if (E.m_kind == EndKind::Done) {
-    A.m_lastSuccess = Now;
     A.m_failures.clear();
     A.m_quarantineMs = 0;
     return;
--- a/src/node/agent_node.cc
+++ b/src/node/agent_node.cc
@@ -29,8 +29,6 @@
 /// A look takes its wait and this at most.
 constexpr Millis LookMarginMs = 800;
 
-constexpr Millis LeaseMs = 6000; ///< As the leader counts on.
-
 } // namespace
 
 AgentNode::AgentNode(http::Reactor &R, const Settings &S, Store &Platform,
@@ -38,7 +36,7 @@
                      base::Counters &Counters)
     : m_reactor(R), m_settings(S), m_worker(Worker), m_events(Events),
       m_counters(Counters), m_tick(R.timer()) {
-  m_timing.m_leaseMs = std::min(S.m_bounds.m_leaseMaxMs, LeaseMs);
+  m_timing.m_leaseMs = leaseOf(S.m_bounds);
   m_agent = std::make_unique<batch::Agent>(S.m_name, base::wallNow(), m_timing,
                                            *this, Counters);
   Follower::Handlers F;
@@ -50,7 +48,6 @@
   };
   F.m_current = [](std::int64_t) {};
   F.m_reachable = [this](bool Reachable) {
-    m_storeReachable = Reachable;
     event(Reachable ? "storeRegained" : "storeLost", "", "by=leaderStream");
   };
   m_leaders =
@@ -194,19 +191,12 @@
 void AgentNode::control(const http::Request &R,
                         const http::Responder &Answer) const {
   const std::string Path = http::pathOf(R.m_target);
-  if (Path == "/v1/events")
-    return Answer({200,
-                   base::dumpJson(base::encode(m_events.page())),
-                   "application/json",
-                   {}});
-  if (Path == "/metrics")
-    return Answer({200, m_counters.render(), "text/plain; version=0.0.4", {}});
+  if (const auto Seen = answerReader(Path, m_events, m_counters))
+    return Answer(*Seen);
   Answer(http::errorResponse({base::ErrorKind::NotFound, Path}));
 }
 
-void AgentNode::reload(const Bounds &B) {
-  m_agent->setLease(std::min(B.m_leaseMaxMs, LeaseMs));
-}
+void AgentNode::reload(const Bounds &B) { m_agent->setLease(leaseOf(B)); }
 
 void AgentNode::beginStop() {
   event("stopping", "", "");
--- a/src/node/agent_node.h
+++ b/src/node/agent_node.h
@@ -83,7 +83,6 @@
   std::size_t m_nextEntry = 0;
   std::shared_ptr<http::AsyncClient> m_asking;
   int m_failures = 0; ///< Reports that failed in a row.
-  bool m_storeReachable = true;
   std::shared_ptr<int> m_alive = std::make_shared<int>();
 };
 
--- a/src/node/control.h
+++ b/src/node/control.h
@@ -1,8 +1,11 @@
 #pragma once
 
 #include "base/compact.h"
+#include "base/counters.h"
+#include "base/events.h"
 #include "http/http.h"
 
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -16,6 +19,12 @@
 constexpr const char *TakeoverPath = "/v1/batch/takeover";
 constexpr const char *LeaderPath = "/v1/batch/leader";
 
+/// Answers who reads the latest events (`/v1/events`) or the counters
+/// (`/metrics`); nothing for other paths.
+std::optional<http::Response> answerReader(const std::string &Path,
+                                           const base::EventLog &Events,
+                                           const base::Counters &Counters);
+
 /// Status of an answer by a process that does not lead.
 constexpr int NotLeaderStatus = 421;
 
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -62,16 +62,12 @@
 constexpr std::size_t IsolationMinAgents = 3;
 constexpr Millis IsolationCooldownMs = 10000;
 
-/// Leases are granted for so long at most: long enough for a change of leader
-/// and a restart of an agent, short enough to start lost work again soon.
-constexpr Millis LeaseMs = 6000;
-
 batch::Timing timingOf(const Bounds &B) {
   constexpr double MsPerSecond = 1000;
   /// Beyond the time that callers may ask for an ended job.
   constexpr Millis RetentionMarginMs = 60000;
   batch::Timing T;
-  T.m_leaseMs = std::min(B.m_leaseMaxMs, LeaseMs);
+  T.m_leaseMs = leaseOf(B);
   T.m_stopGraceMs = B.m_stopGraceMs;
   T.m_gangTimeoutMs = B.m_gangTimeoutMs;
   T.m_reclaimMs = B.m_reclaimMs;
@@ -455,13 +451,8 @@
       m_election->takeOver(T->m_epoch);
     return Answer({});
   }
-  if (Path == "/v1/events")
-    return Answer({200,
-                   base::dumpJson(base::encode(m_events.page())),
-                   "application/json",
-                   {}});
-  if (Path == "/metrics")
-    return Answer({200, m_counters.render(), "text/plain; version=0.0.4", {}});
+  if (const auto Seen = answerReader(Path, m_events, m_counters))
+    return Answer(*Seen);
   if (!m_leader)
     return Answer({NotLeaderStatus, "", "text/plain", {}});
   const Millis Now = base::bootNow();
--- a/src/node/settings.cc
+++ b/src/node/settings.cc
@@ -2,6 +2,7 @@
 
 #include "settings/settings.h"
 
+#include <algorithm>
 #include <array>
 #include <fstream>
 #include <sstream>
@@ -58,8 +59,16 @@
                           : checkAddresses(S, OfAgent);
 }
 
+/// In ms; a change of leader takes about two seconds, a restart of an agent
+/// one.
+constexpr Millis LongestLeaseMs = 6000;
+
 } // namespace
 
+Millis leaseOf(const Bounds &B) {
+  return std::min(B.m_leaseMaxMs, LongestLeaseMs);
+}
+
 base::Result<Settings> loadSettings(const std::string &File, Role R) {
   std::ifstream In(File);
   if (!In)
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -32,11 +32,15 @@
   }
 };
 
+/// Leases that agents grant and the leader counts on: long enough for a change
+/// of leader and a restart of an agent, short enough to start lost work again
+/// soon.
+Millis leaseOf(const Bounds &B);
+
 /// JSON settings of `pomelokeel platform entry` and `... agent`.
 struct Settings {
   std::string m_name;
   std::string m_dataCentre;
-  std::string m_region;
   std::string m_store;         ///< `host:port` of the platform's store.
   std::string m_controlListen; ///< For other processes of this system.
   std::string m_callerListen;  ///< Entry: for callers.
@@ -44,7 +48,6 @@
   std::string m_workerListen;  ///< Agent: where its worker reports.
   double m_cores = 1;          ///< Share of a core of this machine.
   std::string m_endpoint;      ///< Agent: where its worker takes orders.
-  std::string m_service;       ///< Agent: of its worker.
   Bounds m_bounds;
   int m_eventRing = 512;
   int m_maxConnections = 1500;
@@ -53,7 +56,6 @@
     return std::tuple{
         base::required("name", &Settings::m_name),
         base::required("dataCentre", &Settings::m_dataCentre),
-        base::optional("region", &Settings::m_region),
         base::required("store", &Settings::m_store),
         base::required("controlListen", &Settings::m_controlListen),
         base::optional("callerListen", &Settings::m_callerListen),
@@ -61,7 +63,6 @@
         base::optional("workerListen", &Settings::m_workerListen),
         base::optional("cores", &Settings::m_cores),
         base::optional("endpoint", &Settings::m_endpoint),
-        base::optional("service", &Settings::m_service),
         base::optional("bounds", &Settings::m_bounds),
         base::optional("eventRing", &Settings::m_eventRing),
         base::optional("maxConnections", &Settings::m_maxConnections)};
--- a/tests/batch/agent_test.cc
+++ b/tests/batch/agent_test.cc
@@ -107,6 +107,23 @@
   EXPECT_TRUE(m_worker.m_runs.empty());
 }
 
+// A repeated start was answered, and its first copy was carried out in the next
+// life of the worker, where another run had the room (soak, seed 6).
+TEST_F(AgentTest, ALateCopyOfAnAnsweredStartIsVoidedInTheNextLife) {
+  m_worker.m_delaysStarts = true;
+  startA();
+  m_worker.m_delaysStarts = false;
+  passWithLeader(1000);
+  ASSERT_EQ(m_worker.m_starts, 1);
+  m_worker.end(TaskA, 1, EndKind::Done);
+  passWithLeader(1000);
+  m_worker.rebear();
+  m_worker.heartbeat();
+  m_worker.pass(500);
+  m_worker.applyLate();
+  EXPECT_TRUE(m_worker.m_runs.empty());
+}
+
 TEST_F(AgentTest, RefusesWorkForADrainingWorkerAtOnce) {
   m_worker.m_draining = true;
   m_worker.heartbeat();
--- a/tests/batch/fake_worker.h
+++ b/tests/batch/fake_worker.h
@@ -53,6 +53,7 @@
     ++m_born;
     m_runs.clear();
     m_ends.clear();
+    m_stopped.clear();
     m_lastEnd = 0;
     m_deadline = 0;
   }
--- a/tests/batch/leader_test.cc
+++ b/tests/batch/leader_test.cc
@@ -282,6 +282,26 @@
             Before);
 }
 
+// A record that a version cannot read made its accepted job unknown: the caller
+// was told that it is gone.
+TEST_F(LeaderTest, AJobWhoseRecordCannotBeReadIsNeitherGoneNorSubmittedAnew) {
+  m_leader = std::make_unique<Leader>(Timing{}, *this, m_counters, ++m_epoch,
+                                      m_now, wall());
+  const std::string Id = "00000000000000aa";
+  EXPECT_FALSE(m_leader
+                   ->load({{keyOf(SpecKey, Id), "[1,2]"},
+                           {keyOf(StateKey, "00000000000000bb"), "{"}})
+                   .ok());
+  m_leader->confirm(m_now);
+  EXPECT_EQ((*ask(request(CallerRequestKind::Query, Id)))->m_verdict,
+            Verdict::Unavailable);
+  EXPECT_EQ((*submit(Id, jobOf({step(1, 1)})))->m_verdict,
+            Verdict::Unavailable);
+  EXPECT_EQ(
+      (*ask(request(CallerRequestKind::Cancel, "00000000000000bb")))->m_verdict,
+      Verdict::Unavailable);
+}
+
 TEST_F(LeaderTest, KnowsThatAJobIsGoneOnlyWhileConfirmed) {
   m_now += 10000;
   const auto Reply = ask(request(CallerRequestKind::Query, "a"));
