Refuse a submission that leaves no time for its answer

Tests, red before: EntryNodeTest.ASubmissionIsNotPassedOnWithoutTimeForItsAnswer, LeaderTest.ASubmissionWithoutTimeForAnAnswerIsRefused.

--- a/src/batch/job.cc
+++ b/src/batch/job.cc
@@ -36,27 +36,6 @@
 
 } // namespace
 
-Resources operator+(const Resources &A, const Resources &B) {
-  return {A.m_milliCores + B.m_milliCores, A.m_memoryMb + B.m_memoryMb,
-          A.m_accelerators + B.m_accelerators};
-}
-
-Resources operator-(const Resources &A, const Resources &B) {
-  return {A.m_milliCores - B.m_milliCores, A.m_memoryMb - B.m_memoryMb,
-          A.m_accelerators - B.m_accelerators};
-}
-
-Resources operator*(const Resources &A, std::int64_t Count) {
-  return {A.m_milliCores * Count, A.m_memoryMb * Count,
-          A.m_accelerators * Count};
-}
-
-bool fits(const Resources &Need, const Resources &Free) {
-  return Need.m_milliCores <= Free.m_milliCores &&
-         Need.m_memoryMb <= Free.m_memoryMb &&
-         Need.m_accelerators <= Free.m_accelerators;
-}
-
 Resources chargeOf(const Step &S) {
   Resources R = S.m_each;
   if (S.m_bestEffort)
--- a/src/batch/job.h
+++ b/src/batch/job.h
@@ -32,12 +32,22 @@
   }
 };
 
-Resources operator+(const Resources &A, const Resources &B);
-Resources operator-(const Resources &A, const Resources &B);
-Resources operator*(const Resources &A, std::int64_t Count);
+inline Resources operator+(const Resources &A, const Resources &B) {
+  return {A.m_milliCores + B.m_milliCores, A.m_memoryMb + B.m_memoryMb,
+          A.m_accelerators + B.m_accelerators};
+}
+
+inline Resources operator-(const Resources &A, const Resources &B) {
+  return {A.m_milliCores - B.m_milliCores, A.m_memoryMb - B.m_memoryMb,
+          A.m_accelerators - B.m_accelerators};
+}
 
 /// True if \p Need is within \p Free in every dimension.
-bool fits(const Resources &Need, const Resources &Free);
+inline bool fits(const Resources &Need, const Resources &Free) {
+  return Need.m_milliCores <= Free.m_milliCores &&
+         Need.m_memoryMb <= Free.m_memoryMb &&
+         Need.m_accelerators <= Free.m_accelerators;
+}
 
 /// Tasks that are alike. They start when all tasks of the steps `after` are
 /// done.
--- a/src/batch/leader_callers.cc
+++ b/src/batch/leader_callers.cc
@@ -18,6 +18,9 @@
 /// Kept of a caller's time for the way back.
 constexpr Millis AnswerMarginMs = 150;
 
+/// When a caller that left no time for an answer should come back.
+constexpr Millis RetryNoTimeMs = 1000;
+
 CallerReply refusal(Verdict V, Millis RetryAfterMs, std::string Reason) {
   CallerReply Out;
   Out.m_verdict = V;
@@ -59,6 +62,14 @@
     return Answer(refusal(Verdict::BadRequest, 0, "no job"));
   auto It = m_jobs.find(R.m_id);
   if (It == m_jobs.end()) {
+    // Its caller would be gone before the job is stored, and would not know.
+    if (R.m_remainingMs <= AnswerMarginMs) {
+      m_ports.event("jobRefused", R.m_id,
+                    fmt::format("reason=noTime leftMs={}", R.m_remainingMs));
+      m_counters.get("jobs_refused{reason=\"time\"}")++;
+      return Answer(refusal(Verdict::Unavailable, RetryNoTimeMs,
+                            "too little time left to store it"));
+    }
     if (m_journal.waitingFor(Now) > JournalStallMs) {
       m_ports.event("jobRefused", R.m_id,
                     fmt::format("reason=journalStalled forMs={}",
--- a/src/batch/placement.cc
+++ b/src/batch/placement.cc
@@ -287,6 +287,11 @@
       Resources Room = Here.m_soon;
       for (const Release &Next : R[I]) {
         Room = Room + Next.m_room;
+        // Most of it is not enough yet, and the rest is more than is needed.
+        if (Tasks >= X.m_needed)
+          break;
+        if (!fits(X.m_each, Room))
+          continue;
         const std::int64_t More = tasksIn(X, I, Room) - Tasks;
         if (More <= 0)
           continue;
--- a/src/batch/schedule.cc
+++ b/src/batch/schedule.cc
@@ -34,8 +34,11 @@
 /// rack: the rest is for stopping others, for the orders and for the starts.
 constexpr double OneRackShare = 0.5;
 
-/// Share of all accelerators that may stand idle for gangs without a guarantee.
+/// Share of all accelerators that may stand idle for gangs without a guarantee,
+/// and share of them that gangs may wait for at all: the look after it keeps
+/// sites for the others.
 constexpr double ReservedShare = 0.2;
+constexpr double AwaitedShare = 0.5;
 
 double weightOf(const Resources &R) {
   return static_cast<double>(R.m_milliCores) / MilliCoresPerCore +
@@ -263,9 +266,11 @@
         m_index(indexOf(m_fleet.m_sites)),
         m_guaranteed(guaranteedJobs(Jobs, Promised)), m_reclaimMs(ReclaimMs),
         m_now(Now) {
+    double All = 0;
     for (const Site &S : m_fleet.m_sites)
-      m_accelerators += S.m_capacity.m_accelerators;
-    m_mayReserve = static_cast<double>(m_accelerators) * ReservedShare;
+      All += static_cast<double>(S.m_capacity.m_accelerators);
+    m_mayReserve = All * ReservedShare;
+    m_mayAwait = All * AwaitedShare;
   }
 
   Plan run() {
@@ -343,7 +348,7 @@
   // gang never finds enough of them at the same time.
   void reserve(const Unit &U, const Rank &R) {
     const bool Guaranteed = R.m_class == GuaranteedClass;
-    if (m_reserved >= m_accelerators || (!Guaranteed && m_mayReserve <= 0))
+    if (!Guaranteed && (m_mayReserve <= 0 || m_mayAwait <= 0))
       return;
     const auto At = placeAfter(U, m_fleet, releases(R));
     if (!At)
@@ -355,8 +360,8 @@
             m_fleet.m_sites[I].m_free.m_accelerators, 0));
     }
     take(U, *At, Horizon::Later, m_fleet);
-    m_reserved += U.m_step->m_each.m_accelerators *
-                  static_cast<std::int64_t>(U.m_indices.size());
+    m_mayAwait -= static_cast<double>(U.m_step->m_each.m_accelerators) *
+                  static_cast<double>(U.m_indices.size());
   }
 
   // When the runs of each site are expected to end. What a unit of this rank
@@ -458,9 +463,9 @@
   std::set<std::string> m_guaranteed;
   Millis m_reclaimMs;
   Millis m_now;
-  std::int64_t m_accelerators = 0; ///< Of the fleet.
-  std::int64_t m_reserved = 0;     ///< Those that gangs wait for.
-  double m_mayReserve = 0; ///< Idle ones, for gangs without a guarantee.
+  // Accelerators, for gangs without a guarantee.
+  double m_mayReserve = 0;            ///< That stand idle for them.
+  double m_mayAwait = 0;              ///< That they wait for.
   std::map<int, Releases> m_releases; ///< By what the unit may stop.
   std::optional<std::vector<Stoppable>> m_running; // Made when first needed.
   std::map<int, Stoppables> m_lower; ///< By class, until something is stopped.
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -41,6 +41,9 @@
 /// Timeout of one try to reach the leader; a connection that went silent is
 /// replaced after it.
 constexpr Millis ForwardMs = 1200;
+/// A submission with less time left is not passed on: the leader keeps 150 ms
+/// for its answer, and the way to another region and back takes 24 ms.
+constexpr Millis MinForwardMs = 200;
 /// Pause before the next try.
 constexpr Millis ForwardRetryMs = 150;
 /// A change of leader takes about a second. In its course a submission waits
@@ -346,6 +349,13 @@
         });
     return;
   }
+  // A call that is cut off on its way leaves its outcome open.
+  if (R.m_kind == CallerRequestKind::Submit && !R.m_maybeDone &&
+      R.m_remainingMs < MinForwardMs) {
+    event("jobRefused", R.m_id,
+          fmt::format("reason=noTime leftMs={}", R.m_remainingMs));
+    return Answer(unavailable("too little time left"));
+  }
   if (m_election->leader().m_address.empty() || m_election->leads())
     return askAgain(std::move(R), Deadline, std::move(Answer));
   forward(std::move(R), Deadline, std::move(Answer));
--- a/tests/batch/leader_test.cc
+++ b/tests/batch/leader_test.cc
@@ -62,6 +62,16 @@
   EXPECT_EQ(m_starts.count("b.0.0.0"), 0u);
 }
 
+// A caller whose time was nearly over was told that the outcome is not known,
+// though the leader could have refused the job (incident inc-cd4f).
+TEST_F(LeaderTest, ASubmissionWithoutTimeForAnAnswerIsRefused) {
+  CallerRequest R = request(CallerRequestKind::Submit, "00000000000000aa");
+  R.m_spec = jobOf({step(1, 1)});
+  R.m_remainingMs = 20;
+  EXPECT_EQ((*ask(R))->m_verdict, Verdict::Unavailable);
+  EXPECT_TRUE(m_leader->jobs().empty());
+}
+
 TEST_F(LeaderTest, TheSameIdIsOneJob) {
   addAgent("w");
   submit("a", jobOf({step(1, 1)}));
--- a/tests/node/entry_node_test.cc
+++ b/tests/node/entry_node_test.cc
@@ -54,13 +54,14 @@
 
   /// Calls as a caller with the key of configuration \p Version.
   std::shared_ptr<std::optional<Verdict>> call(CallerCall::Method M,
-                                               const std::string &Version) {
+                                               const std::string &Version,
+                                               Millis RemainingMs = 3000) {
     CallerCall C;
     C.m_method = M;
     C.m_host = "h";
     C.m_path = "/q/00000000000000aa";
     C.m_key = "key" + Version;
-    C.m_remainingMs = 3000;
+    C.m_remainingMs = RemainingMs;
     batch::JobSpec S;
     S.m_steps = {batch::Step{}};
     if (M == CallerCall::Method::Submit)
@@ -120,6 +121,19 @@
   EXPECT_EQ(*Asked, Verdict::Ok);
 }
 
+// The last try of a caller was passed on with a millisecond to go and cut off,
+// so that its outcome stayed open (incident inc-b3ee).
+TEST_F(EntryNodeTest, ASubmissionIsNotPassedOnWithoutTimeForItsAnswer) {
+  ASSERT_TRUE(until([&] { return led() && other().m_node->ready(); }));
+  // Opens the connection to the leader.
+  const auto Asked = other().call(CallerCall::Method::Query, "1");
+  ASSERT_TRUE(until([&] { return Asked->has_value(); }));
+  leader().m_store.m_silent = true;
+  const auto Submitted = other().call(CallerCall::Method::Submit, "1", 150);
+  ASSERT_TRUE(until([&] { return Submitted->has_value(); }));
+  EXPECT_EQ(*Submitted, Verdict::Unavailable);
+}
+
 // An entry that the store turned away went on with its configuration and
 // rejected callers by it whose keys were new.
 TEST_F(EntryNodeTest, TakesTheConfigurationFromOthersWithoutTheStore) {
