--- a/tests/mesh/mesh_test.cc
+++ b/tests/mesh/mesh_test.cc
@@ -1,5 +1,7 @@
 #include "mesh/mesh.h"
 
+#include "scenario/process.h"
+
 #include <gtest/gtest.h>
 
 #include <boost/asio.hpp>
@@ -240,10 +242,13 @@
 // that follow from the silence.
 TEST(Mesh, TellsAPeerThatHasEndedFromASilentOne) {
   Node A("a");
-  auto B = std::make_unique<Node>("b");
+  // B comes back at its port, so no connection of another process may take it.
+  const std::string Address =
+      "127.0.0.1:" + std::to_string(scenario::reservePort());
+  auto B = std::make_unique<Node>("b", Address);
+  ASSERT_TRUE(B->m_mesh);
   Node C("c");
   Relay Silent(C.m_mesh->address());
-  const std::string Address = B->m_mesh->address();
   const auto Exchange = [&](const std::string &To, Node &Target) {
     return waitFor([&] {
       A.m_mesh->send(To, note("one"));
