--- a/src/batch/schedule.cc
+++ b/src/batch/schedule.cc
@@ -34,10 +34,12 @@
 /// rack: the rest is for stopping others, for the orders and for the starts.
 constexpr double OneRackShare = 0.5;
 
-/// Share of all accelerators that may stand idle for gangs without a guarantee,
-/// and share of them that gangs may wait for at all: the look after it keeps
-/// sites for the others.
+/// Share of all accelerators that may stand idle for gangs without a guarantee.
+/// Twice as much showed no gain.
 constexpr double ReservedShare = 0.2;
+
+/// Share of all accelerators that such gangs may wait for, idle or not. More
+/// gangs than that wait without sites of their own.
 constexpr double AwaitedShare = 0.5;
 
 double weightOf(const Resources &R) {
@@ -225,7 +227,6 @@
   int m_class = 0;
   std::string m_label;
   std::string m_service;
-
   double m_work = 0; ///< Limits what it may stop, or 0.
 };
 
