Log on what the acknowledgement of an end relies

A worker forgets an end for good once it is acknowledged.

runEnded now names the number of the end, the batch that it waits for and the newest stored batch; endAcknowledged (leader) and endsAcknowledged (agent) name the decision, once an end; journalStalled and journalResumed bound a stall, once each.

--- a/src/batch/agent.cc
+++ b/src/batch/agent.cc
@@ -174,7 +174,13 @@
     if (E.m_number > 0)
       Lowest = std::min(Lowest, E.m_number);
   }
-  m_acknowledged = std::max(m_acknowledged, Lowest - 1);
+  if (Lowest - 1 > m_acknowledged) {
+    m_acknowledged = Lowest - 1;
+    m_ports.event("endsAcknowledged", "",
+                  fmt::format("through={} highest={} epoch={} life={}",
+                              m_acknowledged, m_highestEnd, m_epoch,
+                              m_worker->m_workerIncarnation));
+  }
   if (m_ends.empty() && !Acknowledged.empty())
     m_pollAt = 0;
 }
--- a/src/batch/leader.cc
+++ b/src/batch/leader.cc
@@ -197,6 +197,9 @@
   m_journal.onOutcome(Outcome, Now);
   if (Outcome == AppendOutcome::Done) {
     m_ordersDue = true;
+    if (std::exchange(m_journalStalled, false))
+      m_ports.event("journalResumed", "",
+                    fmt::format("batch={}", m_journal.durable()));
     for (const auto &[Id, Phase] : m_flushedPhases) {
       if (const auto It = m_jobs.find(Id); It != m_jobs.end()) {
         It->second.m_storedPhase = Phase;
@@ -216,7 +219,7 @@
   checkRuns(Now);
   purge(WallNow);
   m_journal.advance(Now);
-  refuseWhileStalled(Now);
+  handleStall(Now);
   if (Now - m_scheduledAt >= ScheduleEveryMs)
     m_scheduleDue = true;
   processChanges(Now);
--- a/src/batch/leader.h
+++ b/src/batch/leader.h
@@ -60,6 +60,15 @@
   AgentAnswer m_answer;
 };
 
+/// An end that an agent reports until it is acknowledged.
+struct ReportedEnd {
+  /// Number of the journal batch that must be stored before the end is
+  /// acknowledged.
+  std::uint64_t m_batch = 0;
+  Millis m_reportedAt = 0;
+  bool m_acknowledged = false; ///< An acknowledgement was sent.
+};
+
 /// The last report of an agent, and what is still to be sent to it.
 struct AgentView {
   std::string m_name;
@@ -69,9 +78,8 @@
   bool m_unhealthy = false;
   Millis m_lastContactAt = 0;
   std::vector<RunReport> m_runs;
-  /// Reported ends, by task, run and number, with the batch that stores them.
-  /// The agent reports an end until it is acknowledged.
-  std::map<std::tuple<std::string, int, std::int64_t>, std::uint64_t> m_ends;
+  /// Reported ends, by task, run and number.
+  std::map<std::tuple<std::string, int, std::int64_t>, ReportedEnd> m_ends;
   /// Runs of a done gang whose own end is not reported yet, by task and run:
   /// their resources, and when the gang was done.
   std::map<std::pair<std::string, int>, std::pair<Resources, Millis>>
@@ -160,7 +168,7 @@
   void countPending(const CallerRequest &R, const CallerAnswer &Answer) const;
   void answerWaitingCallers(Millis Now);
   void withdrawSubmissions(bool OfCurrentBatch);
-  void refuseWhileStalled(Millis Now);
+  void handleStall(Millis Now);
   bool refuseUnreadable(const CallerRequest &R, const CallerAnswer &Answer);
 
   // leader_runs.cc
@@ -193,6 +201,7 @@
 
   // leader_orders.cc
   void answerAgents(Millis Now);
+  void recordAcknowledgements(AgentView &A, const AgentReply &R, Millis Now);
   std::map<std::string, AgentReply> collectOrders(Millis Now);
   void addOrder(const Job &J, int K, int S, int I, Task &T, Millis Now,
                 std::map<std::string, AgentReply> &Out);
@@ -224,6 +233,7 @@
   std::set<std::string> m_unreadable; ///< Jobs with an unreadable record.
   std::vector<std::string> m_dropped; ///< Jobs to delete from the journal.
   std::map<std::string, JobPhase> m_flushedPhases; ///< Of the current batch.
+  bool m_journalStalled = false; ///< The current batch has been reported so.
   std::map<std::string, AgentView> m_agents;
   std::vector<detail::WaitingCaller> m_waitingCallers;
   bool m_ordersDue = true;
--- a/src/batch/leader_callers.cc
+++ b/src/batch/leader_callers.cc
@@ -171,9 +171,16 @@
     Answer(std::move(Reply));
 }
 
-void Leader::refuseWhileStalled(Millis Now) {
-  if (m_journal.pendingMs(Now) > JournalStallMs)
-    withdrawSubmissions(false);
+void Leader::handleStall(Millis Now) {
+  const Millis PendingMs = m_journal.pendingMs(Now);
+  if (PendingMs <= JournalStallMs)
+    return;
+  if (!std::exchange(m_journalStalled, true))
+    m_ports.event("journalStalled", "",
+                  fmt::format("batch={} stored={} forMs={}",
+                              m_journal.nextBatch() - 1, m_journal.durable(),
+                              PendingMs));
+  withdrawSubmissions(false);
 }
 
 // Refuses jobs that are certainly not stored now instead of waiting until the
--- a/src/batch/leader_orders.cc
+++ b/src/batch/leader_orders.cc
@@ -83,8 +83,8 @@
     R.m_workerIncarnation = A.m_worker.m_workerIncarnation;
     if (A.m_entriesVersionSent != m_entriesVersion)
       R.m_entries = m_entries;
-    for (const auto &[Key, Batch] : A.m_ends) {
-      if (Batch <= m_journal.durable())
+    for (const auto &[Key, End] : A.m_ends) {
+      if (End.m_batch <= m_journal.durable())
         R.m_acknowledged.push_back({std::get<0>(Key), std::get<1>(Key),
                                     EndKind::Done, "", std::get<2>(Key), ""});
     }
@@ -106,6 +106,23 @@
   return Out;
 }
 
+// An acknowledged end is forgotten by the worker for good, so the log says what
+// the decision relied on.
+void Leader::recordAcknowledgements(AgentView &A, const AgentReply &R,
+                                    Millis Now) {
+  for (const EndReport &E : R.m_acknowledged) {
+    detail::ReportedEnd &End = A.m_ends.at({E.m_task, E.m_run, E.m_number});
+    if (std::exchange(End.m_acknowledged, true))
+      continue;
+    m_ports.event(
+        "endAcknowledged", parseTaskName(E.m_task).value_or(TaskName{}).m_job,
+        fmt::format("task={} run={} agent={} number={} batch={} "
+                    "stored={} afterMs={}",
+                    E.m_task, E.m_run, A.m_name, E.m_number, End.m_batch,
+                    m_journal.durable(), Now - End.m_reportedAt));
+  }
+}
+
 void Leader::answerAgents(Millis Now) {
   std::vector<std::pair<AgentAnswer, AgentReply>> Ready;
   for (const auto &Entry : collectOrders(Now)) {
@@ -114,7 +131,7 @@
     const bool Orders = !Reply.m_starts.empty() || !Reply.m_stops.empty();
     const bool AllEndsStored =
         std::all_of(A.m_ends.begin(), A.m_ends.end(), [&](const auto &E) {
-          return E.second <= m_journal.durable();
+          return E.second.m_batch <= m_journal.durable();
         });
     bool Answered = false;
     std::erase_if(A.m_heldReports, [&](detail::HeldReport &P) {
@@ -125,6 +142,7 @@
         return false;
       Answered = true;
       A.m_entriesVersionSent = m_entriesVersion;
+      recordAcknowledgements(A, Reply, Now);
       Ready.emplace_back(std::move(P.m_answer), Reply);
       return true;
     });
--- a/src/batch/leader_runs.cc
+++ b/src/batch/leader_runs.cc
@@ -147,11 +147,15 @@
   A.m_endingGangRuns.erase({E.m_task, E.m_run});
   std::uint64_t Batch = 0;
   const bool Current = isCurrent(A, E.m_task, E.m_run);
-  m_ports.event("runEnded", parseTaskName(E.m_task).value_or(TaskName{}).m_job,
-                fmt::format("task={} run={} agent={} kind={} current={}{}{}",
-                            E.m_task, E.m_run, A.m_name, base::nameOf(E.m_kind),
-                            Current,
-                            E.m_detail.empty() ? "" : " detail=", E.m_detail));
+  if (Current)
+    Batch = m_journal.nextBatch();
+  m_ports.event(
+      "runEnded", parseTaskName(E.m_task).value_or(TaskName{}).m_job,
+      fmt::format("task={} run={} agent={} kind={} number={} current={} "
+                  "batch={} stored={}{}{}",
+                  E.m_task, E.m_run, A.m_name, base::nameOf(E.m_kind),
+                  E.m_number, Current, Batch, m_journal.durable(),
+                  E.m_detail.empty() ? "" : " detail=", E.m_detail));
   if (Current) {
     const TaskName Name = *parseTaskName(E.m_task);
     updateWorkerHealth(A, Name, E, Now);
@@ -159,9 +163,8 @@
     if (E.m_kind == EndKind::Failed)
       findTask(Name)->m_avoid.push_back(A.m_name);
     endRun(J, Name, E.m_kind, E.m_checkpoint, Now, WallNow);
-    Batch = m_journal.nextBatch();
   }
-  A.m_ends[Key] = Batch;
+  A.m_ends[Key] = {Batch, Now, false};
 }
 
 void Leader::endRun(Job &J, const TaskName &Name, EndKind Kind,
