Show that ends are acknowledged before they are stored

Two tests without network, red: the store refuses appends while a gang ends. The member whose end was current waits, the other member's end changes nothing any more and is acknowledged at once. After a restart of the leader, and the loss of the first member's worker, the gang runs again:

leader_test.cc:118: m_agents["w"].m_acknowledged.empty() Actual: false leader_test.cc:124: m_starts["a.0.0.0"] Which is: 2, expected 1 leader_test.cc:125: m_starts["a.0.0.1"] Which is: 3, expected 1

The same without a gang: an agent that restarts reports an end again, which is no longer current, for ends done and failed:

leader_test.cc:145: m_agents["w"].m_acknowledged.empty() Actual: false

--- a/tests/batch/leader_fixture.h
+++ b/tests/batch/leader_fixture.h
@@ -140,6 +140,26 @@
     answerAppends();
   }
 
+  /// Replaces the agent's process by one that has not heard from its worker.
+  void restartAgent(const std::string &Name) {
+    FakeAgent &B = m_agents[Name];
+    ++B.m_incarnation;
+    B.m_sequence = 1;
+    AgentReport R;
+    R.m_agent = Name;
+    R.m_incarnation = B.m_incarnation;
+    R.m_sequence = B.m_sequence;
+    m_leader->report(R, m_now, wallNow(), [](const AgentReply &) {});
+  }
+
+  /// Restarts the leader with the stored records. Appends without an outcome
+  /// have no effect.
+  void restartLeader() {
+    m_appends.clear();
+    m_outcome = AppendOutcome::Done;
+    makeLeader();
+  }
+
   void applyReply(const std::string &Name, const AgentReply &R) {
     FakeAgent &B = m_agents[Name];
     if (R.m_epoch < m_epoch)
--- a/tests/batch/leader_test.cc
+++ b/tests/batch/leader_test.cc
@@ -97,6 +97,58 @@
   EXPECT_EQ(phaseOf("a"), JobPhase::Done);
 }
 
+// Ends of the other members of a done gang were acknowledged before the gang's
+// end was stored. After a restart of all processes the members ran again.
+TEST_F(LeaderTest, EndsOfADoneGangAreAcknowledgedOnlyOnceTheyAreStored) {
+  addAgent("v");
+  addAgent("w");
+  Step Gang = step(2, 8);
+  Gang.m_gang = true;
+  submit("a", jobOf({Gang}));
+  pass(500);
+  ASSERT_EQ(m_starts["a.0.0.0"], 1);
+  ASSERT_EQ(m_starts["a.0.0.1"], 1);
+  m_outcome = AppendOutcome::NotDone;
+  for (const char *Agent : {"v", "w"}) {
+    for (const char *Task : {"a.0.0.0", "a.0.0.1"})
+      end(Agent, Task, EndKind::Done);
+  }
+  pass(300);
+  EXPECT_TRUE(m_agents["v"].m_acknowledged.empty());
+  EXPECT_TRUE(m_agents["w"].m_acknowledged.empty());
+  // The worker of the end that was current is lost too.
+  m_alive = {"w"};
+  restartLeader();
+  addAgent("x");
+  pass(20000);
+  EXPECT_EQ(m_starts["a.0.0.0"], 1);
+  EXPECT_EQ(m_starts["a.0.0.1"], 1);
+  EXPECT_EQ(phaseOf("a"), JobPhase::Done);
+}
+
+// An end that a restarted agent reported again was acknowledged before it was
+// stored, since the first report had already changed the task.
+TEST_F(LeaderTest, AnEndReportedAgainIsAcknowledgedOnlyOnceItIsStored) {
+  addAgent("w");
+  for (const EndKind Kind : {EndKind::Done, EndKind::Failed}) {
+    const std::string Job(base::nameOf(Kind));
+    SCOPED_TRACE(Job);
+    submit(Job, jobOf({step(1, 1)}));
+    pass(500);
+    ASSERT_EQ(m_starts[Job + ".0.0.0"], 1);
+    m_agents["w"].m_acknowledged.clear();
+    m_outcome = AppendOutcome::NotDone;
+    end("w", Job + ".0.0.0", Kind);
+    report("w");
+    restartAgent("w");
+    pass(300);
+    EXPECT_TRUE(m_agents["w"].m_acknowledged.empty());
+    m_outcome = AppendOutcome::Done;
+    pass(300);
+    EXPECT_FALSE(m_agents["w"].m_acknowledged.empty());
+  }
+}
+
 TEST_F(LeaderTest, FailsAJobAfterItsAttempts) {
   addAgent("w");
   submit("a", jobOf({step(1, 1)}));
