Acknowledge an end only once the state that it relies on is stored

Cause: the leader changes a job in memory first and stores the change in the next batch. An end that changed the job waited for that batch before it was acknowledged. An end that changed nothing any more was acknowledged at once, though the change that made it redundant was not stored yet: the other members of a gang that one member's end had made done, or an end that a restarted agent reported again. The worker forgot the end; with the store out of reach until all processes were restarted, the batch was lost, and the next leader found the run placed and its worker gone.

At 32.634 s the end of member 9 of a gang ends the job; the ends of its nine other members come with current=false up to 32.900 s. Those of members 0 to 8 come again from 33.464 s on, as they do only after the agents were told to drop them.

An end now waits for the newest change of its job, whether or not it changed the job itself. That is the same rule as for cancelling, so both take the batch from one place.

--- a/src/batch/leader.cc
+++ b/src/batch/leader.cc
@@ -272,6 +272,11 @@
   m_scheduleDue = true;
 }
 
+std::uint64_t Leader::batchOfState(const std::string &Job) const {
+  const auto It = m_jobs.find(Job);
+  return It == m_jobs.end() ? 0 : It->second.m_batch;
+}
+
 void Leader::processChanges(Millis Now) {
   if (m_scheduleDue && confirmed(Now))
     schedule(Now);
--- a/src/batch/leader.h
+++ b/src/batch/leader.h
@@ -214,6 +214,9 @@
                  const std::vector<CandidateWorker> &Workers, Millis Now);
 
   void markChanged(Job &J);
+  /// Number of the batch that must be stored before an answer may rely on the
+  /// present state of \p Job.
+  std::uint64_t batchOfState(const std::string &Job) const;
   void processChanges(Millis Now);
   void flush(Millis Now);
   void purge(Millis WallNow);
--- a/src/batch/leader_callers.cc
+++ b/src/batch/leader_callers.cc
@@ -132,7 +132,7 @@
     finishJob(J, JobPhase::Cancelled, WallNow);
     stopAllRuns(J, StopReason::Cancelled);
   }
-  m_waitingCallers.push_back({J.m_batch, R.m_id, false,
+  m_waitingCallers.push_back({batchOfState(R.m_id), R.m_id, false,
                               Now + R.m_remainingMs - AnswerMarginMs,
                               std::move(Answer)});
 }
--- a/src/batch/leader_runs.cc
+++ b/src/batch/leader_runs.cc
@@ -145,19 +145,20 @@
   if (A.m_ends.contains(Key))
     return;
   A.m_endingGangRuns.erase({E.m_task, E.m_run});
-  std::uint64_t Batch = 0;
+  const TaskName Name = parseTaskName(E.m_task).value_or(TaskName{});
   const bool Current = isCurrent(A, E.m_task, E.m_run);
-  if (Current)
-    Batch = m_journal.nextBatch();
+  // An end that changes nothing relies on earlier changes of its job, which may
+  // not be stored yet.
+  const std::uint64_t Batch =
+      Current ? m_journal.nextBatch() : batchOfState(Name.m_job);
   m_ports.event(
-      "runEnded", parseTaskName(E.m_task).value_or(TaskName{}).m_job,
+      "runEnded", Name.m_job,
       fmt::format("task={} run={} agent={} kind={} number={} current={} "
                   "batch={} stored={}{}{}",
                   E.m_task, E.m_run, A.m_name, base::nameOf(E.m_kind),
                   E.m_number, Current, Batch, m_journal.durable(),
                   E.m_detail.empty() ? "" : " detail=", E.m_detail));
   if (Current) {
-    const TaskName Name = *parseTaskName(E.m_task);
     updateWorkerHealth(A, Name, E, Now);
     Job &J = m_jobs[Name.m_job];
     if (E.m_kind == EndKind::Failed)
