Check the range of numbers that other programs write

A heartbeat, a job or a configuration with a number beyond 64 bits was accepted with another value: the conversion from double was undefined, and get<int>() truncated, so that a step "after" waited for step 0. Amounts near 2^63 overflowed in the sums of the scheduler.

--- a/src/base/json.cc
+++ b/src/base/json.cc
@@ -1,6 +1,8 @@
 #include "base/json.h"
 
 #include <algorithm>
+#include <cmath>
+#include <utility>
 
 namespace pomelokeel::base {
 namespace {
@@ -62,6 +64,29 @@
   return Json::from_msgpack(Data, Data + Size, true, false);
 }
 
+std::optional<std::int64_t> integerIn(const Json &J, std::int64_t Min,
+                                      std::int64_t Max) {
+  std::int64_t Out = 0;
+  if (J.is_number_unsigned()) {
+    const auto Wide = J.get<std::uint64_t>();
+    if (!std::in_range<std::int64_t>(Wide))
+      return std::nullopt;
+    Out = static_cast<std::int64_t>(Wide);
+  } else if (J.is_number_integer()) {
+    Out = J.get<std::int64_t>();
+  } else if (J.is_number_float()) {
+    // The conversion of a double from 2^63 on, or of NaN, is undefined.
+    constexpr double Limit = 0x1p63;
+    const double Wide = std::trunc(J.get<double>());
+    if (!(Wide >= -Limit && Wide < Limit))
+      return std::nullopt;
+    Out = static_cast<std::int64_t>(Wide);
+  } else {
+    return std::nullopt;
+  }
+  return Out >= Min && Out <= Max ? std::optional(Out) : std::nullopt;
+}
+
 bool nestedDeeperThan(const Json &J, int Levels) {
   if (!J.is_structured())
     return false;
--- a/src/base/json.h
+++ b/src/base/json.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -32,6 +33,11 @@
 /// if they are invalid or nested deeper than MaxNesting.
 Json parseMsgpack(const std::uint8_t *Data, std::size_t Size);
 
+/// Returns the number \p J without its fraction, or std::nullopt if it is no
+/// number or not from \p Min to \p Max.
+std::optional<std::int64_t> integerIn(const Json &J, std::int64_t Min,
+                                      std::int64_t Max);
+
 /// Returns true if the arrays and objects in \p J are nested more than \p
 /// Levels deep. A scalar has depth 0, an empty array or object depth 1.
 bool nestedDeeperThan(const Json &J, int Levels);
--- a/tests/base/json_test.cc
+++ b/tests/base/json_test.cc
@@ -2,6 +2,10 @@
 
 #include <gtest/gtest.h>
 
+#include <cmath>
+#include <cstdint>
+#include <limits>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -46,3 +50,24 @@
 TEST(Json, DumpReplacesInvalidText) {
   EXPECT_EQ(dumpJson("a\xff"), "\"a\xEF\xBF\xBD\"");
 }
+
+// Guards against conversions that are undefined or truncate: numbers beyond the
+// range of the result.
+TEST(Json, IntegersOutOfRangeAreNotConverted) {
+  constexpr std::int64_t Max = std::numeric_limits<std::int64_t>::max();
+  constexpr std::int64_t Min = std::numeric_limits<std::int64_t>::min();
+  for (const char *Text :
+       {"1e300", "-1e300", "9223372036854775808", "18446744073709551615",
+        "9.3e18", "99999999999999999999", "\"1\"", "null", "true", "[]"})
+    EXPECT_EQ(integerIn(parseJson(Text), Min, Max), std::nullopt) << Text;
+  EXPECT_EQ(integerIn(std::nan(""), Min, Max), std::nullopt);
+  EXPECT_EQ(integerIn(parseJson("9223372036854775807"), Min, Max), Max);
+  EXPECT_EQ(integerIn(parseJson("-9223372036854775808"), Min, Max), Min);
+  EXPECT_EQ(integerIn(parseJson("41.9"), 0, 100), 41);
+  EXPECT_EQ(integerIn(parseJson("101"), 0, 100), std::nullopt);
+  EXPECT_EQ(integerIn(parseJson("-1"), 0, 100), std::nullopt);
+}
+
+TEST(Json, ANumberBeyondTheRangeOfADoubleIsNotValid) {
+  EXPECT_TRUE(parseJson("[1e999]").is_discarded());
+}
--- a/tests/platform/decode_test.cc
+++ b/tests/platform/decode_test.cc
@@ -2,6 +2,9 @@
 
 #include <gtest/gtest.h>
 
+#include <limits>
+#include <string>
+
 namespace pomelokeel::platform::tests {
 namespace {
 
@@ -30,6 +33,27 @@
   }
 }
 
+// Guards against conversions that are undefined or truncate: 4294967296 was
+// read as a dependency on step 0.
+TEST(DecodeJob, NumbersOutOfRangeAreErrors) {
+  for (const char *Steps :
+       {R"([{"count":1e300}])", R"([{"cpu":18446744073709551615}])",
+        R"([{"gpu":9223372036854775807}])", R"([{"estMs":-1e18}])"}) {
+    const auto S = decodeJob(R"({"steps":)" + std::string(Steps) + "}");
+    EXPECT_FALSE(S.ok()) << Steps;
+  }
+  const auto S = decodeJob(R"({"steps":[{},{"after":[4294967296]}]})");
+  ASSERT_TRUE(S.ok());
+  EXPECT_FALSE(batch::check(*S).ok());
+}
+
+TEST(DecodeConfig, NumbersOutOfRangeAreErrors) {
+  EXPECT_FALSE(decodeConfig({"config", R"({"version":1e300})"}).ok());
+  EXPECT_FALSE(decodeConfig({"config", R"({"version":1,"routes":[)"
+                                       R"({"priority":4294967296}]})"})
+                   .ok());
+}
+
 TEST(DecodeConfig, ReadsRoutesAccountsAndLimits) {
   const auto C = decodeConfig(
       {"config",
@@ -78,6 +102,29 @@
     EXPECT_FALSE(decodeHeartbeat("i-1", Body).ok()) << Body;
 }
 
+// Guards against amounts whose sums overflow.
+TEST(DecodeHeartbeat, RejectsNumbersOutOfRange) {
+  const base::Json Valid = base::parseJson(ValidHeartbeat);
+  for (const char *Name : {"seq", "born", "remainingMs"}) {
+    base::Json J = Valid;
+    J[Name] = 1e300;
+    EXPECT_FALSE(decodeHeartbeat("i-1", base::dumpJson(J)).ok()) << Name;
+  }
+  base::Json J = Valid;
+  J["capacity"]["gpu"] = std::numeric_limits<std::int64_t>::max();
+  EXPECT_FALSE(decodeHeartbeat("i-1", base::dumpJson(J)).ok());
+}
+
+TEST(DecodeHeartbeat, RejectsDeepNesting) {
+  const std::string Text = ValidHeartbeat;
+  const std::string Deep(100000, '[');
+  EXPECT_FALSE(decodeHeartbeat("i-1", Deep).ok());
+  EXPECT_FALSE(decodeHeartbeat("i-1", Text.substr(0, Text.size() - 1) +
+                                          R"(,"x":)" + Deep +
+                                          std::string(100000, ']') + "}")
+                   .ok());
+}
+
 TEST(DecodePollAnswer, ReadsBothLists) {
   const auto A = decodePollAnswer(
       "i-1", R"({"clockMs":5,"born":9,"running":[["t.0.0.0",2,"s",41,3]],)"
