--- a/tests/platform/decode_test.cc
+++ b/tests/platform/decode_test.cc
@@ -102,9 +102,16 @@
     EXPECT_FALSE(decodeHeartbeat("i-1", Body).ok()) << Body;
 }
 
-// Guards against amounts whose sums overflow.
-TEST(DecodeHeartbeat, RejectsNumbersOutOfRange) {
+// Guards against a worker with an address that no call can reach, or with
+// amounts whose sums overflow.
+TEST(DecodeHeartbeat, RejectsAddressesAndNumbersOutOfRange) {
   const base::Json Valid = base::parseJson(ValidHeartbeat);
+  for (const char *Address :
+       {"", "a", "a:", "a:0", "a:70000", "a:-1", "a:99999999999", ":1"}) {
+    base::Json J = Valid;
+    J["addr"] = Address;
+    EXPECT_FALSE(decodeHeartbeat("i-1", base::dumpJson(J)).ok()) << Address;
+  }
   for (const char *Name : {"seq", "born", "remainingMs"}) {
     base::Json J = Valid;
     J[Name] = 1e300;
