Skip malformed rows in a worker's answer to a poll

One row of "running" or "ended" that could not be read made the whole answer count as missing: the ends beside it were not reported, the lease was not renewed, and after two polls the worker counted as silent.

A malformed row is now skipped and the agent logs rowsIgnored when their number changes. A list that is read in part must not lead to wrong conclusions, so the decoder says what a skipped row may stand for: - A run that it may stand for does not count as ended because it is not listed. That is the run it names or, if it names none, any run. - The agent acknowledges no end from its number on or, if the number cannot be read, no further end at all. The worker would forget the end otherwise. Ends above it that the leader has stored are not reported again.

--- a/src/batch/agent.cc
+++ b/src/batch/agent.cc
@@ -35,6 +35,25 @@
 
 } // namespace
 
+void MalformedRows::add(std::optional<RunKey> Key) {
+  ++m_count;
+  if (Key)
+    m_runs.push_back(std::move(*Key));
+  else
+    m_anyRun = true;
+}
+
+void MalformedRows::addEnd(std::optional<RunKey> Key,
+                           std::int64_t LowestNumber) {
+  add(std::move(Key));
+  m_lowestEnd = std::min(m_lowestEnd, LowestNumber);
+}
+
+bool MalformedRows::mayContain(const RunKey &Key) const {
+  return m_anyRun ||
+         std::find(m_runs.begin(), m_runs.end(), Key) != m_runs.end();
+}
+
 Agent::Agent(std::string Name, std::int64_t Incarnation, const AgentTiming &T,
              AgentPorts &Ports, base::Counters &Counters)
     : m_name(std::move(Name)), m_incarnation(Incarnation), m_timing(T),
@@ -83,6 +102,8 @@
   m_runs = std::move(Unsettled);
   m_ends.clear();
   m_highestEnd = m_acknowledged = 0;
+  m_storedEnds.clear();
+  m_malformed = {};
   m_synced = false;
   m_clockAt = -1;
   m_leaseUntil = -1;
@@ -164,17 +185,23 @@
 
 void Agent::removeAcknowledgedEnds(const std::vector<EndReport> &Acknowledged) {
   for (const EndReport &N : Acknowledged) {
-    std::erase_if(m_ends, [&](const EndReport &E) {
+    const auto Erased = std::erase_if(m_ends, [&](const EndReport &E) {
       return E.m_number == N.m_number && E.m_task == N.m_task &&
              E.m_run == N.m_run;
     });
+    if (Erased > 0 && N.m_number > 0)
+      m_storedEnds.insert(N.m_number);
   }
-  std::int64_t Lowest = m_highestEnd + 1;
+  // The worker forgets what is acknowledged, so an end that could not be read
+  // stays above.
+  std::int64_t Lowest = std::min(m_highestEnd + 1, m_malformed.m_lowestEnd);
   for (const EndReport &E : m_ends) {
     if (E.m_number > 0)
       Lowest = std::min(Lowest, E.m_number);
   }
   m_acknowledged = std::max(m_acknowledged, Lowest - 1);
+  std::erase_if(m_storedEnds,
+                [&](std::int64_t N) { return N <= m_acknowledged; });
   if (m_ends.empty() && !Acknowledged.empty())
     m_pollAt = 0;
 }
@@ -306,16 +333,22 @@
   m_changed = m_changed || !m_synced;
   m_synced = true;
   reconcile(A);
-  if (m_waitingPoll == 0 && !m_ends.empty())
+  if (m_waitingPoll == 0 &&
+      (!m_ends.empty() || !m_storedEnds.empty() || A.m_malformed.m_count > 0))
     m_pollAt = Now + PollPauseMs;
   advance(Now);
 }
 
 // Updates m_runs and m_ends to what the worker listed.
 void Agent::reconcile(const PollResult &A) {
+  if (A.m_malformed.m_count != m_malformed.m_count)
+    m_ports.event("rowsIgnored", "",
+                  fmt::format("malformed={} before={}", A.m_malformed.m_count,
+                              m_malformed.m_count));
+  m_malformed = A.m_malformed;
   for (const EndReport &E : A.m_ends) {
     m_runs.erase({E.m_task, E.m_run});
-    if (E.m_number <= m_acknowledged)
+    if (E.m_number <= m_acknowledged || m_storedEnds.contains(E.m_number))
       continue;
     m_highestEnd = std::max(m_highestEnd, E.m_number);
     addEnd(E);
@@ -334,7 +367,7 @@
     const Run &R = Entry.second;
     const bool ResultKnown =
         R.m_answeredAtPoll > 0 && m_answeredSerial > R.m_answeredAtPoll;
-    if (!ResultKnown || R.m_orderPending)
+    if (!ResultKnown || R.m_orderPending || A.m_malformed.mayContain(K))
       continue;
     if (std::none_of(A.m_runs.begin(), A.m_runs.end(), [&](const RunReport &L) {
           return L.m_task == K.first && L.m_run == K.second;
--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -4,8 +4,10 @@
 #include "batch/messages.h"
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -60,12 +62,30 @@
   Millis m_clock = -1; ///< The worker's clock in ms, or -1 if unknown.
 };
 
+using RunKey = std::pair<std::string, int>; ///< A task and its run number.
+
+/// What the malformed rows in a worker's answer may stand for.
+struct MalformedRows {
+  int m_count = 0;
+  std::vector<RunKey> m_runs; ///< The runs named by rows that are malformed.
+  bool m_anyRun = false;      ///< A row may stand for any run.
+  /// Lowest number that an end in a malformed row may have.
+  std::int64_t m_lowestEnd = std::numeric_limits<std::int64_t>::max();
+
+  /// Adds a row about the run \p Key, or about any run.
+  void add(std::optional<RunKey> Key);
+  /// Adds a row about an end with a number from \p LowestNumber on.
+  void addEnd(std::optional<RunKey> Key, std::int64_t LowestNumber);
+  bool mayContain(const RunKey &Key) const;
+};
+
 struct PollResult {
   bool m_answered = false;
   std::string m_workerIncarnation; ///< The one that answered.
   Millis m_clock = -1;
   std::vector<RunReport> m_runs;
   std::vector<EndReport> m_ends;
+  MalformedRows m_malformed;
 };
 
 /// Calls of the agent to the process around it. Results are passed to
@@ -134,7 +154,7 @@
     std::uint64_t m_answeredAtPoll = 0;
     Millis m_retryAt = 0;
   };
-  using Key = std::pair<std::string, int>;
+  using Key = RunKey;
 
   void applyReply(const AgentReply &R, Millis SentAt, Millis Now);
   void handleStartOrder(const StartOrder &O, Millis SentAt, Millis Now);
@@ -176,6 +196,9 @@
   std::map<Key, Millis> m_lateStarts;
   std::vector<EndReport> m_ends; ///< Not acknowledged by the leader yet.
   std::int64_t m_highestEnd = 0;
+  /// Numbers of stored ends above m_acknowledged. The worker lists them again.
+  std::set<std::int64_t> m_storedEnds;
+  MalformedRows m_malformed;       ///< Of the newest answered poll.
   std::int64_t m_acknowledged = 0; ///< All ends up to this number are stored.
 
   std::uint64_t m_serial = 0;         ///< Of the newest poll.
--- a/tests/batch/agent_test.cc
+++ b/tests/batch/agent_test.cc
@@ -4,6 +4,9 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <optional>
+
 namespace pomelokeel::batch::tests {
 namespace {
 
@@ -125,6 +128,65 @@
   EXPECT_TRUE(m_worker.m_runs.empty());
 }
 
+// Guards against the loss of an end that could not be read: the worker forgets
+// it once a later end is acknowledged, and the job never ends.
+TEST_F(AgentTest, AMalformedEndIsNotAcknowledged) {
+  constexpr const char *TaskB = "00000000000000bb.0.0.0";
+  startA();
+  AgentReply R;
+  R.m_starts = {{TaskB, 1, "payload", ""}};
+  m_worker.reply(R);
+  m_worker.pass(50);
+  m_worker.end(TaskA, 1, EndKind::Done);
+  m_worker.end(TaskB, 1, EndKind::Done);
+  for (const std::int64_t LowestNumber : {1, 2}) {
+    m_worker.m_alterAnswer = [=](PollResult &A) {
+      std::erase_if(A.m_ends,
+                    [](const EndReport &E) { return E.m_number == 2; });
+      A.m_malformed.addEnd(
+          LowestNumber == 1 ? std::nullopt : std::optional<RunKey>({TaskB, 1}),
+          LowestNumber);
+    };
+    m_worker.pass(1100);
+    R = {};
+    R.m_acknowledged = {{TaskA, 1, EndKind::Done, "", 1, ""}};
+    m_worker.reply(R);
+    m_worker.pass(500);
+    m_worker.reply({});
+    m_worker.pass(500);
+    EXPECT_EQ(m_worker.m_acknowledged, LowestNumber - 1);
+    EXPECT_TRUE(m_worker.m_reports.back().m_ends.empty());
+    EXPECT_EQ(m_worker.m_reports.back().m_runs.size(), 1u);
+  }
+  m_worker.m_alterAnswer = nullptr;
+  m_worker.reply({});
+  m_worker.pass(1100);
+  ASSERT_TRUE(m_worker.reported(EndKind::Done));
+  R.m_acknowledged = {{TaskB, 1, EndKind::Done, "", 2, ""}};
+  m_worker.reply(R);
+  m_worker.pass(1100);
+  EXPECT_EQ(m_worker.m_acknowledged, 2);
+}
+
+// Guards against a run that counts as ended because its row could not be read.
+TEST_F(AgentTest, ARunInAMalformedRowHasNotEnded) {
+  startA();
+  for (const auto &Key :
+       {std::optional<RunKey>({TaskA, 1}), std::optional<RunKey>()}) {
+    m_worker.m_alterAnswer = [=](PollResult &A) {
+      A.m_runs.clear();
+      A.m_malformed.add(Key);
+    };
+    passWithReplies(3000);
+    m_worker.pass(20);
+    EXPECT_TRUE(m_worker.m_reports.back().m_ends.empty());
+    EXPECT_EQ(m_worker.m_reports.back().m_runs.size(), 1u);
+  }
+  EXPECT_EQ(std::count(m_worker.m_events.begin(), m_worker.m_events.end(),
+                       "rowsIgnored"),
+            1);
+}
+
 TEST_F(AgentTest, RefusesWorkForADrainingWorkerAtOnce) {
   m_worker.m_draining = true;
   m_worker.heartbeat();
--- a/tests/batch/fake_worker.h
+++ b/tests/batch/fake_worker.h
@@ -33,6 +33,8 @@
   bool m_leaderSilent = false; ///< Reports fail.
   std::string m_refusal;       ///< Reason that starts are refused with.
   std::string m_stopRefusal;   ///< Reason that stops are refused with.
+  /// Changes the answers to polls, unless empty.
+  std::function<void(PollResult &)> m_alterAnswer;
 
   Millis m_now = 1000;
 
@@ -201,6 +203,8 @@
       A.m_runs.push_back({K.first, K.second, RunPhase::Running, R.m_percent,
                           R.m_checkpoint, 0});
     A.m_ends = m_ends;
+    if (m_alterAnswer)
+      m_alterAnswer(A);
     // The poll is answered at once if there are ends, else after its wait.
     const Millis Wait = m_ends.empty() ? C.m_waitMs : 0;
     answerLater([this, A, C] { m_agent.onPollResult(C.m_serial, A, m_now); },
