--- a/tests/platform/ingress_test.cc
+++ b/tests/platform/ingress_test.cc
@@ -27,6 +27,16 @@
   EXPECT_EQ(C->m_remainingMs, 2500);
 }
 
+// Guards against an overflow when the deadline is added to the time: the call
+// counted as late.
+TEST(DecodeCall, AHugeDeadlineIsShortened) {
+  http::Request R = call("GET");
+  R.m_headers[2].m_value = "9223372036854775807";
+  EXPECT_EQ(decodeCall(R)->m_remainingMs, 3'600'000);
+  R.m_headers[2].m_value = "9223372036854775808";
+  EXPECT_EQ(decodeCall(R)->m_remainingMs, 3000);
+}
+
 TEST(DecodeCall, AMalformedJobGivesAnErrorMessage) {
   const auto C = decodeCall(call("POST", "{"));
   ASSERT_TRUE(C.has_value());
