Report a malformed address after the call has returned

AsyncClient::call() promises that its handler runs only after it has returned. For an address that is not host:port, such as one with port 70000 from another writer's record, the handler ran within the call.

Before, AsyncClientTest.ACallToAMalformedAddressFailsAfterItHasReturned failed (one result before the call had returned).

--- a/src/http/async_client.cc
+++ b/src/http/async_client.cc
@@ -105,8 +105,14 @@
     Code Bad;
     const auto Ip = Target ? net::ip::make_address(Target->m_host, Bad)
                            : net::ip::address();
-    if (!Target || Bad)
-      return fail(net::error::host_not_found, "resolve");
+    if (!Target || Bad) {
+      // The result must not arrive before call() has returned.
+      net::post(m_socket.get_executor(),
+                [Run = forCurrentCall([this](Code E, std::size_t) {
+                   fail(E, "resolve");
+                 })]() mutable { Run(net::error::host_not_found); });
+      return;
+    }
     m_socket.async_connect(Tcp::endpoint(Ip, Target->m_port),
                            forCurrentCall([this](Code E, std::size_t) {
                              if (E)
--- a/tests/http/async_client_test.cc
+++ b/tests/http/async_client_test.cc
@@ -88,5 +88,21 @@
   EXPECT_EQ(std::get<CallError>(R).m_sent, Sent::No);
 }
 
+// Guards against a result within the call itself, for which callers are not
+// prepared. Addresses come from records that others write.
+TEST_F(AsyncClientTest, ACallToAMalformedAddressFailsAfterItHasReturned) {
+  for (const char *Address : {"", "h", "127.0.0.1:70000", "h:1", ":1"}) {
+    m_client = AsyncClient::create(*m_reactor, Address);
+    int Failures = 0;
+    m_client->call({}, 2000, [&](const CallResult &R) {
+      Failures += std::holds_alternative<CallError>(R) ? 1 : 0;
+      m_reactor->stop();
+    });
+    ASSERT_EQ(Failures, 0) << Address;
+    m_reactor->run();
+    EXPECT_EQ(Failures, 1) << Address;
+  }
+}
+
 } // namespace
 } // namespace pomelokeel::http::tests
