--- a/src/batch/leader.cc
+++ b/src/batch/leader.cc
@@ -19,6 +19,18 @@
   return base::dumpJson(base::encodeCompact(Value));
 }
 
+// True if P has a task for each one of S.
+bool hasTasksOf(const JobSpec &S, const Progress &P) {
+  return std::all_of(
+      P.m_occurrences.begin(), P.m_occurrences.end(), [&](const Occurrence &O) {
+        return std::equal(O.begin(), O.end(), S.m_steps.begin(),
+                          S.m_steps.end(),
+                          [](const auto &Tasks, const Step &Each) {
+                            return std::cmp_equal(Tasks.size(), Each.m_count);
+                          });
+      });
+}
+
 template <typename T> base::Status unpack(const KeyedRecord &R, T &Out) {
   const base::Json J = base::parseJson(R.m_value);
   if (J.is_discarded())
@@ -59,11 +71,23 @@
     if (!R.m_key.starts_with(SpecKey))
       continue;
     Job J;
-    if (auto S = unpack(R, J.m_spec); S)
+    auto S = unpack(R, J.m_spec);
+    if (S)
+      S = check(J.m_spec);
+    if (S && journalKey(SpecKey, J.m_spec.m_id) != R.m_key)
+      S = base::Error{base::ErrorKind::BadRequest, "the id is another one"};
+    if (S)
       m_jobs[J.m_spec.m_id] = std::move(J);
     else
       MarkUnreadable(R, S);
   }
+  for (const auto &[Id, P] : States) {
+    const auto It = m_jobs.find(Id);
+    if (It != m_jobs.end() && !hasTasksOf(It->second.m_spec, P))
+      MarkUnreadable({journalKey(StateKey, Id), ""},
+                     base::Error{base::ErrorKind::BadRequest,
+                                 "the tasks are not those of the job"});
+  }
   for (const std::string &Id : m_unreadable)
     m_jobs.erase(Id);
   for (auto &[Id, J] : m_jobs) {
--- a/tests/batch/leader_fixture.h
+++ b/tests/batch/leader_fixture.h
@@ -20,13 +20,16 @@
 
   void SetUp() override { makeLeader(); }
 
-  void makeLeader() {
+  void makeLeader() { ASSERT_TRUE(load().ok()); }
+
+  /// Makes a leader from the stored records.
+  base::Status load() {
     m_leader = std::make_unique<Leader>(Timing{}, *this, m_counters, ++m_epoch,
                                         m_now, wallNow());
     std::vector<KeyedRecord> Records;
     for (const auto &[Key, Value] : m_stored)
       Records.push_back({Key, Value});
-    ASSERT_TRUE(m_leader->load(Records).ok());
+    return m_leader->load(Records);
   }
 
   Millis wallNow() const { return WallAtZero + m_now; }
