Ignore impossible leader records and members without an address

A record of the leader with a huge epoch made the leader step down, and the agents and the other entries ignored all later leaders, because their epochs were lower. The epoch of a record is its offset plus one, so a record with an epoch above the end of the stream is ignored and logged as recordIgnored.

Members of the group whose name holds no valid address were handed to agents and queried for the leader. They are left out; membersChanged now tells how many members have an address.

--- a/src/node/agent_node.cc
+++ b/src/node/agent_node.cc
@@ -42,7 +42,7 @@
                                            *this, Counters);
   Follower::Handlers F;
   F.m_record = [this](const KeyedRecord &Record) {
-    if (const auto L = parseLeader(Record))
+    if (const auto L = parseLeader(Record, m_leaderFollower->end()))
       updateLeader(*L);
     else
       event("recordIgnored", "", "key=" + Record.m_key);
--- a/src/node/election.cc
+++ b/src/node/election.cc
@@ -1,6 +1,7 @@
 #include "node/election.h"
 
 #include "base/clock.h"
+#include "settings/settings.h"
 
 #include <fmt/format.h>
 
@@ -31,11 +32,14 @@
 
 } // namespace
 
-std::optional<LeaderRecord> parseLeader(const KeyedRecord &R) {
+std::optional<LeaderRecord> parseLeader(const KeyedRecord &R,
+                                        std::int64_t End) {
   if (R.m_key != LeaderKey)
     return std::nullopt;
   const auto Parsed = base::parse<LeaderRecord>(R.m_value);
-  return Parsed ? std::optional(*Parsed) : std::nullopt;
+  if (!Parsed || Parsed->m_epoch > End)
+    return std::nullopt;
+  return *Parsed;
 }
 
 std::string memberOf(const std::string &Name, const std::string &Incarnation,
@@ -46,8 +50,13 @@
 std::vector<std::string> Election::addresses() const {
   std::vector<std::string> Out;
   for (const std::string &Member : m_members) {
-    if (const auto At = Member.rfind('@'); At != std::string::npos)
-      Out.push_back(Member.substr(At + 1));
+    const auto At = Member.rfind('@');
+    if (At == std::string::npos)
+      continue;
+    const std::string Address = Member.substr(At + 1);
+    const auto Split = settings::splitAddress(Address);
+    if (Split && Split->m_port != 0)
+      Out.push_back(Address);
   }
   return Out;
 }
@@ -77,7 +86,7 @@
 Election::~Election() = default;
 
 void Election::handleLeaderRecord(const KeyedRecord &R) {
-  const auto Parsed = parseLeader(R);
+  const auto Parsed = parseLeader(R, m_follower->end());
   if (!Parsed) {
     m_handlers.m_event("recordIgnored", "key=" + R.m_key);
     return;
@@ -143,8 +152,9 @@
         if (!Changed)
           return scheduleClaim();
         m_handlers.m_event("membersChanged",
-                           fmt::format("generation={} members={}", Generation,
-                                       m_members.size()));
+                           fmt::format("generation={} members={} addresses={}",
+                                       Generation, m_members.size(),
+                                       addresses().size()));
         m_handlers.m_membersChanged();
         // Another process may have claimed leadership while this one was not a
         // member. Only a new read of the leader's record can show that.
--- a/src/node/election.h
+++ b/src/node/election.h
@@ -34,8 +34,10 @@
 /// Key of the leader's record in Stream::Leaders.
 constexpr const char *LeaderKey = "leader";
 
-/// Reads a record of Stream::Leaders.
-std::optional<LeaderRecord> parseLeader(const KeyedRecord &R);
+/// Reads a record of Stream::Leaders, which ends at the offset \p End. Returns
+/// std::nullopt if it is malformed or its epoch is not that of a record before
+/// \p End.
+std::optional<LeaderRecord> parseLeader(const KeyedRecord &R, std::int64_t End);
 
 /// Formats the name under which an entry joins the group:
 /// `name#incarnation@address`.
@@ -80,7 +82,8 @@
   }
   std::size_t members() const { return m_members.size(); }
 
-  /// Addresses of the members of the group.
+  /// Addresses of the members of the group. A member without a valid one is
+  /// left out.
   std::vector<std::string> addresses() const;
 
   /// True unless the last join failed.
--- a/src/node/follower.h
+++ b/src/node/follower.h
@@ -3,6 +3,7 @@
 #include "http/reactor.h"
 #include "node/store.h"
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 
@@ -28,6 +29,9 @@
   /// Abandons the current call and reads a snapshot again.
   void restart();
 
+  /// End of the stream when it was last read.
+  std::int64_t end() const { return m_nextOffset; }
+
 private:
   void readSnapshot();
   void readNext();
--- a/tests/node/election_test.cc
+++ b/tests/node/election_test.cc
@@ -72,6 +72,35 @@
   EXPECT_GT(B.m_epochs.back(), 1);
 }
 
+// Guards against a record with an epoch that no later one exceeds: the entries
+// ignored all leaders after it.
+TEST_F(ElectionTest, ARecordWithAnImpossibleEpochIsIgnored) {
+  Candidate A(*m_reactor, m_shared, "a");
+  ASSERT_TRUE(until([&] { return A.m_election->leads(); }));
+  Candidate B(*m_reactor, m_shared, "b");
+  const auto FollowsA = [&] {
+    return B.m_election->leader().m_member == A.m_member;
+  };
+  ASSERT_TRUE(until(FollowsA));
+  A.m_store.add(Stream::Leaders,
+                {{LeaderKey, R"({"member":"x#1@h:1","name":"x",)"
+                             R"("address":"h:70000",)"
+                             R"("epoch":9223372036854775807})"}});
+  EXPECT_FALSE(
+      until([&] { return !A.m_election->leads() || !FollowsA(); }, 300));
+  A.m_election->leave([] {});
+  EXPECT_TRUE(until([&] { return B.m_election->leads(); }));
+}
+
+TEST_F(ElectionTest, MembersWithoutAValidAddressAreLeftOut) {
+  for (const char *Odd : {"", "x", "x#1@", "x#1@h", "x#1@h:70000", "x#1@h:0",
+                          "x#1@h:1e9", "x#1@:5"})
+    m_shared->m_members.insert(Odd);
+  Candidate A(*m_reactor, m_shared, "a");
+  ASSERT_TRUE(until([&] { return A.m_election->members() > 0; }));
+  EXPECT_EQ(A.m_election->addresses(), std::vector<std::string>{"h:1"});
+}
+
 // Guards against repeated claims after a restart of all entries: the new leader
 // owned no partition of the group yet, so each entry considered it gone and
 // claimed leadership, ten times in two seconds.
