Show a job's end to repeated requests only once it is stored

Callers saw a job as done, failed or cancelled and later as queued or running again: the answer to a submission or cancellation that was sent again carried the phase in the leader's memory, while a query showed the stored one. After a restart of all processes the next leader did not know the end.

All answers now take the phase from one function, which shows an end only once it is stored.

--- a/src/batch/leader_callers.cc
+++ b/src/batch/leader_callers.cc
@@ -41,6 +41,12 @@
                      S.m_steps.front().m_gang, Steps, criticalPathMs(S));
 }
 
+/// The phase to show to callers. An end is final, so it is shown only once it
+/// is stored.
+JobPhase visiblePhase(const JobState &J) {
+  return isEnded(J.m_progress.m_phase) ? J.m_storedPhase : J.m_progress.m_phase;
+}
+
 } // namespace
 
 // If this version cannot read the record of a job, it can neither answer that
@@ -110,12 +116,8 @@
   const auto It = m_jobs.find(R.m_id);
   CallerReply Out;
   Out.m_verdict = It == m_jobs.end() ? Verdict::Gone : Verdict::Ok;
-  if (It != m_jobs.end()) {
-    const Job &J = It->second;
-    // An end is final, so it is shown only once it is stored.
-    Out.m_phase =
-        isEnded(J.m_progress.m_phase) ? J.m_storedPhase : J.m_progress.m_phase;
-  }
+  if (It != m_jobs.end())
+    Out.m_phase = visiblePhase(It->second);
   Answer(std::move(Out));
 }
 
@@ -156,7 +158,7 @@
     if (W.m_batch <= m_journal.durable()) {
       Out.m_verdict = Verdict::Ok;
       if (const auto It = m_jobs.find(W.m_job); It != m_jobs.end())
-        Out.m_phase = It->second.m_progress.m_phase;
+        Out.m_phase = visiblePhase(It->second);
     } else if (Now >= W.m_deadline) {
       Out.m_verdict = Verdict::Unknown;
       Out.m_reason = "the log has not answered in time";
--- a/tests/batch/leader_test.cc
+++ b/tests/batch/leader_test.cc
@@ -97,6 +97,23 @@
   EXPECT_EQ(phaseOf("a"), JobPhase::Done);
 }
 
+// A repeated submission was answered with an end that was not stored and that
+// the next leader did not know (restart simulation, seed 9).
+TEST_F(LeaderTest, ARepeatedSubmissionShowsAnEndOnlyOnceItIsStored) {
+  addAgent("w");
+  submit("a", jobOf({step(1, 1)}));
+  pass(500);
+  end("w", "a.0.0.0", EndKind::Done);
+  m_outcome.reset();
+  report("w");
+  const auto Before = submit("a", jobOf({step(1, 1)}));
+  ASSERT_TRUE(Before->has_value());
+  EXPECT_NE((*Before)->m_phase, JobPhase::Done);
+  m_outcome = AppendOutcome::Done;
+  pass(200);
+  EXPECT_EQ((*submit("a", jobOf({step(1, 1)})))->m_phase, JobPhase::Done);
+}
+
 TEST_F(LeaderTest, FailsAJobAfterItsAttempts) {
   addAgent("w");
   submit("a", jobOf({step(1, 1)}));
