Never reuse the number of a batch that changes wait for

When the store refused a batch that held nothing but new jobs, the batch was discarded and its number used again. What had changed meanwhile was marked with the following number, so its orders, acknowledged ends and answers to callers waited for one batch more, and for ever if nothing else changed.

LeaderTest.ChangesDuringARefusedBatchAreActedOnOnceStored failed before: the second task had 0 starts instead of 1, and the end was not acknowledged. A discarded batch now counts as stored, and the sequence number that the store checks is counted apart.

--- a/src/batch/journal.cc
+++ b/src/batch/journal.cc
@@ -18,7 +18,8 @@
 }
 
 void JournalWriter::write(std::vector<KeyedRecord> Records, Millis Now) {
-  m_batch.m_number = ++m_newest;
+  ++m_newest;
+  m_batch.m_number = ++m_sequence;
   m_batch.m_records = std::move(Records);
   m_maybeDone = false;
   m_writtenAt = Now;
@@ -55,8 +56,10 @@
 void JournalWriter::withdraw(const std::string &Key) {
   std::erase_if(m_batch.m_records,
                 [&](const KeyedRecord &R) { return R.m_key == Key; });
-  if (m_batch.m_records.empty())
-    --m_newest;
+  if (!m_batch.m_records.empty())
+    return;
+  m_durable = m_newest;
+  --m_sequence;
 }
 
 void JournalWriter::advance(Millis Now) {
--- a/src/batch/journal.h
+++ b/src/batch/journal.h
@@ -67,8 +67,8 @@
   /// Handles the outcome of the last append.
   void onOutcome(AppendOutcome Outcome, Millis Now);
 
-  /// Removes the records of \p Key from the current batch, and discards the
-  /// batch if none is left. Requires withdrawable().
+  /// Removes the records of \p Key from the current batch. If none is left, the
+  /// batch is discarded and counts as stored. Requires withdrawable().
   void withdraw(const std::string &Key);
 
   /// True if no attempt to append the current batch can have taken effect.
@@ -87,8 +87,12 @@
 
   Append m_append;
   JournalBatch m_batch;
-  std::uint64_t m_newest = 0; ///< Number of the newest batch.
+  /// Number of the newest batch. Never goes back, since changes wait for it.
+  std::uint64_t m_newest = 0;
   std::uint64_t m_durable = 0;
+  /// Number of the newest batch in the store's count, which leaves out those
+  /// that were discarded.
+  std::uint64_t m_sequence = 0;
   bool m_sending = false;
   bool m_maybeDone = false; ///< An attempt had the outcome Unknown.
   bool m_fenced = false;
--- a/tests/batch/leader_test.cc
+++ b/tests/batch/leader_test.cc
@@ -63,6 +63,28 @@
   EXPECT_EQ(m_starts.count("b.0.0.0"), 0u);
 }
 
+// Guards against changes that wait for a batch which is never written: when the
+// store refused a batch of new jobs only, its number was used again, and what
+// had been marked with the next number was not acted on until another change.
+TEST_F(LeaderTest, ChangesDuringARefusedBatchAreActedOnOnceStored) {
+  addAgent("w");
+  submit("a", jobOf({step(2, 8)}));
+  pass(300);
+  ASSERT_EQ(m_starts["a.0.0.0"], 1);
+  m_outcome.reset();
+  const auto Refused = submit("b", jobOf({step(1, 8)}));
+  end("w", "a.0.0.0", EndKind::Done);
+  report("w");
+  m_outcome = AppendOutcome::NotDone;
+  answerAppends();
+  ASSERT_TRUE(Refused->has_value());
+  EXPECT_EQ((*Refused)->m_verdict, Verdict::Unavailable);
+  m_outcome = AppendOutcome::Done;
+  pass(500);
+  EXPECT_EQ(m_starts["a.0.0.1"], 1);
+  EXPECT_FALSE(m_agents["w"].m_acknowledged.empty());
+}
+
 // A caller with little time left got "unknown", though the leader could have
 // refused the job (incident inc-cd4f).
 TEST_F(LeaderTest, ASubmissionWithoutTimeForAnAnswerIsRefused) {
