Adopt runs that a new leader finds in the next incarnation of a worker

Workers saw a task run twice at the same time, or start again after its end as done was acknowledged. A start order that was on its way while the worker restarted is carried out in its next incarnation. A leader took such a run over only if it had known the earlier incarnation itself. One that had been elected since declared the run lost, or acknowledged its end without effect, and started the task elsewhere.

The leader now compares what an agent reports with the placement on every report, for ends as well as for runs.

--- a/src/batch/leader.cc
+++ b/src/batch/leader.cc
@@ -160,12 +160,11 @@
       const std::string PreviousIncarnation = A.m_worker.m_workerIncarnation;
       const bool WasDraining = A.m_worker.m_draining;
       A.m_worker = *R.m_worker;
+      adoptRuns(R);
       if (!PreviousIncarnation.empty() &&
-          PreviousIncarnation != A.m_worker.m_workerIncarnation) {
-        adoptRuns(R, PreviousIncarnation);
+          PreviousIncarnation != A.m_worker.m_workerIncarnation)
         loseRuns(A.m_name, PreviousIncarnation, "workerRestarted", Now,
                  WallNow);
-      }
       if (A.m_worker.m_draining && !WasDraining)
         m_ports.event("workerDraining", "",
                       fmt::format("agent={} remainingMs={}", A.m_name,
@@ -222,23 +221,27 @@
   processChanges(Now);
 }
 
-// A start order for the previous incarnation of a worker may have started its
-// run in the new one. The run is kept, so that the task does not run twice.
-void Leader::adoptRuns(const AgentReport &R,
-                       const std::string &PreviousIncarnation) {
-  for (const RunReport &Run : R.m_runs) {
-    const auto Name = parseTaskName(Run.m_task);
-    Task *T = Name ? findTask(*Name) : nullptr;
-    if (T == nullptr || T->m_phase != TaskPhase::Placed ||
-        T->m_run != Run.m_run || T->m_agent != R.m_agent ||
-        T->m_workerIncarnation != PreviousIncarnation)
-      continue;
-    T->m_workerIncarnation = R.m_worker->m_workerIncarnation;
-    markChanged(m_jobs[Name->m_job]);
+// A start order for an earlier incarnation of a worker may have started its run
+// in the current one. The run, or its end, is taken over, so that the task does
+// not run twice. The leader that placed the run may have been replaced since.
+void Leader::adoptRuns(const AgentReport &R) {
+  const std::string &Incarnation = R.m_worker->m_workerIncarnation;
+  const auto Adopt = [&](const std::string &Task, int Run) {
+    const auto Name = parseTaskName(Task);
+    batch::Task *T = Name ? findTask(*Name) : nullptr;
+    if (T == nullptr || T->m_phase != TaskPhase::Placed || T->m_run != Run ||
+        T->m_agent != R.m_agent || T->m_workerIncarnation == Incarnation)
+      return;
     m_ports.event("runAdopted", Name->m_job,
-                  fmt::format("task={} run={} life={}", Run.m_task, Run.m_run,
-                              T->m_workerIncarnation));
-  }
+                  fmt::format("task={} run={} life={} before={}", Task, Run,
+                              Incarnation, T->m_workerIncarnation));
+    T->m_workerIncarnation = Incarnation;
+    markChanged(m_jobs[Name->m_job]);
+  };
+  for (const RunReport &Run : R.m_runs)
+    Adopt(Run.m_task, Run.m_run);
+  for (const EndReport &E : R.m_ends)
+    Adopt(E.m_task, E.m_run);
 }
 
 std::pair<std::size_t, std::size_t> Leader::agentsInContact(Millis Now) const {
--- a/src/batch/leader.h
+++ b/src/batch/leader.h
@@ -149,7 +149,7 @@
   using Job = JobState;
   using AgentView = detail::AgentView;
 
-  void adoptRuns(const AgentReport &R, const std::string &PreviousIncarnation);
+  void adoptRuns(const AgentReport &R);
 
   // leader_callers.cc
   void submit(const CallerRequest &R, Millis Now, Millis WallNow,
--- a/tests/batch/leader_test.cc
+++ b/tests/batch/leader_test.cc
@@ -237,6 +237,33 @@
   EXPECT_TRUE(m_agents["w"].m_stops.empty());
 }
 
+// A leader that had never seen the earlier incarnation declared the run lost
+// and started it elsewhere (restart simulation, seeds 332 and 662).
+TEST_F(LeaderTest, ANewLeaderAdoptsARunOfTheNextWorkerIncarnation) {
+  addAgent("w");
+  submit("a", jobOf({step(1, 1)}));
+  pass(300);
+  m_agents["w"].m_workerIncarnation = "w@2";
+  makeLeader();
+  pass(1000);
+  EXPECT_EQ(m_starts["a.0.0.0"], 1);
+  EXPECT_TRUE(m_agents["w"].m_stops.empty());
+}
+
+// The end of such a run was acknowledged without effect, and the task started
+// again although it was done (restart simulation, seed 165).
+TEST_F(LeaderTest, ANewLeaderTakesTheEndOfARunOfTheNextWorkerIncarnation) {
+  addAgent("w");
+  submit("a", jobOf({step(1, 1)}));
+  pass(300);
+  m_agents["w"].m_workerIncarnation = "w@2";
+  end("w", "a.0.0.0", EndKind::Done);
+  makeLeader();
+  pass(1000);
+  EXPECT_EQ(m_starts["a.0.0.0"], 1);
+  EXPECT_EQ(phaseOf("a"), JobPhase::Done);
+}
+
 // A busy leader read reports late, by minutes of work, and out of order. A
 // report from before a worker's restart made it give up the runs of the current
 // incarnation, which then ran twice.
