--- a/tests/batch/leader_test.cc
+++ b/tests/batch/leader_test.cc
@@ -63,6 +63,28 @@
   EXPECT_EQ(m_starts.count("b.0.0.0"), 0u);
 }
 
+// Guards against changes that wait for a batch which is never written: when the
+// store refused a batch of new jobs only, its number was used again, and what
+// had been marked with the next number was not acted on until another change.
+TEST_F(LeaderTest, ChangesDuringARefusedBatchAreActedOnOnceStored) {
+  addAgent("w");
+  submit("a", jobOf({step(2, 8)}));
+  pass(300);
+  ASSERT_EQ(m_starts["a.0.0.0"], 1);
+  m_outcome.reset();
+  const auto Refused = submit("b", jobOf({step(1, 8)}));
+  end("w", "a.0.0.0", EndKind::Done);
+  report("w");
+  m_outcome = AppendOutcome::NotDone;
+  answerAppends();
+  ASSERT_TRUE(Refused->has_value());
+  EXPECT_EQ((*Refused)->m_verdict, Verdict::Unavailable);
+  m_outcome = AppendOutcome::Done;
+  pass(500);
+  EXPECT_EQ(m_starts["a.0.0.1"], 1);
+  EXPECT_FALSE(m_agents["w"].m_acknowledged.empty());
+}
+
 // A caller with little time left got "unknown", though the leader could have
 // refused the job (incident inc-cd4f).
 TEST_F(LeaderTest, ASubmissionWithoutTimeForAnAnswerIsRefused) {
@@ -149,6 +171,23 @@
   }
 }
 
+// A repeated submission was answered with an end that was not stored and that
+// the next leader did not know (restart simulation, seed 9).
+TEST_F(LeaderTest, ARepeatedSubmissionShowsAnEndOnlyOnceItIsStored) {
+  addAgent("w");
+  submit("a", jobOf({step(1, 1)}));
+  pass(500);
+  end("w", "a.0.0.0", EndKind::Done);
+  m_outcome.reset();
+  report("w");
+  const auto Before = submit("a", jobOf({step(1, 1)}));
+  ASSERT_TRUE(Before->has_value());
+  EXPECT_NE((*Before)->m_phase, JobPhase::Done);
+  m_outcome = AppendOutcome::Done;
+  pass(200);
+  EXPECT_EQ((*submit("a", jobOf({step(1, 1)})))->m_phase, JobPhase::Done);
+}
+
 TEST_F(LeaderTest, FailsAJobAfterItsAttempts) {
   addAgent("w");
   submit("a", jobOf({step(1, 1)}));
@@ -250,6 +289,33 @@
   EXPECT_TRUE(m_agents["w"].m_stops.empty());
 }
 
+// A leader that had never seen the earlier incarnation declared the run lost
+// and started it elsewhere (restart simulation, seeds 332 and 662).
+TEST_F(LeaderTest, ANewLeaderAdoptsARunOfTheNextWorkerIncarnation) {
+  addAgent("w");
+  submit("a", jobOf({step(1, 1)}));
+  pass(300);
+  m_agents["w"].m_workerIncarnation = "w@2";
+  makeLeader();
+  pass(1000);
+  EXPECT_EQ(m_starts["a.0.0.0"], 1);
+  EXPECT_TRUE(m_agents["w"].m_stops.empty());
+}
+
+// The end of such a run was acknowledged without effect, and the task started
+// again although it was done (restart simulation, seed 165).
+TEST_F(LeaderTest, ANewLeaderTakesTheEndOfARunOfTheNextWorkerIncarnation) {
+  addAgent("w");
+  submit("a", jobOf({step(1, 1)}));
+  pass(300);
+  m_agents["w"].m_workerIncarnation = "w@2";
+  end("w", "a.0.0.0", EndKind::Done);
+  makeLeader();
+  pass(1000);
+  EXPECT_EQ(m_starts["a.0.0.0"], 1);
+  EXPECT_EQ(phaseOf("a"), JobPhase::Done);
+}
+
 // A busy leader read reports late, by minutes of work, and out of order. A
 // report from before a worker's restart made it give up the runs of the current
 // incarnation, which then ran twice.
