Stop a refused start first after a restart of the agent

An order to start that was not answered may be carried out seconds later, so an agent that is refused a repeated start stops the run before it reports it as never started. A new agent process did not know the unanswered orders of the previous one and reported such a run at once; the leader could place the task elsewhere while the worker still carried out the first order.

AgentTest.ARefusedStartIsStoppedFirstAfterAnAgentRestart failed before (the run was reported as never started without a stop). For the time in which a late order can arrive, a new process now treats every refused start as one that may still be carried out.

--- a/src/batch/agent.cc
+++ b/src/batch/agent.cc
@@ -51,6 +51,8 @@
                               m_worker ? m_worker->m_workerIncarnation : ""));
     if (m_worker)
       resetForNewIncarnation(Now);
+    else
+      m_inheritedStartsUntil = Now + LateOrderMs;
   }
   m_worker = W;
   m_changed = m_changed || NewIncarnation || DrainStarts;
@@ -218,7 +220,8 @@
         fmt::format("task={} run={} reason={}", Task, RunNumber, A.m_reason));
     // An earlier attempt may still be carried out, or the run may have ended.
     // A stop order and the next poll settle which.
-    if (m_lateStarts.contains(It->first) || A.m_outcome == OrderOutcome::Ended)
+    if (m_lateStarts.contains(It->first) || Now < m_inheritedStartsUntil ||
+        A.m_outcome == OrderOutcome::Ended)
       R.m_stopWanted = true;
     else if (!R.m_stopWanted)
       return endUnreportedRun({Task, RunNumber}, EndKind::NeverStarted,
--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -174,6 +174,9 @@
   /// Start orders without an answer, and until when the worker may still carry
   /// them out.
   std::map<Key, Millis> m_lateStarts;
+  /// Until when the worker may still carry out start orders of an earlier
+  /// process of this agent, which are not known here.
+  Millis m_inheritedStartsUntil = 0;
   std::vector<EndReport> m_ends; ///< Not acknowledged by the leader yet.
   std::int64_t m_highestEnd = 0;
   std::int64_t m_acknowledged = 0; ///< All ends up to this number are stored.
--- a/tests/batch/agent_test.cc
+++ b/tests/batch/agent_test.cc
@@ -189,6 +189,20 @@
   EXPECT_EQ(Next.m_reports.back().m_runs[0].m_task, TaskA);
 }
 
+// Guards against a task that runs twice: the previous process of the agent may
+// have sent the same start without an answer, and the worker may carry it out
+// after it has refused the repeated one.
+TEST_F(AgentTest, ARefusedStartIsStoppedFirstAfterAnAgentRestart) {
+  m_worker.m_refusal = "status503";
+  m_worker.m_stopRefusal = "status503";
+  startA();
+  m_worker.pass(1000);
+  EXPECT_FALSE(m_worker.reported(EndKind::NeverStarted));
+  m_worker.m_stopRefusal.clear();
+  m_worker.pass(1000);
+  EXPECT_TRUE(m_worker.reported(EndKind::NeverStarted));
+}
+
 // The worker answers every poll at once while ends are not acknowledged.
 TEST_F(AgentTest, PollsAreSpacedWhileEndsAreNotAcknowledged) {
   startA();
