Drop a job only once its end is stored

What callers saw: nothing yet; the fault was found by asking what else the leader answers from a state that is not stored. A job was dropped when the time for which callers may ask for it was over, also if its end was still waiting for the store. It was then unknown to callers, the batch with its end was left out, and the next leader ran it again.

batch.LeaderTest.AJobIsDroppedOnlyOnceItsEndIsStored failed before: m_leader->jobs().count("a") Which is: 0, expected 1.

--- a/src/batch/leader.cc
+++ b/src/batch/leader.cc
@@ -338,8 +338,10 @@
 
 void Leader::purge(Millis WallNow) {
   for (auto It = m_jobs.begin(); It != m_jobs.end();) {
-    const Progress &P = It->second.m_progress;
-    if (!isEnded(P.m_phase) || WallNow - P.m_endedMs < m_timing.m_retentionMs) {
+    const Job &J = It->second;
+    // A job whose end is not stored would run again in the next leader.
+    if (!isEnded(J.m_storedPhase) ||
+        WallNow - J.m_progress.m_endedMs < m_timing.m_retentionMs) {
       ++It;
       continue;
     }
--- a/tests/batch/leader_test.cc
+++ b/tests/batch/leader_test.cc
@@ -171,6 +171,22 @@
   }
 }
 
+// During a long outage of the store, a job was dropped before its end was
+// stored. It was unknown to callers, and the next leader ran it again.
+TEST_F(LeaderTest, AJobIsDroppedOnlyOnceItsEndIsStored) {
+  addAgent("w");
+  submit("a", jobOf({step(1, 1)}));
+  pass(500);
+  m_outcome = AppendOutcome::NotDone;
+  end("w", "a.0.0.0", EndKind::Done);
+  pass(Timing{}.m_retentionMs + 1000);
+  EXPECT_EQ(m_leader->jobs().count("a"), 1u);
+  m_outcome = AppendOutcome::Done;
+  pass(1000);
+  EXPECT_TRUE(m_leader->jobs().empty());
+  EXPECT_TRUE(m_stored.empty());
+}
+
 // A repeated submission was answered with an end that was not stored and that
 // the next leader did not know (restart simulation, seed 9).
 TEST_F(LeaderTest, ARepeatedSubmissionShowsAnEndOnlyOnceItIsStored) {
