--- a/src/base/clock.cc
+++ b/src/base/clock.cc
@@ -6,22 +6,30 @@
 #include <time.h>
 
 namespace pomelokeel::base {
+namespace {
 
-Millis monotonicNow() {
-  using namespace std::chrono;
-  return duration_cast<milliseconds>(steady_clock::now().time_since_epoch())
-      .count();
-}
-
-Millis bootNow() {
+// Falls back to monotonicNow() if the system has no such clock.
+Millis read(clockid_t Clock) {
   constexpr Millis MsPerSecond = 1000;
   constexpr Millis NsPerMs = 1000000;
   timespec T{};
-  if (clock_gettime(CLOCK_BOOTTIME, &T) != 0)
+  if (clock_gettime(Clock, &T) != 0)
     return monotonicNow();
   return T.tv_sec * MsPerSecond + T.tv_nsec / NsPerMs;
 }
 
+} // namespace
+
+Millis monotonicNow() {
+  using namespace std::chrono;
+  return duration_cast<milliseconds>(steady_clock::now().time_since_epoch())
+      .count();
+}
+
+Millis bootNow() { return read(CLOCK_BOOTTIME); }
+
+Millis threadCpuNow() { return read(CLOCK_THREAD_CPUTIME_ID); }
+
 Millis wallNow() {
   using namespace std::chrono;
   return duration_cast<milliseconds>(system_clock::now().time_since_epoch())
--- a/src/base/clock.h
+++ b/src/base/clock.h
@@ -20,6 +20,10 @@
 /// to monotonicNow() if the system has no such clock.
 Millis bootNow();
 
+/// Processor time that the calling thread has used. Falls back to
+/// monotonicNow() if the system has no such clock.
+Millis threadCpuNow();
+
 /// Wall clock time since the Unix epoch. Not monotonic: use it only for display
 /// and for event stamps.
 Millis wallNow();
--- a/src/entry/leadership.cc
+++ b/src/entry/leadership.cc
@@ -15,7 +15,9 @@
 constexpr Millis PlanEveryMs = 100;
 
 // Snapshots take at most 1/SnapshotCostFactor of the core thread's time. With a
-// large state, a burst of records would otherwise block the thread.
+// large state, a burst of records would otherwise block the thread. Only the
+// processor time counts: a busy machine must not delay the next snapshot, or
+// the log may drop records that no snapshot includes.
 constexpr Millis SnapshotCostFactor = 20;
 
 LeaderTiming leaderTiming(const settings::EntrySettings &S) {
@@ -196,11 +198,11 @@
       New >= static_cast<std::uint64_t>(m_settings.m_snapshotEveryRecords) ||
       (New > 0 && Age >= m_settings.m_snapshotEveryMs);
   if (!Due || m_snapshotAppends > 0 ||
-      Age < m_snapshotDurationMs * SnapshotCostFactor)
+      Age < m_snapshotCostMs * SnapshotCostFactor)
     return;
-  const Millis Begin = base::monotonicNow();
+  const Millis Begin = base::threadCpuNow();
   writeSnapshot(S);
-  m_snapshotDurationMs = base::monotonicNow() - Begin;
+  m_snapshotCostMs = base::threadCpuNow() - Begin;
   m_snapshotMs = NowMs;
 }
 
--- a/src/entry/leadership.h
+++ b/src/entry/leadership.h
@@ -115,7 +115,7 @@
   Millis m_plannedMs = 0;
   std::uint64_t m_snapshotOffset = 0; ///< Of the last snapshot.
   Millis m_snapshotMs = 0;            ///< When it was written.
-  Millis m_snapshotDurationMs = 0;    ///< Time that writing it took.
+  Millis m_snapshotCostMs = 0;        ///< Processor time of writing it.
   int m_snapshotAppends = 0;          ///< In flight.
 };
 
