--- a/tests/batch/restart_test.cc
+++ b/tests/batch/restart_test.cc
@@ -6,6 +6,7 @@
 #include <iostream>
 #include <string>
 #include <utility>
+#include <vector>
 
 namespace pomelokeel::batch::tests {
 namespace {
@@ -24,12 +25,9 @@
   return {First, *End == '-' ? std::strtoull(End + 1, nullptr, 10) : First};
 }
 
-// Guards against anything that was promised to a worker or a caller and is
-// forgotten when processes restart while the store fails.
-TEST(RestartTest, PromisesOutliveRestartsOfAllProcesses) {
-  const auto [First, Last] = seedRange();
+int countViolations(const std::vector<std::uint64_t> &Seeds) {
   int Failed = 0;
-  for (std::uint64_t Seed = First; Seed <= Last; ++Seed) {
+  for (const std::uint64_t Seed : Seeds) {
     const std::string Violation = RestartSimulation(Seed).run();
     if (Violation.empty())
       continue;
@@ -37,7 +35,49 @@
       ADD_FAILURE() << Violation;
     std::cout << Violation.substr(0, Violation.find('\n')) << '\n';
   }
-  EXPECT_EQ(Failed, 0) << "of seeds " << First << " to " << Last;
+  return Failed;
+}
+
+// Guards against anything that was promised to a worker or a caller and is
+// forgotten when processes restart while the store fails.
+TEST(RestartTest, PromisesOutliveRestartsOfAllProcesses) {
+  const auto [First, Last] = seedRange();
+  std::vector<std::uint64_t> Seeds;
+  for (std::uint64_t Seed = First; Seed <= Last; ++Seed)
+    Seeds.push_back(Seed);
+  EXPECT_EQ(countViolations(Seeds), 0)
+      << "of seeds " << First << " to " << Last;
+}
+
+// Guards against ends that are acknowledged before they are stored.
+TEST(RestartTest, EndsThatAreAcknowledgedAreStored) {
+  EXPECT_EQ(countViolations({2, 10, 24, 34, 71, 122, 144, 171, 212, 733, 986,
+                             1712, 1755, 1926}),
+            0);
+}
+
+// Guards against an end that is shown to a caller before it is stored.
+TEST(RestartTest, EndsThatAreShownAreStored) {
+  EXPECT_EQ(countViolations({9, 73, 90, 194, 213, 281, 764}), 0);
+}
+
+// Guards against runs in the next incarnation of a worker that a new leader
+// counts as lost.
+TEST(RestartTest, RunsOfTheNextWorkerIncarnationAreAdopted) {
+  EXPECT_EQ(countViolations({165, 332, 349, 451, 468, 662, 870, 1006, 1529}),
+            0);
+}
+
+// Guards against a late order to an earlier incarnation of a worker that is
+// carried out after the agent, which sent it, has restarted too.
+TEST(RestartTest, LateStartsAreVoidedAfterRestartsOfWorkerAndAgent) {
+  EXPECT_EQ(countViolations({805, 948, 1351, 1821, 2776, 3938}), 0);
+}
+
+// Guards against a late poll, sent before the agent knew that its worker had
+// restarted, which makes the next incarnation forget ends.
+TEST(RestartTest, ALatePollAcknowledgesNoEndOfTheNextIncarnation) {
+  EXPECT_EQ(countViolations({1456, 3054}), 0);
 }
 
 } // namespace
