soak: kill all processes at once while the store is out

It killed single processes only, so some entry or agent always kept what the store had not taken.

That happens alone or among the other faults, SIGHUP, and the restart of one agent. Half of the jobs are gangs, and some are spread over workers. Callers keep a connection to one entry until that process is gone.

The history records each run with its end and that end's acknowledgement, and checks each start against them, also if the acknowledgement comes after the start: no start after an end as done, none after the attempts have failed, none of a job that was shown as done or, where the agent is in touch, later than 3 s after its cancel was acknowledged. "failed" is now checked against the attempts. The soak prints the lines of the first violation's job.

--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -22,6 +22,12 @@
 constexpr int MaxSubmissions = 8;
 constexpr const char *Host = "jobs.example";
 
+/// Returns how many runs of each task fail, for a random number below 10.
+int failingRuns(std::uint64_t Random) {
+  constexpr int All = 1000;
+  return Random == 0 ? 1 : Random == 1 ? All : 0;
+}
+
 } // namespace
 
 std::string configuration(int Version) {
@@ -32,7 +38,7 @@
                       {"pathPrefix", fmt::format("/q{}/", Priority)},
                       {"service", "work"},
                       {"priority", Priority},
-                      {"attempts", 3},
+                      {"attempts", Attempts},
                       {"stretch", 2},
                       {"sloMs", 1000}});
   return base::dumpJson({{"version", Version},
@@ -45,29 +51,47 @@
 
 Callers::Callers(http::Reactor &R, History &H, std::mt19937_64 &Random,
                  const std::vector<std::string> &Entries)
-    : m_reactor(R), m_history(H), m_random(Random) {
-  for (const std::string &Address : Entries)
-    m_entries.push_back(http::AsyncClient::create(m_reactor, Address));
-}
-
-http::AsyncClient &Callers::randomEntry() {
-  return *m_entries[m_random() % m_entries.size()];
+    : m_reactor(R), m_history(H), m_random(Random), m_entries(Entries) {}
+
+void Callers::call(const char *Method, Job &J, std::string Body,
+                   std::function<void(Job &, const http::CallResult &)> Done) {
+  if (!J.m_entry || J.m_entryIsGone)
+    J.m_entry = http::AsyncClient::create(
+        m_reactor, m_entries[m_random() % m_entries.size()]);
+  J.m_entryIsGone = false;
+  J.m_callInFlight = true;
+  http::Request R = makeRequest(Method, J);
+  R.m_body = std::move(Body);
+  J.m_entry->call(
+      std::move(R), CallTimeoutMs,
+      [this, Id = J.m_id, Done = std::move(Done)](const http::CallResult &Got) {
+        Job &J = m_jobs[Id];
+        J.m_callInFlight = false;
+        J.m_nextCallAt = base::bootNow() + RetryDelayMs;
+        const auto *Failed = std::get_if<http::CallError>(&Got);
+        J.m_entryIsGone = Failed != nullptr && Failed->m_error.m_kind ==
+                                                   base::ErrorKind::Unreachable;
+        Done(J, Got);
+      });
 }
 
 void Callers::addJob() {
   Job J;
   J.m_id = fmt::format("{:016x}", m_random());
-  const bool Gang = m_random() % 3 == 0;
+  const bool Gang = m_random() % m_jobsPerGang == 0;
   const int Count = 1 + static_cast<int>(m_random() % 4);
   const int Accelerators = 1 << (m_random() % 3);
   const int RunMs = 200 + static_cast<int>(m_random() % 2500);
   const Json Payload = {{"runMs", RunMs},
                         {"gpu", Accelerators},
                         {"gang", Gang ? Count : 1},
-                        {"failing", m_random() % 10 == 0 ? 1 : 0}};
+                        {"failing", failingRuns(m_random() % 10)}};
   Json Step = {{"count", Count},      {"cpu", 1000},    {"memMb", 100},
                {"gpu", Accelerators}, {"estMs", RunMs}, {"gang", Gang},
                {"rackLocal", Gang}};
+  // Spreads the members over two workers, whose agents report them apart.
+  if (Gang && m_random() % 2 == 0)
+    Step["antiAffinity"] = (Count + 1) / 2;
   J.m_tasks = Count;
   J.m_body = base::dumpJson(
       {{"spec", base::dumpJson(Payload)}, {"steps", Json::array({Step})}});
@@ -86,72 +110,52 @@
   return R;
 }
 
-void Callers::sendSubmit(const std::string &Id) {
-  Job &J = m_jobs[Id];
-  J.m_callInFlight = true;
+void Callers::sendSubmit(Job &J) {
   ++J.m_submissions;
-  m_history.submitted(Id);
-  http::Request R = makeRequest("POST", J);
-  R.m_body = J.m_body;
-  randomEntry().call(
-      R, CallTimeoutMs, [this, Id](const http::CallResult &Result) {
-        Job &J = m_jobs[Id];
-        J.m_callInFlight = false;
-        J.m_nextCallAt = base::bootNow() + RetryDelayMs;
-        const auto *Got = std::get_if<http::Response>(&Result);
-        const auto *Failed = std::get_if<http::CallError>(&Result);
-        if (Got != nullptr && Got->m_status == 200) {
-          J.m_accepted = true;
-          return m_history.accepted(Id);
-        }
-        const bool NotSent =
-            Failed != nullptr && Failed->m_sent == http::Sent::No;
-        const bool Refused =
-            Got != nullptr && (Got->m_status == 503 || Got->m_status == 429);
-        if (!NotSent && !Refused)
-          return;
-        m_history.refused(Id);
-        // A submission without an answer may have been accepted, so the job is
-        // submitted again. Only a refusal lets the caller give up.
-        J.m_abandoned = J.m_submissions >= MaxSubmissions;
-      });
+  m_history.submitted(J.m_id);
+  call("POST", J, J.m_body, [this](Job &J, const http::CallResult &Result) {
+    const auto *Got = std::get_if<http::Response>(&Result);
+    const auto *Failed = std::get_if<http::CallError>(&Result);
+    if (Got != nullptr && Got->m_status == 200) {
+      J.m_accepted = true;
+      return m_history.accepted(J.m_id);
+    }
+    const bool NotSent = Failed != nullptr && Failed->m_sent == http::Sent::No;
+    const bool Refused =
+        Got != nullptr && (Got->m_status == 503 || Got->m_status == 429);
+    if (!NotSent && !Refused)
+      return;
+    m_history.refused(J.m_id);
+    // A submission without an answer may have been accepted, so the job is
+    // submitted again. Only a refusal lets the caller give up.
+    J.m_abandoned = J.m_submissions >= MaxSubmissions;
+  });
 }
 
-void Callers::sendQuery(const std::string &Id) {
-  Job &J = m_jobs[Id];
-  J.m_callInFlight = true;
-  randomEntry().call(
-      makeRequest("GET", J), CallTimeoutMs,
-      [this, Id](const http::CallResult &Result) {
-        Job &J = m_jobs[Id];
-        J.m_callInFlight = false;
-        J.m_nextCallAt = base::bootNow() + QueryIntervalMs;
-        const auto *Got = std::get_if<http::Response>(&Result);
-        if (Got == nullptr || (Got->m_status != 200 && Got->m_status != 410))
-          return;
-        const Json Body = base::parseJson(Got->m_body);
-        const std::string State =
-            Got->m_status == 410 ? "gone" : Body.value("state", "");
-        m_history.stateShown(Id, State, J.m_tasks);
-        J.m_ended = State != "queued" && State != "running";
-      });
+void Callers::sendQuery(Job &J) {
+  call("GET", J, "", [this](Job &J, const http::CallResult &Result) {
+    J.m_nextCallAt = base::bootNow() + QueryIntervalMs;
+    const auto *Got = std::get_if<http::Response>(&Result);
+    if (Got == nullptr || (Got->m_status != 200 && Got->m_status != 410))
+      return;
+    const Json Body = base::parseJson(Got->m_body);
+    const std::string State =
+        Got->m_status == 410 ? "gone" : Body.value("state", "");
+    m_history.stateShown(J.m_id, State, J.m_tasks);
+    J.m_ended = State != "queued" && State != "running";
+  });
 }
 
-void Callers::sendCancel(const std::string &Id) {
-  Job &J = m_jobs[Id];
-  J.m_callInFlight = true;
+void Callers::sendCancel(Job &J) {
   // Recorded before the call, because the request can take effect even if it
   // is not answered.
-  m_history.cancelRequested(Id);
-  randomEntry().call(makeRequest("DELETE", J), CallTimeoutMs,
-                     [this, Id](const http::CallResult &Result) {
-                       Job &J = m_jobs[Id];
-                       J.m_callInFlight = false;
-                       J.m_nextCallAt = base::bootNow() + RetryDelayMs;
-                       const auto *Got = std::get_if<http::Response>(&Result);
-                       J.m_cancelConfirmed =
-                           Got != nullptr && Got->m_status == 200;
-                     });
+  m_history.cancelRequested(J.m_id);
+  call("DELETE", J, "", [this](Job &J, const http::CallResult &Result) {
+    const auto *Got = std::get_if<http::Response>(&Result);
+    J.m_cancelConfirmed = Got != nullptr && Got->m_status == 200;
+    if (J.m_cancelConfirmed)
+      m_history.cancelAcknowledged(J.m_id);
+  });
 }
 
 void Callers::tick() {
@@ -160,11 +164,11 @@
     if (J.m_callInFlight || J.m_ended || J.m_abandoned || Now < J.m_nextCallAt)
       continue;
     if (!J.m_accepted)
-      sendSubmit(Id);
+      sendSubmit(J);
     else if (J.m_shouldCancel && !J.m_cancelConfirmed)
-      sendCancel(Id);
+      sendCancel(J);
     else
-      sendQuery(Id);
+      sendQuery(J);
   }
 }
 
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -4,6 +4,7 @@
 #include "soak/history.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -12,14 +13,19 @@
 
 namespace pomelokeel::soak {
 
-/// Simulates callers. Each request goes to a random entry. A submission is
-/// repeated until it is accepted or refused too often. Some accepted jobs are
-/// cancelled, and all of them are queried until they have ended.
+/// Simulates callers, one for each job. A caller keeps its connection to a
+/// random entry until that process is gone, and then chooses another one. A
+/// submission is repeated until it is accepted or refused too often. Some
+/// accepted jobs are cancelled, and all of them are queried until they have
+/// ended.
 class Callers {
 public:
   Callers(http::Reactor &R, History &H, std::mt19937_64 &Random,
           const std::vector<std::string> &Entries);
 
+  /// One of this many jobs is a gang.
+  unsigned m_jobsPerGang = 3;
+
   /// Creates a job with random properties. The next tick() submits it.
   void addJob();
   /// Sends the requests that are due, at most one at a time for each job.
@@ -45,18 +51,22 @@
     bool m_shouldCancel = false;    ///< Cancel it once it is accepted.
     bool m_cancelConfirmed = false; ///< Answered with status 200.
     Millis m_nextCallAt = 0;
+    std::shared_ptr<http::AsyncClient> m_entry;
+    bool m_entryIsGone = false;
   };
 
   http::Request makeRequest(const char *Method, const Job &J) const;
-  void sendSubmit(const std::string &Id);
-  void sendQuery(const std::string &Id);
-  void sendCancel(const std::string &Id);
-  http::AsyncClient &randomEntry();
+  void sendSubmit(Job &J);
+  void sendQuery(Job &J);
+  void sendCancel(Job &J);
+  /// Sends the request to the entry of the job's caller.
+  void call(const char *Method, Job &J, std::string Body,
+            std::function<void(Job &, const http::CallResult &)> Done);
 
   http::Reactor &m_reactor;
   History &m_history;
   std::mt19937_64 &m_random;
-  std::vector<std::shared_ptr<http::AsyncClient>> m_entries;
+  std::vector<std::string> m_entries;
   std::map<std::string, Job> m_jobs;
 };
 
--- a/tests/soak/fleet.cc
+++ b/tests/soak/fleet.cc
@@ -73,15 +73,23 @@
       if (P.m_resumeAt > 0 && Now >= P.m_resumeAt) {
         P.m_child->signal(SIGCONT);
         P.m_resumeAt = 0;
+        P.m_disturbedAt = Now;
       }
-      if (P.m_child && P.m_child->running())
+      if (P.m_child && P.m_child->running()) {
+        if (P.m_ending || P.m_resumeAt > 0)
+          P.m_disturbedAt = Now;
         continue;
+      }
+      P.m_disturbedAt = Now;
       if (P.m_child) {
         P.m_child.reset();
         P.m_startAt = std::max(P.m_startAt, Now);
       }
-      if (Now >= P.m_startAt)
-        P.m_child.emplace(P.m_command, P.m_logFile);
+      if (Now < P.m_startAt)
+        continue;
+      P.m_child.emplace(P.m_command, P.m_logFile);
+      P.m_startedAt = Now;
+      P.m_ending = false;
     }
   }
 }
@@ -91,6 +99,7 @@
   if (!P.m_child)
     return;
   P.m_startAt = Now + RestartAfterMs;
+  P.m_ending = true;
   P.m_child->signal(Signal);
   // A suspended process handles SIGTERM only after SIGCONT.
   if (P.m_resumeAt > 0)
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -21,6 +21,9 @@
   std::string m_heartbeatAddress; ///< Agents: for the worker's heartbeats.
   Millis m_startAt = 0;           ///< Earliest time of the next start.
   Millis m_resumeAt = 0;          ///< End of a freeze, or 0 if not frozen.
+  bool m_ending = false;          ///< Was told to end.
+  Millis m_startedAt = 0;         ///< Time of the last start.
+  Millis m_disturbedAt = 0;       ///< When it last did not run freely.
   std::optional<scenario::Child> m_child;
 };
 
--- a/tests/soak/history.cc
+++ b/tests/soak/history.cc
@@ -2,9 +2,16 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
+
 namespace pomelokeel::soak {
 namespace {
 
+/// Time from the acknowledgement of a cancel after which no task starts.
+constexpr Millis CancelMs = 3000;
+/// Time without disturbances after which bounds of time hold.
+constexpr Millis ContactMs = 4000;
+
 std::string jobOf(const std::string &Task) {
   return Task.substr(0, Task.find('.'));
 }
@@ -37,6 +44,11 @@
   log("cancelled " + Job);
 }
 
+void History::cancelAcknowledged(const std::string &Job) {
+  m_jobs[Job].m_cancelAcknowledgedAt = base::bootNow();
+  log("cancel-acknowledged " + Job);
+}
+
 void History::stateShown(const std::string &Job, const std::string &State,
                          int Tasks) {
   struct Job &J = m_jobs[Job];
@@ -48,16 +60,80 @@
   if (State == "done" && static_cast<int>(m_done[Job].size()) < Tasks)
     violation(fmt::format("done {}: only {} of {} tasks are done", Job,
                           m_done[Job].size(), Tasks));
-  if (State == "failed" && J.m_failures == 0)
-    violation("failed " + Job + ": no run has failed");
+  if (State == "failed" && J.m_failures < Attempts)
+    violation(
+        fmt::format("failed {}: only {} runs have failed", Job, J.m_failures));
+  J.m_shownDone = J.m_shownDone || State == "done";
   J.m_ended =
       J.m_ended || State == "done" || State == "failed" || State == "cancelled";
 }
 
+History::Run *History::findRun(const std::string &Worker,
+                               const std::string &Task, int Number) {
+  auto &Runs = m_runs[Task];
+  const auto It =
+      std::find_if(Runs.rbegin(), Runs.rend(), [&](const struct Run &R) {
+        return R.m_worker == Worker && R.m_number == Number;
+      });
+  return It == Runs.rend() ? nullptr : &*It;
+}
+
+// An end that is acknowledged after the start counts too, so this runs after
+// each start and each acknowledgement.
+void History::checkStarts(const std::string &Task) {
+  auto &Runs = m_runs[Task];
+  for (struct Run &Start : Runs) {
+    if (Start.m_reported)
+      continue;
+    int Failures = 0;
+    const struct Run *Done = nullptr;
+    for (const struct Run &End : Runs) {
+      if (!End.m_endAcknowledged || End.m_endOrder > Start.m_startOrder)
+        continue;
+      Failures += End.m_endKind == "failed" ? 1 : 0;
+      Done = End.m_endKind == "done" ? &End : Done;
+    }
+    Start.m_reported = Done != nullptr || Failures >= Attempts;
+    if (Done != nullptr)
+      violation(fmt::format("twice {}: run {} started on {} after run {} had "
+                            "ended as done on {}, and that end was "
+                            "acknowledged",
+                            Task, Start.m_number, Start.m_worker,
+                            Done->m_number, Done->m_worker));
+    else if (Failures >= Attempts)
+      violation(fmt::format("budget {}: run {} started on {} after {} "
+                            "acknowledged failures",
+                            Task, Start.m_number, Start.m_worker, Failures));
+  }
+}
+
+// An order can be older than the cancel only if the agent has run since before
+// and was not told of the cancel in time.
+void History::checkStartOfCancelledJob(const std::string &Worker,
+                                       const std::string &Task, const Job &J) {
+  const Millis Now = base::bootNow();
+  if (J.m_cancelAcknowledgedAt < 0 ||
+      Now <= J.m_cancelAcknowledgedAt + CancelMs)
+    return;
+  const Agent &A = m_agents[Worker];
+  const bool Calm =
+      Now - std::max(A.m_disturbedAt, m_storeDisturbedAt) >= ContactMs;
+  if (Calm || A.m_startedAt > J.m_cancelAcknowledgedAt)
+    violation(fmt::format("cancelled {}: started on {} {} ms after the cancel "
+                          "of its job was acknowledged",
+                          Task, Worker, Now - J.m_cancelAcknowledgedAt));
+}
+
 void History::runStarted(const std::string &Worker, const std::string &Task,
-                         int Run) {
+                         int Run, bool Late) {
   ++m_starts;
-  log(fmt::format("start {} run={} worker={}", Task, Run, Worker));
+  log(fmt::format("start {} run={} worker={}{}", Task, Run, Worker,
+                  Late ? " late" : ""));
+  struct Run New;
+  New.m_worker = Worker;
+  New.m_number = Run;
+  New.m_startOrder = m_starts + m_ends;
+  m_runs[Task].push_back(New);
   const auto It = m_jobs.find(jobOf(Task));
   if (It == m_jobs.end())
     return violation("unasked " + Task +
@@ -67,8 +143,11 @@
   if (J.m_notRefused == 0 && !J.m_accepted)
     violation("refused " + Task +
               ": started although every submission of its job was refused");
-  if (m_acknowledgedDone.contains(Task))
-    violation("twice " + Task + ": started after its end was acknowledged");
+  checkStarts(Task);
+  if (J.m_shownDone)
+    violation("twice " + Task + ": started after its job was shown as done");
+  if (!Late)
+    checkStartOfCancelledJob(Worker, Task, J);
   for (const auto &[Other, OtherRun] : m_running[Task])
     violation(fmt::format("twice {}: run {} started on {} during run {} on {}",
                           Task, Run, Worker, OtherRun, Other));
@@ -80,18 +159,39 @@
   log(fmt::format("end {} run={} worker={} how={}", Task, Run, Worker,
                   EndKind));
   m_running[Task].erase(Worker);
+  ++m_ends;
+  if (struct Run *R = findRun(Worker, Task, Run)) {
+    R->m_endKind = EndKind;
+    R->m_endOrder = m_starts + m_ends;
+  }
   if (EndKind == "done")
     m_done[jobOf(Task)].insert(Task);
   if (EndKind == "failed")
     ++m_jobs[jobOf(Task)].m_failures;
 }
 
-void History::endAcknowledged(const std::string &Task,
-                              const std::string &EndKind) {
-  if (EndKind == "done")
-    m_acknowledgedDone.insert(Task);
+void History::endAcknowledged(const std::string &Worker,
+                              const std::string &Task, int Run,
+                              bool LeaseLapsed) {
+  log(fmt::format("end-acknowledged {} run={} worker={}{}", Task, Run, Worker,
+                  LeaseLapsed ? " after the lease" : ""));
+  struct Run *R = findRun(Worker, Task, Run);
+  if (R == nullptr || LeaseLapsed)
+    return;
+  R->m_endAcknowledged = true;
+  checkStarts(Task);
 }
 
+void History::agentStarted(const std::string &Worker) {
+  m_agents[Worker].m_startedAt = base::bootNow();
+}
+
+void History::agentDisturbed(const std::string &Worker) {
+  m_agents[Worker].m_disturbedAt = base::bootNow();
+}
+
+void History::storeDisturbed() { m_storeDisturbedAt = base::bootNow(); }
+
 void History::overCapacity(const std::string &Worker, const std::string &Task) {
   violation(
       fmt::format("limit {}: started beyond the capacity of {}", Task, Worker));
--- a/tests/soak/history.h
+++ b/tests/soak/history.h
@@ -13,6 +13,9 @@
 
 using base::Millis;
 
+/// Failed runs of a task, or a gang, after which its job has failed.
+constexpr int Attempts = 3;
+
 /// Records what callers and workers observe and checks it at once. Each event
 /// is one line that is passed to \p Log. Violations are also stored.
 class History {
@@ -28,18 +31,30 @@
   void refused(const std::string &Job);
   /// A caller is about to ask for the job's cancellation.
   void cancelRequested(const std::string &Job);
+  /// An entry has answered that the job is cancelled.
+  void cancelAcknowledged(const std::string &Job);
   /// An entry has answered a query with \p State. The job has \p Tasks tasks.
   void stateShown(const std::string &Job, const std::string &State, int Tasks);
 
-  void runStarted(const std::string &Worker, const std::string &Task, int Run);
+  /// \p Late if the worker carried out the order after a delay.
+  void runStarted(const std::string &Worker, const std::string &Task, int Run,
+                  bool Late);
   void runEnded(const std::string &Worker, const std::string &Task, int Run,
                 const std::string &EndKind);
   /// The worker was told that the end of the run has been stored, so that it no
-  /// longer reports it.
-  void endAcknowledged(const std::string &Task, const std::string &EndKind);
+  /// longer reports it. \p LeaseLapsed if the worker's lease lapsed between the
+  /// end and this acknowledgement, which then does not count.
+  void endAcknowledged(const std::string &Worker, const std::string &Task,
+                       int Run, bool LeaseLapsed);
   /// The worker has started a run beyond its capacity.
   void overCapacity(const std::string &Worker, const std::string &Task);
 
+  /// A process that serves \p Worker has started.
+  void agentStarted(const std::string &Worker);
+  /// The worker's agent does not run freely at this time.
+  void agentDisturbed(const std::string &Worker);
+  void storeDisturbed();
+
   /// \p Count jobs had not ended when the soak timed out.
   void notEndedInTime(std::size_t Count);
   /// Checks that no run of an ended job is still in progress. Called after all
@@ -50,6 +65,8 @@
   const std::vector<std::string> &violations() const { return m_violations; }
   /// Number of runs that workers have started.
   std::size_t starts() const { return m_starts; }
+  /// Number of runs that have ended.
+  std::size_t ends() const { return m_ends; }
 
 private:
   struct Job {
@@ -58,23 +75,47 @@
     int m_notRefused = 0;
     bool m_accepted = false;
     bool m_cancelled = false;
+    Millis m_cancelAcknowledgedAt = -1; ///< -1 if it is not acknowledged.
     bool m_started = false;
+    bool m_shownDone = false;
     bool m_ended = false; ///< As an entry has answered.
     int m_failures = 0;
   };
+  /// A run that a worker has started.
+  struct Run {
+    std::string m_worker;
+    int m_number = 0;
+    std::string m_endKind; ///< "" while it runs.
+    std::size_t m_startOrder = 0;
+    std::size_t m_endOrder = 0; ///< Comparable to m_startOrder.
+    bool m_endAcknowledged = false;
+    bool m_reported = false; ///< Its start is known to be a violation.
+  };
+  struct Agent {
+    Millis m_startedAt = 0;
+    Millis m_disturbedAt = 0;
+  };
 
   void violation(const std::string &Text);
+  Run *findRun(const std::string &Worker, const std::string &Task, int Number);
+  /// Checks the starts of \p Task against its acknowledged ends.
+  void checkStarts(const std::string &Task);
+  void checkStartOfCancelledJob(const std::string &Worker,
+                                const std::string &Task, const Job &J);
 
   std::function<void(const std::string &)> m_log;
   std::vector<std::string> m_violations;
   std::map<std::string, Job> m_jobs;
   /// Runs in progress: the run's number by task and worker.
   std::map<std::string, std::map<std::string, int>> m_running;
-  /// Tasks of which a run ended as done and the end was acknowledged.
-  std::set<std::string> m_acknowledgedDone;
+  /// All runs by task, in the order of their starts.
+  std::map<std::string, std::vector<Run>> m_runs;
   /// Tasks of which a run ended as done, by job.
   std::map<std::string, std::set<std::string>> m_done;
+  std::map<std::string, Agent> m_agents; ///< By worker.
+  Millis m_storeDisturbedAt = 0;
   std::size_t m_starts = 0;
+  std::size_t m_ends = 0;
 };
 
 } // namespace pomelokeel::soak
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -12,7 +12,9 @@
 #include <filesystem>
 #include <fstream>
 #include <functional>
+#include <iterator>
 #include <string>
+#include <utility>
 
 #include <signal.h>
 
@@ -30,6 +32,10 @@
 /// Loads 4 workers to about 70%: an average job has 2.5 tasks that take 1.5 s
 /// on 2.3 accelerators.
 constexpr Millis JobIntervalMs = 400;
+/// Little is done while the store is out and after all were killed.
+constexpr Millis JobIntervalBesideKillAllMs = 800;
+constexpr int UsualWorkers = 4;
+constexpr Millis MinJobIntervalMs = 50;
 constexpr Millis FaultIntervalMs = 700;
 /// Time after the last fault within which all jobs must end. It covers leases
 /// of 6 s, the 4 s for which agents renew them without an answer of the leader,
@@ -37,20 +43,45 @@
 constexpr Millis SettleTimeoutMs = 30000;
 /// Time from the end of all jobs to the final check.
 constexpr Millis FinalCheckDelayMs = 2000;
+/// The store goes out this long before the work of a gang ends, if one is near
+/// its end.
+constexpr Millis OutageBeforeEndMs = 300;
+/// Longest time for which an end is awaited before the store goes out, and then
+/// before all processes are killed.
+constexpr Millis MaxOutageMs = 2500;
+/// Lines of the history that are printed before the first violation.
+constexpr std::size_t ContextLines = 40;
+constexpr std::size_t IdDigits = 16;
+
+std::string workerName(std::size_t Index) { return fmt::format("w-{}", Index); }
 
 struct Options {
   std::string m_program;
   std::uint64_t m_seed = 1;
   int m_seconds = 15; ///< Duration of the phase with jobs and faults.
   int m_entries = 3;
-  int m_workers = 4;
+  int m_workers = UsualWorkers;
   bool m_ordersOutliveCrashes = false;
+  /// Also interrupts the store and then kills all processes at once.
+  bool m_killsAll = false;
+};
+
+/// Progress of the fault that kills all processes at once. The store is out
+/// before, so that ends of runs are reported but cannot be stored.
+struct KillAll {
+  Millis m_outageAt = 0;         ///< When the store goes out.
+  bool m_active = false;         ///< From the outage to the last kill.
+  bool m_alone = false;          ///< No other fault is injected meanwhile.
+  std::size_t m_endsToAwait = 0; ///< Total number of ends before the kill.
+  Millis m_killAt = 0;
+  int m_killsLeft = 0;
 };
 
 class Soak {
 public:
   Soak(const Options &O, const std::string &Folder)
-      : m_options(O), m_random(O.m_seed), m_log(Folder + "/history.log"),
+      : m_options(O), m_random(O.m_seed), m_killRandom(~O.m_seed),
+        m_log(Folder + "/history.log"),
         m_history([this](const std::string &Line) {
           m_log << base::bootNow() << ' ' << Line << '\n';
         }),
@@ -65,7 +96,7 @@
       const std::string Address =
           fmt::format("127.0.0.1:{}", scenario::reservePort());
       m_fleet.addAgent(fmt::format("agent-{}", I), Address);
-      m_workers.add(fmt::format("w-{}", I), Address,
+      m_workers.add(workerName(static_cast<std::size_t>(I)), Address,
                     m_fleet.agents().back().m_heartbeatAddress);
     }
     std::vector<std::string> Entries;
@@ -76,9 +107,12 @@
   }
 
   bool run() {
+    if (m_options.m_killsAll)
+      m_callers->m_jobsPerGang = 2;
     m_workers.m_ordersOutliveCrashes = m_options.m_ordersOutliveCrashes;
     publishConfiguration();
     m_startedAt = base::bootNow();
+    m_killAll.m_outageAt = m_startedAt + 2 * WarmUpMs;
     m_fleet.tick(m_startedAt);
     tick();
     m_reactor->run();
@@ -95,24 +129,36 @@
                 configuration(++m_configVersion));
   }
 
-  Millis randomBetween(Millis Low, Millis High) {
-    return Low + static_cast<Millis>(m_random() %
+  static Millis randomBetween(std::mt19937_64 &Random, Millis Low,
+                              Millis High) {
+    return Low + static_cast<Millis>(Random() %
                                      static_cast<std::uint64_t>(High - Low));
   }
+  Millis randomBetween(Millis Low, Millis High) {
+    return randomBetween(m_random, Low, High);
+  }
 
   template <typename T> T &randomElement(std::vector<T> &All) {
     return All[m_random() % All.size()];
   }
 
   Process &randomProcess() {
-    return m_random() % 2 == 0 ? randomElement(m_fleet.entries())
-                               : randomElement(m_fleet.agents());
+    Process &P = m_random() % 2 == 0 ? randomElement(m_fleet.entries())
+                                     : randomElement(m_fleet.agents());
+    m_history.log("fault of " + P.m_name);
+    return P;
   }
 
   void injectFault(Millis Now) {
-    constexpr int Kinds = 10;
-    const auto Kind = static_cast<int>(m_random() % Kinds);
-    m_history.log(fmt::format("fault {}", Kind));
+    constexpr const char *Names[] = {
+        "SIGKILL",        "SIGKILL",        "SIGTERM", "freeze",
+        "freeze",         "worker crashes", "store",   "orders refused",
+        "orders delayed", "configuration",  "SIGHUP",  "SIGHUP"};
+    constexpr std::size_t KindsWithoutKillAll = 10;
+    const std::size_t Kind =
+        m_random() %
+        (m_options.m_killsAll ? std::size(Names) : KindsWithoutKillAll);
+    m_history.log(fmt::format("fault {}", Names[Kind]));
     switch (Kind) {
     case 0:
     case 1:
@@ -127,6 +173,8 @@
     case 5:
       return randomElement(m_workers.all())->crash();
     case 6: {
+      if (m_killAll.m_active)
+        return;
       constexpr StoreFault Faults[] = {StoreFault::Refuses, StoreFault::Silent,
                                        StoreFault::Slow,
                                        StoreFault::LosesAnswers};
@@ -142,11 +190,106 @@
       randomElement(m_workers.all())->m_delaysOrders = true;
       m_workerFaultsEnd = Now + randomBetween(500, 2500);
       return;
+    case 10:
+    case 11: {
+      const Process &P = randomProcess();
+      // Processes handle this signal only once they have started up.
+      if (P.m_child && Now - P.m_startedAt >= WarmUpMs)
+        P.m_child->signal(SIGHUP);
+      return;
+    }
     default:
       return publishConfiguration();
     }
   }
 
+  void startOutage(Millis Now) {
+    KillAll &K = m_killAll;
+    K.m_active = true;
+    K.m_alone = m_killRandom() % 3 == 0;
+    K.m_killsLeft = 1 + static_cast<int>(m_killRandom() % 3);
+    K.m_endsToAwait = m_history.ends() + m_killRandom() % 4;
+    K.m_killAt = 0;
+    constexpr std::pair<StoreFault, const char *> Outages[] = {
+        {StoreFault::Silent, "silent"},
+        {StoreFault::Refuses, "refuses"},
+        {StoreFault::SilentAppends, "silent to appends"}};
+    const auto &[Fault, Name] = Outages[m_killRandom() % std::size(Outages)];
+    m_store.m_fault = Fault;
+    m_storeFaultEnd = Now + 2 * MaxOutageMs;
+    m_history.log(fmt::format("fault store {} before all are killed{}", Name,
+                              K.m_alone ? ", alone" : ""));
+  }
+
+  void killAllProcesses(Millis Now) {
+    const bool Together = m_killRandom() % 2 == 0;
+    const Millis Common = randomBetween(m_killRandom, 100, 1500);
+    // 0: no worker crashes, 1: every second one, 2: all.
+    const auto Crashes = m_killRandom() % 3;
+    m_history.log(fmt::format("fault all killed, workers crash: {}",
+                              Crashes == 0   ? "none"
+                              : Crashes == 1 ? "some"
+                                             : "all"));
+    for (const auto &W : m_workers.all()) {
+      if (Crashes == 2 || (Crashes == 1 && m_killRandom() % 2 == 0))
+        W->crash();
+    }
+    for (auto *Group : {&m_fleet.entries(), &m_fleet.agents()}) {
+      for (Process &P : *Group)
+        m_fleet.terminate(
+            P, SIGKILL,
+            Together ? Common : randomBetween(m_killRandom, 100, 1500), Now);
+    }
+  }
+
+  // Times the kill around ends of runs: between the end after which ends are
+  // only reported, and 1.5 s later.
+  void advanceKillAll(Millis Now) {
+    KillAll &K = m_killAll;
+    if (!K.m_active) {
+      const bool Due = m_workers.gangEndsWithin(OutageBeforeEndMs) ||
+                       Now >= K.m_outageAt + MaxOutageMs;
+      if (Now >= K.m_outageAt && Due)
+        startOutage(K.m_outageAt = Now);
+      return;
+    }
+    if (K.m_killAt == 0) {
+      if (m_history.ends() <= K.m_endsToAwait &&
+          Now < K.m_outageAt + MaxOutageMs)
+        return;
+      K.m_killAt = Now + randomBetween(m_killRandom, 0, 1500);
+      // A restarted agent reports the ends of its worker again.
+      if (m_killRandom() % 3 == 0) {
+        auto &Agents = m_fleet.agents();
+        Process &P = Agents[m_killRandom() % Agents.size()];
+        m_history.log("fault SIGKILL of " + P.m_name + " before all");
+        m_fleet.terminate(P, SIGKILL, 0, Now);
+      }
+      return;
+    }
+    if (Now < K.m_killAt)
+      return;
+    killAllProcesses(Now);
+    m_storeFaultEnd = Now + randomBetween(m_killRandom, 0, 1000);
+    K.m_killAt = Now + randomBetween(m_killRandom, 200, 2500);
+    K.m_active = --K.m_killsLeft > 0;
+    K.m_outageAt = Now + randomBetween(m_killRandom, 1500, 3500);
+  }
+
+  // Tells the history which agents and whether the store run freely.
+  void recordDisturbances(Millis Now) {
+    for (std::size_t I = 0; I < m_fleet.agents().size(); ++I) {
+      const Process &P = m_fleet.agents()[I];
+      const std::string Worker = workerName(I);
+      if (P.m_startedAt == Now)
+        m_history.agentStarted(Worker);
+      if (P.m_disturbedAt == Now)
+        m_history.agentDisturbed(Worker);
+    }
+    if (m_store.m_fault != StoreFault::None)
+      m_history.storeDisturbed();
+  }
+
   void clearFaults(Millis Now, bool All) {
     if (All || Now >= m_storeFaultEnd)
       m_store.m_fault = StoreFault::None;
@@ -161,18 +304,25 @@
     const Millis FaultsEnd =
         m_startedAt + WarmUpMs + m_options.m_seconds * 1000;
     m_fleet.tick(Now);
+    recordDisturbances(Now);
     m_workers.tick();
     m_callers->tick();
     clearFaults(Now, Now >= FaultsEnd);
     if (Now < FaultsEnd && Now >= m_startedAt + WarmUpMs) {
       if (Now >= m_nextJobAt) {
-        m_nextJobAt = Now + JobIntervalMs;
+        const Millis Usual =
+            m_options.m_killsAll ? JobIntervalBesideKillAllMs : JobIntervalMs;
+        m_nextJobAt = Now + std::max(Usual * UsualWorkers / m_options.m_workers,
+                                     MinJobIntervalMs);
         m_callers->addJob();
       }
       if (Now >= m_nextFaultAt) {
         m_nextFaultAt = Now + FaultIntervalMs;
-        injectFault(Now);
+        if (!m_killAll.m_active || !m_killAll.m_alone)
+          injectFault(Now);
       }
+      if (m_options.m_killsAll)
+        advanceKillAll(Now);
     }
     if (Now >= FaultsEnd && tryFinish(Now, FaultsEnd))
       return m_reactor->stop();
@@ -201,6 +351,7 @@
 
   const Options m_options;
   std::mt19937_64 m_random;
+  std::mt19937_64 m_killRandom; ///< Of the fault that kills all processes.
   std::ofstream m_log;
   History m_history;
   std::unique_ptr<http::Reactor> m_reactor;
@@ -217,8 +368,34 @@
   Millis m_storeFaultEnd = 0;
   Millis m_workerFaultsEnd = 0;
   Millis m_finalCheckAt = 0;
+  KillAll m_killAll;
 };
 
+/// Prints the lines before the first violation that belong to the same job or
+/// are faults.
+void printContext(const std::string &HistoryFile) {
+  std::ifstream In(HistoryFile);
+  std::vector<std::string> Lines;
+  std::string Violation;
+  for (std::string Line; Violation.empty() && std::getline(In, Line);) {
+    if (Line.find(" VIOLATION ") != std::string::npos)
+      Violation = Line;
+    Lines.push_back(std::move(Line));
+  }
+  const std::size_t IdEnd = Violation.find_first_of(".:");
+  const std::string Id = IdEnd == std::string::npos || IdEnd < IdDigits
+                             ? ""
+                             : Violation.substr(IdEnd - IdDigits, IdDigits);
+  std::erase_if(Lines, [&](const std::string &Line) {
+    const bool Waits = Line.ends_with(" queued") || Line.ends_with(" running");
+    return Waits || (Line.find(Id) == std::string::npos &&
+                     Line.find(" fault ") == std::string::npos);
+  });
+  const std::size_t First = Lines.size() - std::min(Lines.size(), ContextLines);
+  for (std::size_t I = First; I < Lines.size(); ++I)
+    fmt::print("  {}\n", Lines[I]);
+}
+
 int run(const Options &O) {
   std::string Folder =
       (std::filesystem::temp_directory_path() / "soak-XXXXXX").string();
@@ -235,6 +412,8 @@
     fmt::print("violation: {}\n", Text);
   if (Passed)
     std::filesystem::remove_all(Folder);
+  else
+    printContext(Folder + "/history.log");
   return Passed ? 0 : 1;
 }
 
@@ -250,6 +429,8 @@
                  "Duration of jobs and faults in seconds");
   App.add_option("--entries", O.m_entries, "Entries");
   App.add_option("--workers", O.m_workers, "Workers");
+  App.add_flag("--kill-all", O.m_killsAll,
+               "Interrupt the store and kill all processes at once, too");
   App.add_flag(
       "--orders-outlive-crashes", O.m_ordersOutliveCrashes,
       "The next incarnation of a crashed worker carries out delayed orders");
--- a/tests/soak/store.cc
+++ b/tests/soak/store.cc
@@ -77,12 +77,13 @@
 void Store::serve(const http::Request &R, const http::Responder &Answer) {
   if (m_fault == StoreFault::Refuses)
     return Answer(jsonResponse(503, Json::object()));
-  if (m_fault == StoreFault::Silent) {
+  const std::string Path = http::pathOf(R.m_target);
+  if (m_fault == StoreFault::Silent ||
+      (m_fault == StoreFault::SilentAppends && Path == names::LogAppend)) {
     // The sender's timeout ends the call before these 20 s have passed.
     m_pendingReads.push_back({"", 0, base::bootNow() + 20000, Answer});
     return;
   }
-  const std::string Path = http::pathOf(R.m_target);
   if (Path == names::LogRead) {
     m_pendingReads.push_back({http::queryOf(R.m_target, "topic"),
                               static_cast<std::size_t>(queryNumber(R, "from")),
--- a/tests/soak/store.h
+++ b/tests/soak/store.h
@@ -19,7 +19,9 @@
   None,
   Refuses, ///< Answers 503, without effect.
   Silent,  ///< Neither answers nor has an effect.
-  Slow,    ///< Answers after 300 ms. Reads are not delayed.
+  /// Neither answers appends nor carries them out. All else works.
+  SilentAppends,
+  Slow, ///< Answers after 300 ms. Reads are not delayed.
   /// Carries out requests, but answers only every second one. Reads are all
   /// answered.
   LosesAnswers,
--- a/tests/soak/worker.cc
+++ b/tests/soak/worker.cc
@@ -70,25 +70,34 @@
   const std::string Path = http::pathOf(R.m_target);
   if (Path == names::PollRuns)
     return poll(R.m_body, Answer);
-  const auto Order = Path == names::RunStart ? &Worker::start : &Worker::stop;
   if (m_refusesOrders)
     return Answer({503, "{}", "application/json", {}});
   if (!m_delaysOrders)
-    return Answer((this->*Order)(R.m_body));
+    return Answer(carryOut(R, false));
   const std::shared_ptr<http::Timer> Delay = m_reactor.timer();
   http::Timer &T = *Delay;
-  T.start(OrderDelayMs, [this, Delay, Order, Body = R.m_body, Answer,
-                         StartTime = m_startTime] {
+  T.start(OrderDelayMs, [this, Delay, R, Answer, StartTime = m_startTime] {
     // An order that the worker had received is lost in a crash. If orders
     // outlive crashes, a run can start before any agent knows of the new
     // incarnation.
     if (StartTime == m_startTime || m_owner.m_ordersOutliveCrashes)
-      (this->*Order)(Body);
+      carryOut(R, true);
     Answer(http::noAnswer());
   });
 }
 
-http::Response Worker::start(const std::string &Body) {
+http::Response Worker::carryOut(const http::Request &Order, bool Late) {
+  return http::pathOf(Order.m_target) == names::RunStart
+             ? start(Order.m_body, Late)
+             : stop(Order.m_body);
+}
+
+void Worker::checkLease() {
+  for (End &E : m_ends)
+    E.m_leaseLapsed = E.m_leaseLapsed || clock() >= m_leaseEnd;
+}
+
+http::Response Worker::start(const std::string &Body, bool Late) {
   const Json J = base::parseJson(Body);
   const std::string Task = J.value("task", "");
   const int Number = J.value("run", 0);
@@ -109,6 +118,7 @@
   if (const auto It = m_runs.find(Task);
       It != m_runs.end() && It->second.m_number == Number)
     return Reply(200, "");
+  checkLease();
   m_leaseEnd = std::max(m_leaseEnd, LeaseEnd);
   if (m_runs.contains(Task) || m_highestEndedRun[Task] >= Number)
     return Reply(409, "old");
@@ -118,7 +128,7 @@
   int Used = payloadNumber(Payload, "gpu", 1);
   for (const auto &[Other, R] : m_runs)
     Used += payloadNumber(R.m_payload, "gpu", 1);
-  m_owner.m_history.runStarted(m_name, Task, Number);
+  m_owner.m_history.runStarted(m_name, Task, Number, Late);
   if (Used > Accelerators)
     m_owner.m_history.overCapacity(m_name, Task);
   m_runs[Task] = {Number, Payload, base::bootNow(), -1, false, 0};
@@ -154,11 +164,13 @@
                    "application/json",
                    {}});
   m_fence = Fence;
+  checkLease();
   const auto Seen = J.value("lastSeen", std::int64_t(0));
   std::erase_if(m_ends, [&](const End &E) {
     if (E.m_number > Seen)
       return false;
-    m_owner.m_history.endAcknowledged(E.m_task, E.m_kind);
+    m_owner.m_history.endAcknowledged(m_name, E.m_task, E.m_run,
+                                      E.m_leaseLapsed);
     return true;
   });
   m_leaseEnd = std::max(m_leaseEnd, std::min(J.value("deadlineMs", Millis(0)),
@@ -220,13 +232,14 @@
   const int Number = It->second.m_number;
   m_runs.erase(It);
   m_highestEndedRun[Task] = std::max(m_highestEndedRun[Task], Number);
-  m_ends.push_back({++m_lastEndNumber, Task, Number, EndKind});
+  m_ends.push_back({++m_lastEndNumber, Task, Number, EndKind, false});
   m_owner.m_history.runEnded(m_name, Task, Number, EndKind);
 }
 
 void Worker::tick(Millis Now) {
   if (Now >= m_heartbeatAt)
     heartbeat();
+  checkLease();
   std::vector<std::pair<std::string, std::string>> Ended;
   for (auto &[Task, R] : m_runs) {
     const int Members = payloadNumber(R.m_payload, "gang", 1);
@@ -278,6 +291,19 @@
     W->tick(Now);
 }
 
+bool Workers::gangEndsWithin(Millis DurationMs) const {
+  const Millis Now = base::bootNow();
+  for (const auto &W : m_workers) {
+    for (const auto &[Task, R] : W->m_runs) {
+      const Millis RunMs = payloadNumber(R.m_payload, "runMs", 1);
+      if (payloadNumber(R.m_payload, "gang", 1) > 1 && R.m_workStartedAt >= 0 &&
+          R.m_workStartedAt + RunMs - Now <= DurationMs)
+        return true;
+    }
+  }
+  return false;
+}
+
 bool Workers::gangIsComplete(const std::string &Task, int Run,
                              int Members) const {
   int Present = 0;
--- a/tests/soak/worker.h
+++ b/tests/soak/worker.h
@@ -50,6 +50,7 @@
     std::string m_task;
     int m_run = 0;
     std::string m_kind;
+    bool m_leaseLapsed = false; ///< After the end.
   };
   struct Poll {
     Millis m_deadline = 0;
@@ -57,9 +58,13 @@
   };
 
   void serve(const http::Request &R, const http::Responder &Answer);
-  http::Response start(const std::string &Body);
+  http::Response start(const std::string &Body, bool Late);
   http::Response stop(const std::string &Body);
+  http::Response carryOut(const http::Request &Order, bool Late);
   void poll(const std::string &Body, const http::Responder &Answer);
+  /// Records for all ends whether the lease has lapsed. Called before each
+  /// renewal.
+  void checkLease();
   http::Response listRuns() const;
   void heartbeat();
   void tick(Millis Now);
@@ -98,6 +103,8 @@
   Worker &add(const std::string &Name, const std::string &Address,
               const std::string &AgentAddress);
   void tick();
+  /// True if the work of a gang's run ends within \p DurationMs.
+  bool gangEndsWithin(Millis DurationMs) const;
   std::vector<std::unique_ptr<Worker>> &all() { return m_workers; }
 
 private:
