--- a/src/batch/leader_callers.cc
+++ b/src/batch/leader_callers.cc
@@ -132,7 +132,7 @@
     finishJob(J, JobPhase::Cancelled, WallNow);
     stopAllRuns(J, StopReason::Cancelled);
   }
-  m_waitingCallers.push_back({J.m_batch, R.m_id, false,
+  m_waitingCallers.push_back({batchOfState(R.m_id), R.m_id, false,
                               Now + R.m_remainingMs - AnswerMarginMs,
                               std::move(Answer)});
 }
@@ -171,9 +171,16 @@
     Answer(std::move(Reply));
 }
 
-void Leader::refuseWhileStalled(Millis Now) {
-  if (m_journal.pendingMs(Now) > JournalStallMs)
-    withdrawSubmissions(false);
+void Leader::handleStall(Millis Now) {
+  const Millis PendingMs = m_journal.pendingMs(Now);
+  if (PendingMs <= JournalStallMs)
+    return;
+  if (!std::exchange(m_journalStalled, true))
+    m_ports.event("journalStalled", "",
+                  fmt::format("batch={} stored={} forMs={}",
+                              m_journal.nextBatch() - 1, m_journal.durable(),
+                              PendingMs));
+  withdrawSubmissions(false);
 }
 
 // Refuses jobs that are certainly not stored now instead of waiting until the
