Show that a run that ended in a new worker incarnation starts again

The first report names the new incarnation and the ends; the leader adopts runs that go on, counts these as lost, acknowledges their ends as not current and starts the tasks again:

The test, without network, is red:

leader_test.cc:263: m_starts["a.0.0.0"] Which is: 2, expected 1

--- a/tests/batch/leader_test.cc
+++ b/tests/batch/leader_test.cc
@@ -250,6 +250,20 @@
   EXPECT_TRUE(m_agents["w"].m_stops.empty());
 }
 
+// The run of an order for the previous incarnation was over before the leader
+// heard of the new one. It counted as lost, and the task ran again.
+TEST_F(LeaderTest, ARunThatEndedInTheNextWorkerIncarnationIsNotStartedAgain) {
+  addAgent("w");
+  submit("a", jobOf({step(1, 1)}));
+  pass(300);
+  ASSERT_EQ(m_starts["a.0.0.0"], 1);
+  m_agents["w"].m_workerIncarnation = "w@2";
+  end("w", "a.0.0.0", EndKind::Done);
+  pass(1000);
+  EXPECT_EQ(m_starts["a.0.0.0"], 1);
+  EXPECT_EQ(phaseOf("a"), JobPhase::Done);
+}
+
 // A busy leader read reports late, by minutes of work, and out of order. A
 // report from before a worker's restart made it give up the runs of the current
 // incarnation, which then ran twice.
