Start nothing for an agent that has not heard from its worker

An agent that is restarted reports before its worker has answered a poll, and then reports no runs. The leader took its runs for not started and sent their start orders again. If the worker was draining, the agent reported such a run as never started although it ran on, and the leader placed the task elsewhere: two runs at once. Leases had the same gap: the reply to a report that described no worker extended them, though the leader could not tell what they covered.

Replies to such reports now only tell the agent who leads, which ends are stored and what to stop; starts and leases need a report that describes the worker.

batch.AgentRestartTest.AStartOrderBeforeTheFirstPollEndsNoRun failed before: W.reported(EndKind::NeverStarted) Actual: true, expected false

--- a/src/batch/agent.cc
+++ b/src/batch/agent.cc
@@ -128,7 +128,8 @@
   return m_clock + (Now - m_clockAt) + m_timing.m_leaseMs;
 }
 
-void Agent::applyReply(const AgentReply &R, Millis SentAt, Millis Now) {
+void Agent::applyReply(const AgentReply &R, const OpenReport &Report,
+                       Millis Now) {
   if (!R.m_leads || R.m_epoch < m_epoch) {
     m_ports.event("replyIgnored", "",
                   fmt::format("epoch={} known={} leads={}", R.m_epoch, m_epoch,
@@ -139,14 +140,19 @@
     m_ports.event("leaderSeen", "", fmt::format("epoch={}", R.m_epoch));
     m_epoch = R.m_epoch;
   }
-  m_contactAt = std::max(m_contactAt, SentAt);
+  // The leader counts leases from the last report that described the worker, so
+  // replies to other reports permit neither leases nor starts.
+  if (Report.m_describesWorker)
+    m_contactAt = std::max(m_contactAt, Report.m_sentAt);
   if (!m_worker || R.m_workerIncarnation != m_worker->m_workerIncarnation)
     return;
   removeAcknowledgedEnds(R.m_acknowledged);
   for (const StopOrder &O : R.m_stops)
     handleStopOrder(O, Now);
+  if (!Report.m_describesWorker)
+    return;
   for (const StartOrder &O : R.m_starts)
-    handleStartOrder(O, SentAt, Now);
+    handleStartOrder(O, Report.m_sentAt, Now);
 }
 
 void Agent::handleStartOrder(const StartOrder &O, Millis SentAt, Millis Now) {
@@ -441,7 +447,7 @@
     R.m_ends = m_ends;
   }
   m_changed = false;
-  m_openReports[R.m_sequence] = {Now, LongPoll};
+  m_openReports[R.m_sequence] = {Now, LongPoll, R.m_worker.has_value()};
   m_ports.report(R);
 }
 
@@ -450,19 +456,19 @@
   const auto It = m_openReports.find(Sequence);
   if (It == m_openReports.end())
     return;
-  const auto [SentAt, LongPoll] = It->second;
+  const OpenReport Report = It->second;
   m_openReports.erase(It);
   if (!R) {
     m_reportAt = Now + ReportRetryMs;
     // The content of the failed report must be sent again.
-    m_changed = m_changed || !LongPoll || !m_ends.empty();
+    m_changed = m_changed || !Report.m_longPoll || !m_ends.empty();
     return;
   }
   if (!R->m_starts.empty() || !R->m_stops.empty())
     m_reportAt = Now + AfterOrdersMs;
   if (!R->m_leads)
     m_reportAt = Now + ReportRetryMs;
-  applyReply(*R, SentAt, Now);
+  applyReply(*R, Report, Now);
   advance(Now);
 }
 
@@ -486,10 +492,10 @@
     return;
   const bool LongPollOpen =
       std::any_of(m_openReports.begin(), m_openReports.end(),
-                  [](const auto &S) { return S.second.second; });
+                  [](const auto &S) { return S.second.m_longPoll; });
   const bool ReportOpen =
       std::any_of(m_openReports.begin(), m_openReports.end(),
-                  [](const auto &S) { return !S.second.second; });
+                  [](const auto &S) { return !S.second.m_longPoll; });
   if (m_changed && !ReportOpen)
     sendReport(false, Now);
   else if (!LongPollOpen)
--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -154,9 +154,14 @@
     std::uint64_t m_answeredAtPoll = 0;
     Millis m_retryAt = 0;
   };
+  struct OpenReport {
+    Millis m_sentAt = 0;
+    bool m_longPoll = false;
+    bool m_describesWorker = false;
+  };
   using Key = RunKey;
 
-  void applyReply(const AgentReply &R, Millis SentAt, Millis Now);
+  void applyReply(const AgentReply &R, const OpenReport &Report, Millis Now);
   void handleStartOrder(const StartOrder &O, Millis SentAt, Millis Now);
   void handleStopOrder(const StopOrder &O, Millis Now);
   void removeAcknowledgedEnds(const std::vector<EndReport> &Acknowledged);
@@ -188,7 +193,8 @@
   Millis m_clockAt = -1;    ///< On the agent's clock; -1: not known.
   Millis m_leaseUntil = -1; ///< All leases granted so far have ended by then.
   std::uint64_t m_epoch = 0; ///< Highest epoch of a leader that replied.
-  /// Send time of the newest report that the leader answered, or -1.
+  /// Send time of the newest report with a description of the worker that the
+  /// leader answered, or -1.
   Millis m_contactAt = -1;
   std::map<Key, Run> m_runs;
   /// Start orders without an answer, and until when the worker may still carry
@@ -212,8 +218,8 @@
   int m_failedPolls = 0; ///< In a row.
 
   std::uint64_t m_sequence = 0; ///< Of the newest report.
-  /// Send time of each report without a reply, and whether it is a long poll.
-  std::map<std::uint64_t, std::pair<Millis, bool>> m_openReports;
+  /// Reports without a reply, by sequence.
+  std::map<std::uint64_t, OpenReport> m_openReports;
   bool m_changed = false; ///< There is news to report without delay.
   Millis m_reportAt = 0;  ///< No report is sent before this time.
   bool m_stopping = false;
--- a/tests/batch/agent_test.cc
+++ b/tests/batch/agent_test.cc
@@ -265,6 +265,30 @@
   EXPECT_TRUE(m_worker.reported(EndKind::NeverStarted));
 }
 
+// Guards against a task that runs twice: an agent that had been restarted got
+// the start order for a run of its draining worker again, before it had heard
+// from the worker, and reported the run as never started.
+TEST(AgentRestartTest, AStartOrderBeforeTheFirstPollEndsNoRun) {
+  FakeWorker W;
+  W.m_draining = true;
+  W.m_runs[{TaskA, 1}] = {};
+  W.m_unreachable = true;
+  W.heartbeat();
+  W.pass(20);
+  AgentReply R;
+  R.m_starts = {order(1)};
+  W.reply(R);
+  W.m_unreachable = false;
+  for (int I = 0; I < 20; ++I) {
+    W.pass(50);
+    W.reply({});
+  }
+  W.pass(20);
+  EXPECT_FALSE(W.reported(EndKind::NeverStarted));
+  ASSERT_FALSE(W.m_reports.empty());
+  EXPECT_EQ(W.m_reports.back().m_runs.size(), 1u);
+}
+
 // The worker answers every poll at once while ends are not acknowledged.
 TEST_F(AgentTest, PollsAreSpacedWhileEndsAreNotAcknowledged) {
   startA();
