Count runs as lost when only their agent comes back

Cause: an agent was killed while the store was away, and its worker was lost for good before the new agent process had heard from it. The process went on reporting without a worker, and the leader counted the time until runs are lost from the last report of any kind, so the runs stayed placed for ever.

The time now counts from the last report that described the worker, as that is what the agent's leases and orders depend on. The same holds for whether the agent gets work and whether its runs count as stuck.

batch.LeaderTest.RunsOfAnAgentWithoutAWorkerAreStartedElsewhereAfterTheirLease failed before: m_starts["a.0.0.0"] Which is: 1, expected 2

--- a/src/batch/leader.cc
+++ b/src/batch/leader.cc
@@ -181,6 +181,7 @@
     A.m_lastContactAt = Now;
     A.m_unhealthy = R.m_unhealthy;
     if (R.m_worker) {
+      A.m_workerReportedAt = Now;
       const std::string PreviousIncarnation = A.m_worker.m_workerIncarnation;
       const bool WasDraining = A.m_worker.m_draining;
       A.m_worker = *R.m_worker;
--- a/src/batch/leader.h
+++ b/src/batch/leader.h
@@ -77,6 +77,9 @@
   WorkerInfo m_worker;
   bool m_unhealthy = false;
   Millis m_lastContactAt = 0;
+  /// Last report that described the worker. Only an agent that knows its
+  /// worker's runs carries out orders and renews leases.
+  Millis m_workerReportedAt = 0;
   std::vector<RunReport> m_runs;
   /// Reported ends, by task, run and number.
   std::map<std::tuple<std::string, int, std::int64_t>, ReportedEnd> m_ends;
--- a/src/batch/leader_runs.cc
+++ b/src/batch/leader_runs.cc
@@ -297,8 +297,8 @@
   }
 }
 
-// After its last contact, an agent grants leases for the autonomy time. Its
-// runs end with the last of these leases at the latest.
+// After the last report that described its worker, an agent grants leases for
+// the autonomy time. Its runs end with the last of these leases at the latest.
 void Leader::loseRunsOfSilentAgents(Millis Now, Millis WallNow) {
   const auto LeaseMs = static_cast<Millis>(
       static_cast<double>(m_timing.m_leaseMs) * ClockSlowness);
@@ -312,11 +312,11 @@
                          !It->second.m_worker.m_workerIncarnation.empty();
       // The agent may have been in contact with the previous leader until that
       // one was not confirmed any more.
-      const Millis LastContactAt = Known ? It->second.m_lastContactAt
-                                         : m_startedAt + m_timing.m_confirmMs;
+      const Millis ReportedAt = Known ? It->second.m_workerReportedAt
+                                      : m_startedAt + m_timing.m_confirmMs;
       if ((Known &&
            It->second.m_worker.m_workerIncarnation != T.m_workerIncarnation) ||
-          Now - LastContactAt > m_timing.m_autonomyMs + LeaseMs + LeaseMarginMs)
+          Now - ReportedAt > m_timing.m_autonomyMs + LeaseMs + LeaseMarginMs)
         Expired.emplace(T.m_agent, T.m_workerIncarnation);
     });
   }
@@ -367,7 +367,7 @@
       return StopReason::Drain;
   }
   if (Kind.m_longRunning || Now - T.m_progressAt < NoProgressMs ||
-      A.m_unhealthy || Now - A.m_lastContactAt > m_timing.m_silentMs)
+      A.m_unhealthy || Now - A.m_workerReportedAt > m_timing.m_silentMs)
     return StopReason::None;
   if (A.m_noProgressAt < 0 || Now - A.m_noProgressAt > NoProgressMs) {
     A.m_noProgressAt = Now;
--- a/src/batch/leader_schedule.cc
+++ b/src/batch/leader_schedule.cc
@@ -10,7 +10,7 @@
 
 bool Leader::acceptsWork(const AgentView &A, Millis Now) const {
   return !A.m_worker.m_workerIncarnation.empty() &&
-         Now - A.m_lastContactAt < m_timing.m_silentMs &&
+         Now - A.m_workerReportedAt < m_timing.m_silentMs &&
          !A.m_worker.m_draining && !A.m_unhealthy &&
          Now >= A.m_quarantinedUntil;
 }
--- a/tests/batch/leader_test.cc
+++ b/tests/batch/leader_test.cc
@@ -346,6 +346,30 @@
   EXPECT_EQ(phaseOf("a"), JobPhase::Done);
 }
 
+// An agent that had been restarted reported without having heard from its
+// worker, which was gone for good. Its runs were never counted as lost.
+TEST_F(LeaderTest,
+       RunsOfAnAgentWithoutAWorkerAreStartedElsewhereAfterTheirLease) {
+  addAgent("w");
+  submit("a", jobOf({step(1, 1)}));
+  pass(500);
+  ASSERT_EQ(m_starts["a.0.0.0"], 1);
+  m_alive.clear();
+  addAgent("x");
+  const Timing T;
+  for (Millis Passed = 0; Passed < T.m_autonomyMs + T.m_leaseMs;
+       Passed += 500) {
+    restartAgent("w");
+    pass(500);
+  }
+  EXPECT_EQ(m_starts["a.0.0.0"], 1);
+  for (Millis Passed = 0; Passed < 3000; Passed += 500) {
+    restartAgent("w");
+    pass(500);
+  }
+  EXPECT_EQ(m_starts["a.0.0.0"], 2);
+}
+
 // A busy leader read reports late, by minutes of work, and out of order. A
 // report from before a worker's restart made it give up the runs of the current
 // incarnation, which then ran twice.
