Answer the cancelling of a refused submission

What callers saw: nothing yet; found by a review. A DELETE that waited for the store together with the submission that it cancels stayed behind when the submission was refused, and was answered with success once any later batch was stored, also if the same id had been submitted again and ran.

It is answered with the refusal now: no such job exists.

batch.LeaderTest.CancellingARefusedSubmissionFindsNoJob failed before: m_verdict Which is: 4-byte object <00-00 00-00>.

--- a/src/batch/leader_callers.cc
+++ b/src/batch/leader_callers.cc
@@ -200,6 +200,13 @@
     Refused.push_back(std::move(W.m_answer));
     return true;
   });
+  std::vector<CallerAnswer> NotFound;
+  std::erase_if(m_waitingCallers, [&](detail::WaitingCaller &W) {
+    if (!Withdrawn.contains(W.m_job))
+      return false;
+    NotFound.push_back(std::move(W.m_answer));
+    return true;
+  });
   for (const std::string &Id : Withdrawn) {
     m_ports.event("jobRefused", Id, "reason=journalRefused");
     m_counters.get("jobs_refused{reason=\"journal\"}")++;
@@ -214,6 +221,8 @@
   for (const CallerAnswer &Answer : Refused)
     Answer(refusal(Verdict::Unavailable, RetryJournalMs,
                    "the log does not accept records"));
+  for (const CallerAnswer &Answer : NotFound)
+    Answer(refusal(Verdict::Gone, 0, ""));
 }
 
 } // namespace pomelokeel::batch
--- a/tests/batch/leader_test.cc
+++ b/tests/batch/leader_test.cc
@@ -187,6 +187,24 @@
   EXPECT_TRUE(m_stored.empty());
 }
 
+// The cancelling of a job whose submission was refused waited for the next
+// batch and then counted as done, also if the job had been submitted again.
+TEST_F(LeaderTest, CancellingARefusedSubmissionFindsNoJob) {
+  addAgent("w");
+  m_outcome.reset();
+  const auto Refused = submit("a", jobOf({step(1, 1)}));
+  const auto Cancelled = ask(request(CallerRequestKind::Cancel, "a"));
+  m_outcome = AppendOutcome::NotDone;
+  answerAppends();
+  ASSERT_TRUE(Refused->has_value());
+  EXPECT_EQ((*Refused)->m_verdict, Verdict::Unavailable);
+  submit("a", jobOf({step(1, 1)}));
+  m_outcome = AppendOutcome::Done;
+  pass(500);
+  ASSERT_TRUE(Cancelled->has_value());
+  EXPECT_EQ((*Cancelled)->m_verdict, Verdict::Gone);
+}
+
 // A repeated submission was answered with an end that was not stored and that
 // the next leader did not know (restart simulation, seed 9).
 TEST_F(LeaderTest, ARepeatedSubmissionShowsAnEndOnlyOnceItIsStored) {
