Keep a job that reuses the id of a dropped one

What callers saw: nothing yet; found by a review. A batch wrote changed jobs first and the removal of dropped ones after them. If a job was dropped while a batch was on its way and its id was submitted again, the next batch stored the new job and removed it: accepted, and gone after a change of leader. The phases of the batch on its way also marked the new job as stored.

Removals are written first, and a dropped job is forgotten there too.

batch.LeaderTest.AnIdThatIsUsedAgainOutlivesTheRemovalOfTheDroppedJob failed before: m_leader->jobs().count("a") Which is: 0.

--- a/src/batch/leader.cc
+++ b/src/batch/leader.cc
@@ -317,6 +317,12 @@
   if (m_journal.busy() || (m_dirty.empty() && m_dropped.empty()))
     return;
   std::vector<KeyedRecord> Records;
+  // The newest record of a key counts, and the id of a dropped job may be that
+  // of a new one.
+  for (const std::string &Id : m_dropped) {
+    Records.push_back({journalKey(SpecKey, Id), ""});
+    Records.push_back({journalKey(StateKey, Id), ""});
+  }
   for (const std::string &Id : m_dirty) {
     const auto It = m_jobs.find(Id);
     if (It == m_jobs.end())
@@ -327,10 +333,6 @@
     Records.push_back({journalKey(StateKey, Id), pack(J.m_progress)});
     m_flushedPhases[Id] = J.m_progress.m_phase;
   }
-  for (const std::string &Id : m_dropped) {
-    Records.push_back({journalKey(SpecKey, Id), ""});
-    Records.push_back({journalKey(StateKey, Id), ""});
-  }
   m_dirty.clear();
   m_dropped.clear();
   if (!Records.empty())
@@ -347,6 +349,7 @@
       continue;
     }
     m_dropped.push_back(It->first);
+    m_flushedPhases.erase(It->first);
     It = m_jobs.erase(It);
   }
 }
--- a/tests/batch/leader_test.cc
+++ b/tests/batch/leader_test.cc
@@ -187,6 +187,28 @@
   EXPECT_TRUE(m_stored.empty());
 }
 
+// The identifier of a dropped job was submitted again before its removal was
+// stored. The removal then also removed the new job.
+TEST_F(LeaderTest, AnIdThatIsUsedAgainOutlivesTheRemovalOfTheDroppedJob) {
+  addAgent("w");
+  submit("a", jobOf({step(1, 1)}));
+  pass(500);
+  end("w", "a.0.0.0", EndKind::Done);
+  pass(Timing{}.m_retentionMs - 200);
+  ASSERT_EQ(m_leader->jobs().count("a"), 1u);
+  m_outcome.reset();
+  submit("b", jobOf({step(1, 1)}));
+  pass(400);
+  ASSERT_EQ(m_leader->jobs().count("a"), 0u);
+  const auto Again = submit("a", jobOf({step(1, 1)}));
+  m_outcome = AppendOutcome::Done;
+  answerAppends();
+  ASSERT_TRUE(Again->has_value());
+  EXPECT_EQ((*Again)->m_verdict, Verdict::Ok);
+  restartLeader();
+  EXPECT_EQ(m_leader->jobs().count("a"), 1u);
+}
+
 // The cancelling of a job whose submission was refused waited for the next
 // batch and then counted as done, also if the job had been submitted again.
 TEST_F(LeaderTest, CancellingARefusedSubmissionFindsNoJob) {
