Acknowledge no end of a job whose record cannot be read

To a leader that cannot read a job's record, each end of the job seemed redundant and was acknowledged, and its runs were stopped as unwanted. A version that can read the record finds the run placed and starts the task again.

Such ends now wait, and such runs go on. The worker keeps its ends from there on until the record can be read.

batch.LeaderTest.EndsOfAJobWithAnUnreadableRecordAreNotAcknowledged failed before: m_acknowledged.empty() Actual: false; m_stops.empty() Actual: false; m_starts["a.0.0.0"] Which is: 2

--- a/src/batch/leader.cc
+++ b/src/batch/leader.cc
@@ -5,6 +5,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <limits>
 #include <string_view>
 #include <utility>
 
@@ -301,6 +302,9 @@
 }
 
 std::uint64_t Leader::batchOfState(const std::string &Job) const {
+  // An unreadable record may not know of anything that has ended since.
+  if (m_unreadable.contains(Job))
+    return std::numeric_limits<std::uint64_t>::max();
   const auto It = m_jobs.find(Job);
   return It == m_jobs.end() ? 0 : It->second.m_batch;
 }
--- a/src/batch/leader_orders.cc
+++ b/src/batch/leader_orders.cc
@@ -62,11 +62,14 @@
 }
 
 // Orders the agent to stop runs that are no task's current run any more. The
-// members of a done gang are left alone, since they end on their own.
+// members of a done gang are left alone, since they end on their own, and so
+// are runs of jobs whose record cannot be read, as they may be current.
 void Leader::addStopsOfUnwantedRuns(AgentView &A, AgentReply &Out) const {
   for (const RunReport &R : A.m_runs) {
     if (R.m_phase == RunPhase::Stopping || isCurrent(A, R.m_task, R.m_run) ||
-        A.m_endingGangRuns.contains({R.m_task, R.m_run}))
+        A.m_endingGangRuns.contains({R.m_task, R.m_run}) ||
+        m_unreadable.contains(
+            parseTaskName(R.m_task).value_or(TaskName{}).m_job))
       continue;
     Out.m_stops.push_back({R.m_task, R.m_run});
   }
--- a/tests/batch/leader_test.cc
+++ b/tests/batch/leader_test.cc
@@ -227,6 +227,27 @@
   EXPECT_EQ((*Cancelled)->m_verdict, Verdict::Gone);
 }
 
+// An end of a job whose record this version cannot read was acknowledged, and
+// its run stopped. A version that can read the record would run the task again.
+TEST_F(LeaderTest, EndsOfAJobWithAnUnreadableRecordAreNotAcknowledged) {
+  addAgent("w");
+  submit("a", jobOf({step(2, 1)}));
+  pass(500);
+  ASSERT_EQ(m_starts.size(), 2u);
+  const std::string State = std::exchange(m_stored["state/a"], "{");
+  EXPECT_FALSE(load().ok());
+  end("w", "a.0.0.0", EndKind::Done);
+  pass(2000);
+  EXPECT_TRUE(m_agents["w"].m_acknowledged.empty());
+  EXPECT_TRUE(m_agents["w"].m_stops.empty());
+  m_stored["state/a"] = State;
+  restartLeader();
+  end("w", "a.0.0.1", EndKind::Done);
+  pass(2000);
+  EXPECT_EQ(phaseOf("a"), JobPhase::Done);
+  EXPECT_EQ(m_starts["a.0.0.0"], 1);
+}
+
 // A repeated submission was answered with an end that was not stored and that
 // the next leader did not know (restart simulation, seed 9).
 TEST_F(LeaderTest, ARepeatedSubmissionShowsAnEndOnlyOnceItIsStored) {
