Ignore a malformed record of the leader's own epoch

What callers saw: nothing yet; found while checking every reader for odd entries. In the stand-alone mode, a record of the leader's epoch whose "attempt" is no number raised an exception while the leader waited for its own record of that job, and the entry ended, again after each restart.

Leader.AMalformedRecordOfItsOwnEpochIsIgnored failed before: [json.exception.type_error.302] type must be number, but is string.

--- a/src/entry/leader_records.cc
+++ b/src/entry/leader_records.cc
@@ -1,6 +1,8 @@
 #include "entry/leader_impl.h"
 
 #include <algorithm>
+#include <cstdint>
+#include <limits>
 #include <utility>
 
 namespace pomelokeel::entry {
@@ -55,7 +57,9 @@
   const auto It = m_pending.find(OfWorker ? workerKey(Subject) : Subject);
   if (It == m_pending.end() || It->second.m_record.m_kind != R.m_kind)
     return;
-  if (!OfWorker && R.m_body.value("attempt", 0) != It->second.m_attempt)
+  constexpr std::int64_t MaxAttempt = std::numeric_limits<int>::max();
+  if (!OfWorker && base::integerIn(R.m_body.value("attempt", base::Json(0)), 0,
+                                   MaxAttempt) != It->second.m_attempt)
     return;
   m_pending.erase(It);
   m_pendingPlaces.erase(Subject);
--- a/tests/entry/leader_sim.h
+++ b/tests/entry/leader_sim.h
@@ -73,6 +73,11 @@
     push(Kind, base::encode(B), 0);
   }
 
+  /// Appends a record as the present leader would.
+  void appendAsLeader(RecordKind Kind, Json Body) {
+    push(Kind, std::move(Body), m_state.m_epoch);
+  }
+
   const model::Job &job(const std::string &Id) const {
     return m_state.m_jobs.at(Id);
   }
--- a/tests/entry/leader_test.cc
+++ b/tests/entry/leader_test.cc
@@ -32,6 +32,23 @@
   EXPECT_EQ(F.m_violations, std::vector<std::string>{});
 }
 
+// Guards against a leader that ends by itself: a record of its own epoch with a
+// body of another type raised an exception.
+TEST(Leader, AMalformedRecordOfItsOwnEpochIsIgnored) {
+  sim::Fleet F(2, 1, {});
+  F.submit("j1", "batch");
+  EXPECT_TRUE(F.runUntil(
+      [&] {
+        for (const auto Kind :
+             {model::RecordKind::JobPlaced, model::RecordKind::JobStarted,
+              model::RecordKind::JobFinished})
+          F.appendAsLeader(Kind, {{"job", "j1"}, {"attempt", "1"}});
+        return F.finished("j1");
+      },
+      10000));
+  EXPECT_EQ(F.m_records["jobStarted"], 1);
+}
+
 // Guards G2: no member is started before all are reserved.
 TEST(Leader, StartsOnlyAfterEveryReservation) {
   sim::Fleet F(2, 1, {});
