End the runs of a lost worker with the lease of the earlier agent process

Cause: an agent that is restarted took the time until which leases may be in force as unknown until it had granted one itself. If the worker was lost before that, its runs never ended in the agent, which went on reporting them.

The first answered poll now counts as a lease granted at that moment, since the earlier process may have granted one until then.

batch.AgentRestartTest.RunsOfALostWorkerEndWithTheLeaseOfTheEarlierProcess failed before: W.reported(EndKind::LeaseExpired) Actual: false, expected true

--- a/src/batch/agent.cc
+++ b/src/batch/agent.cc
@@ -121,10 +121,14 @@
   m_clockAt = Now;
 }
 
-Millis Agent::extendLease(Millis Now) {
+void Agent::recordLease(Millis Now) {
   const auto LongestLeaseMs = static_cast<Millis>(
       static_cast<double>(m_timing.m_leaseMs) * ClockSlowness);
   m_leaseUntil = std::max(m_leaseUntil, Now + LongestLeaseMs + LeaseMarginMs);
+}
+
+Millis Agent::extendLease(Millis Now) {
+  recordLease(Now);
   return m_clock + (Now - m_clockAt) + m_timing.m_leaseMs;
 }
 
@@ -345,6 +349,9 @@
   m_failedPolls = 0;
   m_answeredSerial = Serial;
   setClock(A.m_clock, Now);
+  // An earlier process of this agent may have granted a lease until now.
+  if (!m_synced)
+    recordLease(Now);
   m_changed = m_changed || !m_synced;
   m_synced = true;
   reconcile(A);
--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -176,6 +176,9 @@
   void expireLease(Millis Now);
   void reconcile(const PollResult &A);
   void setClock(Millis Clock, Millis Now);
+  /// Notes that a lease granted at \p Now may be in force.
+  void recordLease(Millis Now);
+  /// Returns the end of a new lease on the worker's clock.
   Millis extendLease(Millis Now);
   bool inContact(Millis Now) const {
     return m_contactAt >= 0 && Now - m_contactAt < m_timing.m_autonomyMs;
--- a/tests/batch/agent_test.cc
+++ b/tests/batch/agent_test.cc
@@ -289,6 +289,25 @@
   EXPECT_EQ(W.m_reports.back().m_runs.size(), 1u);
 }
 
+// Guards against runs that never end: a restarted agent whose worker was lost
+// before the agent had granted a lease of its own kept them as running.
+TEST(AgentRestartTest, RunsOfALostWorkerEndWithTheLeaseOfTheEarlierProcess) {
+  FakeWorker W;
+  W.m_runs[{TaskA, 1}] = {};
+  W.m_leaderSilent = true;
+  W.heartbeat();
+  W.pass(20);
+  W.m_unreachable = true;
+  W.pass(2500);
+  W.m_leaderSilent = false;
+  for (int I = 0; I < 200; ++I) {
+    W.pass(50);
+    W.reply({});
+  }
+  W.pass(20);
+  EXPECT_TRUE(W.reported(EndKind::LeaseExpired));
+}
+
 // The worker answers every poll at once while ends are not acknowledged.
 TEST_F(AgentTest, PollsAreSpacedWhileEndsAreNotAcknowledged) {
   startA();
--- a/tests/platform/decode_test.cc
+++ b/tests/platform/decode_test.cc
@@ -225,12 +225,12 @@
 TEST(Decode, MutatedInputIsReadOrRefused) {
   const std::vector<std::string> Samples = {
       ValidHeartbeat, ValidPollAnswer,
-      R"({"spec":"x","steps":[{"count":4,"cpu":500,"memMb":256,"gpu":2,)"
-      R"("estMs":900},{"count":2,"after":[0],"antiAffinity":1}],"times":3,)"
-      R"("initialMs":5,"intervalMs":7})",
-      R"({"version":7,"routes":[{"name":"r","priority":2,"attempts":3,)"
-      R"("stretch":1.5,"sloMs":400}],"tenants":[{"name":"t","apiKeys":["k"],)"
-      R"("guaranteed":{"gpu":16}}],"limits":{"maxBodyBytes":9}})",
+      (R"({"spec":"x","steps":[{"count":4,"cpu":500,"memMb":256,"gpu":2,)"
+       R"("estMs":900},{"count":2,"after":[0],"antiAffinity":1}],"times":3,)"
+       R"("initialMs":5,"intervalMs":7})"),
+      (R"({"version":7,"routes":[{"name":"r","priority":2,"attempts":3,)"
+       R"("stretch":1.5,"sloMs":400}],"tenants":[{"name":"t","apiKeys":["k"],)"
+       R"("guaranteed":{"gpu":16}}],"limits":{"maxBodyBytes":9}})"),
       R"({"clockMs":7,"reason":"old"})"};
   const bool Passed = rc::check([&] {
     base::Json J = base::parseJson(*rc::gen::elementOf(Samples));
