Void the orders of an earlier agent process by a new fence

Callers could see a task run twice: a start that was sent to a worker and not answered was carried out by the worker's next incarnation, after its agent had been restarted too. The new agent process knows nothing of that start, and the leader counted the run as lost with the first report of the new incarnation. A late poll could likewise make the new incarnation forget ends.

Calls carried the epoch of the leader as their fence, so nothing told calls of one epoch apart. The leader now allots a fence of its own to each agent process and worker incarnation, above all fences before. Once the worker has answered a poll with it, earlier calls are void, and only then does a run of an earlier incarnation that the worker does not list count as lost. Without such an answer it does after the 20 s for which orders may be late.

--- a/src/batch/agent.cc
+++ b/src/batch/agent.cc
@@ -14,10 +14,6 @@
 /// Covers the transmission of the last lease renewal and late timers.
 constexpr Millis LeaseMarginMs = 300;
 
-/// How long the worker may still carry out an order that was not answered. The
-/// platform specifies seconds; 12 s have been observed.
-constexpr Millis LateOrderMs = 20000;
-
 /// Pause before an order that was not carried out is repeated.
 constexpr Millis OrderRetryMs = 150;
 /// Pause before a failed poll is repeated.
@@ -111,6 +107,7 @@
   m_leaseUntil = -1;
   m_waitingPoll = 0;
   m_answeredSerial = m_serial;
+  m_answeredFence = 0;
   m_pollAt = Now;
 }
 
@@ -144,6 +141,8 @@
     m_ports.event("leaderSeen", "", fmt::format("epoch={}", R.m_epoch));
     m_epoch = R.m_epoch;
   }
+  // A leader of an earlier version sends no fence.
+  raiseFence(std::max(R.m_fence, fenceOf(R.m_epoch, 0)), Now);
   // The leader counts leases from the last report that described the worker, so
   // replies to other reports permit neither leases nor starts.
   if (Report.m_describesWorker)
@@ -159,6 +158,17 @@
     handleStartOrder(O, Report.m_sentAt, Now);
 }
 
+// The leader waits for the lists of a worker that has seen the new fence, so
+// the worker is polled at once.
+void Agent::raiseFence(std::uint64_t Fence, Millis Now) {
+  if (Fence <= m_fence)
+    return;
+  m_fence = Fence;
+  m_fenceSerial = m_serial + 1;
+  if (m_synced)
+    sendPoll(0, Now);
+}
+
 void Agent::handleStartOrder(const StartOrder &O, Millis SentAt, Millis Now) {
   const Key K(O.m_task, O.m_run);
   if (m_runs.contains(K) ||
@@ -230,13 +240,13 @@
     return;
   }
   R.m_orderPending = true;
-  m_ports.start({R.m_order, extendLease(Now), m_epoch});
+  m_ports.start({R.m_order, extendLease(Now), m_fence});
 }
 
 void Agent::sendStop(Run &R, Millis Now) {
   R.m_orderPending = true;
   R.m_retryAt = Now + OrderRetryMs;
-  m_ports.stop({R.m_report.m_task, R.m_report.m_run, m_epoch});
+  m_ports.stop({R.m_report.m_task, R.m_report.m_run, m_fence});
 }
 
 void Agent::onStartResult(const std::string &Task, int RunNumber,
@@ -305,7 +315,7 @@
 void Agent::sendPoll(Millis WaitMs, Millis Now) {
   PollCall C;
   C.m_serial = ++m_serial;
-  C.m_fence = m_epoch;
+  C.m_fence = m_fence;
   C.m_acknowledged = m_acknowledged;
   C.m_waitMs = WaitMs;
   // A worker that may be lost gets no new lease, so that there is a time by
@@ -354,6 +364,13 @@
     recordLease(Now);
   m_changed = m_changed || !m_synced;
   m_synced = true;
+  if (Serial >= m_fenceSerial && m_answeredFence < m_fence) {
+    m_answeredFence = m_fence;
+    m_changed = true;
+    m_ports.event("fenceRaised", "",
+                  fmt::format("fence={} life={}", m_fence,
+                              m_worker->m_workerIncarnation));
+  }
   reconcile(A);
   if (m_waitingPoll == 0 &&
       (!m_ends.empty() || !m_storedEnds.empty() || A.m_malformed.m_count > 0))
@@ -452,6 +469,7 @@
     for (const auto &[K, Known] : m_runs)
       R.m_runs.push_back(Known.m_report);
     R.m_ends = m_ends;
+    R.m_fence = m_answeredFence;
   }
   m_changed = false;
   m_openReports[R.m_sequence] = {Now, LongPoll, R.m_worker.has_value()};
--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -28,14 +28,14 @@
 /// Starts a run and grants a lease until the deadline.
 struct StartCall {
   StartOrder m_order;
-  Millis m_deadline = 0;     ///< Lease end on the worker's clock.
-  std::uint64_t m_fence = 0; ///< Epoch of the leader.
+  Millis m_deadline = 0; ///< Lease end on the worker's clock.
+  std::uint64_t m_fence = 0;
 };
 
 struct StopCall {
   std::string m_task;
   int m_run = 0;
-  std::uint64_t m_fence = 0; ///< Epoch of the leader.
+  std::uint64_t m_fence = 0;
 };
 
 /// Asks for the runs and ends of the worker and renews the lease if a deadline
@@ -43,7 +43,7 @@
 struct PollCall {
   std::uint64_t m_serial = 0;
   std::optional<Millis> m_deadline; ///< Lease end on the worker's clock.
-  std::uint64_t m_fence = 0;        ///< Epoch of the leader.
+  std::uint64_t m_fence = 0;
   /// The worker may forget ends up to this number.
   std::int64_t m_acknowledged = 0;
   Millis m_waitMs = 0; ///< How long the answer may wait for an end.
@@ -162,6 +162,7 @@
   using Key = RunKey;
 
   void applyReply(const AgentReply &R, const OpenReport &Report, Millis Now);
+  void raiseFence(std::uint64_t Fence, Millis Now);
   void handleStartOrder(const StartOrder &O, Millis SentAt, Millis Now);
   void handleStopOrder(const StopOrder &O, Millis Now);
   void removeAcknowledgedEnds(const std::vector<EndReport> &Acknowledged);
@@ -196,6 +197,11 @@
   Millis m_clockAt = -1;    ///< On the agent's clock; -1: not known.
   Millis m_leaseUntil = -1; ///< All leases granted so far have ended by then.
   std::uint64_t m_epoch = 0; ///< Highest epoch of a leader that replied.
+  std::uint64_t m_fence = 0; ///< Of all calls from now on.
+  /// Serial of the first poll with the fence m_fence.
+  std::uint64_t m_fenceSerial = 0;
+  /// Highest fence of a poll that the current incarnation has answered.
+  std::uint64_t m_answeredFence = 0;
   /// Send time of the newest report with a description of the worker that the
   /// leader answered, or -1.
   Millis m_contactAt = -1;
--- a/src/batch/leader.cc
+++ b/src/batch/leader.cc
@@ -176,6 +176,12 @@
     if (NewProcess)
       A.m_entriesVersionSent = 0;
     A.m_name = R.m_agent;
+    const bool NewWorker = R.m_worker && R.m_worker->m_workerIncarnation !=
+                                             A.m_worker.m_workerIncarnation;
+    if (NewWorker)
+      A.m_workerSeenAt = Now;
+    if (NewProcess || NewWorker)
+      renewFence(A, NewWorker ? "newWorker" : "newAgent");
     A.m_incarnation = R.m_incarnation;
     A.m_sequence = R.m_sequence;
     const bool AcceptedWork = acceptsWork(A, Now);
@@ -183,14 +189,12 @@
     A.m_unhealthy = R.m_unhealthy;
     if (R.m_worker) {
       A.m_workerReportedAt = Now;
-      const std::string PreviousIncarnation = A.m_worker.m_workerIncarnation;
       const bool WasDraining = A.m_worker.m_draining;
       A.m_worker = *R.m_worker;
       adoptRuns(R);
-      if (!PreviousIncarnation.empty() &&
-          PreviousIncarnation != A.m_worker.m_workerIncarnation)
-        loseRuns(A.m_name, PreviousIncarnation, "workerRestarted", Now,
-                 WallNow);
+      const bool Fenced = R.m_fence >= A.m_fence;
+      if (!std::exchange(A.m_fenced, Fenced) && Fenced)
+        loseUnreachableRuns(Now, WallNow);
       if (A.m_worker.m_draining && !WasDraining)
         m_ports.event("workerDraining", "",
                       fmt::format("agent={} remainingMs={}", A.m_name,
@@ -240,7 +244,7 @@
 
 void Leader::advance(Millis Now, Millis WallNow) {
   addOccurrences(WallNow);
-  loseRunsOfSilentAgents(Now, WallNow);
+  loseUnreachableRuns(Now, WallNow);
   checkRuns(Now);
   purge(WallNow);
   m_journal.advance(Now);
@@ -273,6 +277,17 @@
     Adopt(E.m_task, E.m_run);
 }
 
+// A start order of an earlier agent process, or for an earlier incarnation of
+// the worker, may still be carried out. It is void once the worker has seen a
+// higher fence.
+void Leader::renewFence(AgentView &A, const char *Reason) {
+  A.m_fence = fenceOf(m_epoch, ++A.m_fenceGeneration);
+  A.m_fenced = false;
+  m_ports.event(
+      "fenceRenewed", "",
+      fmt::format("agent={} fence={} reason={}", A.m_name, A.m_fence, Reason));
+}
+
 std::pair<std::size_t, std::size_t> Leader::agentsInContact(Millis Now) const {
   std::size_t InContact = 0;
   for (const auto &[Name, A] : m_agents)
--- a/src/batch/leader.h
+++ b/src/batch/leader.h
@@ -75,6 +75,15 @@
   std::int64_t m_incarnation = -1;
   std::uint64_t m_sequence = 0;
   WorkerInfo m_worker;
+  /// Fence number for the present agent process and worker incarnation. Neither
+  /// has sent or carried out a call with it before.
+  std::uint64_t m_fence = 0;
+  std::uint64_t m_fenceGeneration = 0; ///< Of m_fence, within the epoch.
+  std::uint64_t m_fenceSent = 0;       ///< Last fence sent to the agent.
+  /// The worker has answered a poll with m_fence: no call of an earlier agent
+  /// process, or to an earlier worker incarnation, takes effect any more.
+  bool m_fenced = false;
+  Millis m_workerSeenAt = 0; ///< First report of the worker's incarnation.
   bool m_unhealthy = false;
   Millis m_lastContactAt = 0;
   /// Last report that described the worker. Only an agent that knows its
@@ -161,6 +170,7 @@
   using AgentView = detail::AgentView;
 
   void adoptRuns(const AgentReport &R);
+  void renewFence(AgentView &A, const char *Reason);
 
   // leader_callers.cc
   void submit(const CallerRequest &R, Millis Now, Millis WallNow,
@@ -183,7 +193,8 @@
                Millis WallNow);
   void loseRuns(const std::string &Agent, const std::string &Incarnation,
                 const char *Reason, Millis Now, Millis WallNow);
-  void loseRunsOfSilentAgents(Millis Now, Millis WallNow);
+  const char *reasonForLoss(const Task &T, Millis Now) const;
+  void loseUnreachableRuns(Millis Now, Millis WallNow);
   void resetTask(Task &T);
   void stopRun(Task &T, const TaskName &Name, StopReason Reason);
   void stopAllRuns(Job &J, StopReason Reason);
--- a/src/batch/leader_orders.cc
+++ b/src/batch/leader_orders.cc
@@ -84,6 +84,7 @@
     R.m_epoch = m_epoch;
     R.m_leads = confirmed(Now);
     R.m_workerIncarnation = A.m_worker.m_workerIncarnation;
+    R.m_fence = A.m_fence;
     if (A.m_entriesVersionSent != m_entriesVersion)
       R.m_entries = m_entries;
     for (const auto &[Key, End] : A.m_ends) {
@@ -131,7 +132,8 @@
   for (const auto &Entry : collectOrders(Now)) {
     const AgentReply &Reply = Entry.second;
     AgentView &A = m_agents[Entry.first];
-    const bool Orders = !Reply.m_starts.empty() || !Reply.m_stops.empty();
+    const bool Urgent = !Reply.m_starts.empty() || !Reply.m_stops.empty() ||
+                        (Reply.m_leads && Reply.m_fence != A.m_fenceSent);
     const bool AllEndsStored =
         std::all_of(A.m_ends.begin(), A.m_ends.end(), [&](const auto &E) {
           return E.second.m_batch <= m_journal.durable();
@@ -141,9 +143,11 @@
       const Millis Waited = m_timing.m_longPollMs - (P.m_until - Now);
       const bool NothingToWaitFor =
           !P.m_longPoll && (AllEndsStored || Waited >= StoreWaitMs);
-      if (Answered || (!Orders && !NothingToWaitFor && Now < P.m_until))
+      if (Answered || (!Urgent && !NothingToWaitFor && Now < P.m_until))
         return false;
       Answered = true;
+      if (Reply.m_leads)
+        A.m_fenceSent = Reply.m_fence;
       A.m_entriesVersionSent = m_entriesVersion;
       recordAcknowledgements(A, Reply, Now);
       Ready.emplace_back(std::move(P.m_answer), Reply);
--- a/src/batch/leader_runs.cc
+++ b/src/batch/leader_runs.cc
@@ -297,31 +297,42 @@
   }
 }
 
-// After the last report that described its worker, an agent grants leases for
-// the autonomy time. Its runs end with the last of these leases at the latest.
-void Leader::loseRunsOfSilentAgents(Millis Now, Millis WallNow) {
+// Returns why a placed run cannot be alive or start any more, or nullptr.
+const char *Leader::reasonForLoss(const Task &T, Millis Now) const {
+  const auto It = m_agents.find(T.m_agent);
+  const bool Known =
+      It != m_agents.end() && !It->second.m_worker.m_workerIncarnation.empty();
+  // A start order for the earlier incarnation may be carried out by the present
+  // one, which lists the run then.
+  if (Known &&
+      It->second.m_worker.m_workerIncarnation != T.m_workerIncarnation &&
+      (It->second.m_fenced || Now - It->second.m_workerSeenAt > LateOrderMs))
+    return "workerRestarted";
+  // After the last report that described its worker, an agent grants leases for
+  // the autonomy time. Its runs end with the last of these leases at the
+  // latest. The agent may have been in contact with the previous leader until
+  // that one was not confirmed any more.
   const auto LeaseMs = static_cast<Millis>(
       static_cast<double>(m_timing.m_leaseMs) * ClockSlowness);
-  std::set<std::pair<std::string, std::string>> Expired;
+  const Millis ReportedAt = Known ? It->second.m_workerReportedAt
+                                  : m_startedAt + m_timing.m_confirmMs;
+  return Now - ReportedAt > m_timing.m_autonomyMs + LeaseMs + LeaseMarginMs
+             ? "leaseExpired"
+             : nullptr;
+}
+
+void Leader::loseUnreachableRuns(Millis Now, Millis WallNow) {
+  std::map<std::pair<std::string, std::string>, const char *> Reasons;
   for (const auto &[Id, J] : m_jobs) {
     forEachTask(J.m_progress, [&](int, int, int, const Task &T) {
       if (T.m_phase != TaskPhase::Placed)
         return;
-      const auto It = m_agents.find(T.m_agent);
-      const bool Known = It != m_agents.end() &&
-                         !It->second.m_worker.m_workerIncarnation.empty();
-      // The agent may have been in contact with the previous leader until that
-      // one was not confirmed any more.
-      const Millis ReportedAt = Known ? It->second.m_workerReportedAt
-                                      : m_startedAt + m_timing.m_confirmMs;
-      if ((Known &&
-           It->second.m_worker.m_workerIncarnation != T.m_workerIncarnation) ||
-          Now - ReportedAt > m_timing.m_autonomyMs + LeaseMs + LeaseMarginMs)
-        Expired.emplace(T.m_agent, T.m_workerIncarnation);
+      if (const char *Reason = reasonForLoss(T, Now))
+        Reasons.emplace(std::pair(T.m_agent, T.m_workerIncarnation), Reason);
     });
   }
-  for (const auto &[Agent, Incarnation] : Expired)
-    loseRuns(Agent, Incarnation, "leaseExpired", Now, WallNow);
+  for (const auto &[Key, Reason] : Reasons)
+    loseRuns(Key.first, Key.second, Reason, Now, WallNow);
 }
 
 void Leader::addOccurrences(Millis WallNow) {
@@ -357,6 +368,9 @@
   const auto StartMs = static_cast<Millis>(
       static_cast<double>(m_timing.m_gangTimeoutMs) * StartShare);
   AgentView &A = m_agents[T.m_agent];
+  // Whether the run is lost is open until the worker has seen a higher fence.
+  if (A.m_worker.m_workerIncarnation != T.m_workerIncarnation)
+    return StopReason::None;
   if (!T.m_running)
     return T.m_startSentAt >= 0 && Now - T.m_placedAt > StartMs
                ? StopReason::Stalled
--- a/src/batch/messages.h
+++ b/src/batch/messages.h
@@ -2,6 +2,7 @@
 
 #include "batch/job.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -156,6 +157,19 @@
   }
 };
 
+/// How long a worker may still carry out an order that was not answered, in ms.
+/// The platform specifies seconds; 12 s have been observed.
+constexpr Millis LateOrderMs = 20000;
+
+/// Returns the fence number of generation \p Generation in an epoch. A worker
+/// ignores calls with a lower number than the highest that it has seen, so a
+/// call with a new number makes all unanswered calls before it void.
+constexpr std::uint64_t fenceOf(std::uint64_t Epoch, std::uint64_t Generation) {
+  constexpr int GenerationBits = 20;
+  constexpr std::uint64_t MaxGeneration = (1ULL << GenerationBits) - 1;
+  return (Epoch << GenerationBits) | std::min(Generation, MaxGeneration);
+}
+
 /// State of a worker, its runs and their ends, as known to its agent.
 struct AgentReport {
   std::string m_agent;
@@ -168,6 +182,9 @@
   /// The leader may hold its reply until there are orders.
   bool m_longPoll = false;
   bool m_unhealthy = false; ///< The worker does not answer polls.
+  /// Highest fence number of a poll that this incarnation of the worker has
+  /// answered; the runs and ends are at least as new as that answer.
+  std::uint64_t m_fence = 0;
 
   static constexpr auto fields() {
     return std::tuple{
@@ -178,7 +195,8 @@
         base::optional("runs", &AgentReport::m_runs),
         base::optional("ends", &AgentReport::m_ends),
         base::optional("waits", &AgentReport::m_longPoll),
-        base::optional("unhealthy", &AgentReport::m_unhealthy)};
+        base::optional("unhealthy", &AgentReport::m_unhealthy),
+        base::optional("fence", &AgentReport::m_fence)};
   }
 };
 
@@ -217,6 +235,8 @@
   std::vector<EndReport> m_acknowledged;
   /// Entries that can be asked for the leader.
   std::vector<std::string> m_entries;
+  /// Number for the calls to the worker from now on.
+  std::uint64_t m_fence = 0;
 
   static constexpr auto fields() {
     return std::tuple{base::required("epoch", &AgentReply::m_epoch),
@@ -225,7 +245,8 @@
                       base::optional("starts", &AgentReply::m_starts),
                       base::optional("stops", &AgentReply::m_stops),
                       base::optional("noted", &AgentReply::m_acknowledged),
-                      base::optional("entries", &AgentReply::m_entries)};
+                      base::optional("entries", &AgentReply::m_entries),
+                      base::optional("fence", &AgentReply::m_fence)};
   }
 };
 
--- a/tests/batch/agent_test.cc
+++ b/tests/batch/agent_test.cc
@@ -239,6 +239,40 @@
   EXPECT_EQ(m_worker.m_starts, 0);
 }
 
+// The leader gives up the runs of an earlier incarnation on this report.
+TEST_F(AgentTest, ReportsAFenceOnlyOnceTheWorkerHasAnsweredAPollWithIt) {
+  const std::uint64_t Fence = fenceOf(m_worker.m_epoch, 3);
+  m_worker.m_unreachable = true;
+  AgentReply R;
+  R.m_fence = Fence;
+  m_worker.reply(R);
+  passWithReplies(500);
+  ASSERT_FALSE(m_worker.m_reports.empty());
+  EXPECT_LT(m_worker.m_reports.back().m_fence, Fence);
+  m_worker.m_unreachable = false;
+  m_worker.pass(1500);
+  ASSERT_FALSE(m_worker.m_reports.empty());
+  EXPECT_EQ(m_worker.m_reports.back().m_fence, Fence);
+  m_worker.restart();
+  m_worker.m_unreachable = true;
+  m_worker.heartbeat();
+  passWithReplies(500);
+  ASSERT_FALSE(m_worker.m_reports.empty());
+  EXPECT_EQ(m_worker.m_reports.back().m_fence, 0u);
+}
+
+// Guards against a late call with the number of an earlier epoch or generation.
+TEST_F(AgentTest, NeverLowersTheFence) {
+  AgentReply R;
+  R.m_fence = fenceOf(m_worker.m_epoch, 3);
+  m_worker.reply(R);
+  m_worker.pass(20);
+  R.m_fence = fenceOf(m_worker.m_epoch, 2);
+  m_worker.reply(R);
+  startA();
+  EXPECT_EQ(m_worker.m_fence, fenceOf(m_worker.m_epoch, 3));
+}
+
 TEST_F(AgentTest, ReportsWhatTheWorkerRunsAfterAnAgentRestart) {
   startA();
   FakeWorker Next;
--- a/tests/batch/fake_worker.h
+++ b/tests/batch/fake_worker.h
@@ -123,7 +123,8 @@
   std::int64_t m_lastEnd = 0;
   std::int64_t m_acknowledged = 0;
   Millis m_deadline = 0;
-  int m_starts = 0; ///< Runs that were started.
+  std::uint64_t m_fence = 0; ///< Of the last start or poll.
+  int m_starts = 0;          ///< Runs that were started.
   std::vector<AgentReport> m_reports;
   std::vector<std::string> m_events;
   base::Counters m_counters;
@@ -144,6 +145,7 @@
   }
 
   void start(const StartCall &C) override {
+    m_fence = C.m_fence;
     const std::string Task = C.m_order.m_task;
     const int Run = C.m_order.m_run;
     const auto SendResult = [this, Task, Run](OrderOutcome O,
@@ -189,6 +191,7 @@
     if (m_unreachable)
       return answerLater(
           [this, C] { m_agent.onPollResult(C.m_serial, {}, m_now); });
+    m_fence = C.m_fence;
     if (C.m_deadline)
       m_deadline = std::max(m_deadline, *C.m_deadline);
     m_acknowledged = std::max(m_acknowledged, C.m_acknowledged);
--- a/tests/batch/leader_fixture.h
+++ b/tests/batch/leader_fixture.h
@@ -107,6 +107,8 @@
     bool m_draining = false;
     std::vector<StopOrder> m_stops;
     std::vector<EndReport> m_acknowledged;
+    std::uint64_t m_fence = 0;
+    bool m_workerSilent = false; ///< The worker answers no polls.
   };
 
   void addAgent(const std::string &Name) {
@@ -137,6 +139,7 @@
       R.m_runs.push_back(Run);
     }
     R.m_ends = B.m_ends;
+    R.m_fence = B.m_fence;
     m_leader->report(
         R, m_now, wallNow(),
         [this, Name](const AgentReply &Reply) { applyReply(Name, Reply); });
@@ -167,6 +170,8 @@
     FakeAgent &B = m_agents[Name];
     if (R.m_epoch < m_epoch)
       return;
+    if (!B.m_workerSilent)
+      B.m_fence = std::max(B.m_fence, R.m_fence);
     for (const StartOrder &O : R.m_starts) {
       B.m_runs[O.m_task] = {O.m_task, O.m_run, RunPhase::Running, 0, "", 0};
       ++m_starts[O.m_task];
--- a/tests/batch/leader_test.cc
+++ b/tests/batch/leader_test.cc
@@ -366,6 +366,63 @@
   EXPECT_TRUE(m_agents["w"].m_stops.empty());
 }
 
+// Guards against a task that runs twice: a start order of an earlier agent
+// process is carried out by the worker's next incarnation after the leader has
+// counted the run as lost (restart simulation, seed 1590).
+TEST_F(LeaderTest, ARunOfARestartedWorkerIsLostOnlyOnceTheWorkerIsFenced) {
+  addAgent("w");
+  submit("a", jobOf({step(1, 1)}));
+  pass(300);
+  m_agents["w"].m_workerSilent = true;
+  restartAgent("w");
+  m_agents["w"].m_workerIncarnation = "w@2";
+  const auto LateRuns = std::exchange(m_agents["w"].m_runs, {});
+  addAgent("x");
+  pass(1000);
+  EXPECT_EQ(m_starts["a.0.0.0"], 1);
+  m_agents["w"].m_runs = LateRuns;
+  pass(1000);
+  EXPECT_EQ(m_starts["a.0.0.0"], 1);
+  EXPECT_TRUE(m_agents["w"].m_stops.empty());
+  m_agents["w"].m_workerSilent = false;
+  pass(1000);
+  EXPECT_EQ(m_starts["a.0.0.0"], 1);
+}
+
+// Guards against a task that never runs again: its worker has restarted, but
+// its agent never confirms a fence, as one of an earlier version.
+TEST_F(LeaderTest, ARunOfARestartedWorkerIsLostOnceLateOrdersAreVoid) {
+  addAgent("w");
+  submit("a", jobOf({step(1, 1)}));
+  pass(300);
+  m_agents["w"].m_workerSilent = true;
+  m_agents["w"].m_workerIncarnation = "w@2";
+  m_agents["w"].m_runs.clear();
+  pass(LateOrderMs - 500);
+  EXPECT_EQ(m_starts["a.0.0.0"], 1);
+  pass(1000);
+  EXPECT_EQ(m_starts["a.0.0.0"], 2);
+}
+
+TEST_F(LeaderTest, RenewsTheFenceForEachAgentProcessAndWorkerIncarnation) {
+  addAgent("w");
+  const std::uint64_t First = m_agents["w"].m_fence;
+  EXPECT_GT(First, 0u);
+  pass(500);
+  EXPECT_EQ(m_agents["w"].m_fence, First);
+  m_agents["w"].m_workerIncarnation = "w@2";
+  pass(500);
+  const std::uint64_t Second = m_agents["w"].m_fence;
+  EXPECT_GT(Second, First);
+  restartAgent("w");
+  pass(500);
+  const std::uint64_t Third = m_agents["w"].m_fence;
+  EXPECT_GT(Third, Second);
+  makeLeader();
+  pass(500);
+  EXPECT_GT(m_agents["w"].m_fence, Third);
+}
+
 // A leader that had never seen the earlier incarnation declared the run lost
 // and started it elsewhere (restart simulation, seeds 332 and 662).
 TEST_F(LeaderTest, ANewLeaderAdoptsARunOfTheNextWorkerIncarnation) {
