Acknowledge no end to a worker that may have restarted

Callers could see a task run twice: a worker restarts under its id, a start that is repeated reaches the new incarnation and its run ends there at once. The agent, which has not heard of the restart yet, polls with the number up to which the earlier incarnation may forget its ends, and the new one forgets the end.

Each poll repeated that number. A poll now carries it only until the worker has answered one that does. The answer to an order tells the worker's clock, which starts anew with each incarnation: if it went back by more than an answer can be overtaken, nothing is acknowledged until a poll tells which incarnation answers.

--- a/src/batch/agent.cc
+++ b/src/batch/agent.cc
@@ -99,7 +99,8 @@
   }
   m_runs = std::move(Unsettled);
   m_ends.clear();
-  m_highestEnd = m_acknowledged = 0;
+  m_highestEnd = m_acknowledged = m_forgotten = 0;
+  m_sentAcknowledgements.clear();
   m_storedEnds.clear();
   m_malformed = {};
   m_synced = false;
@@ -114,8 +115,18 @@
 void Agent::setClock(Millis Clock, Millis Now) {
   if (Clock < 0)
     return;
+  // The clock starts anew with each incarnation, and only a poll tells which
+  // one has answered. Newer answers overtake one to an order by less than its
+  // timeout.
+  const bool Restarted =
+      m_clockAt >= 0 && Clock + m_timing.m_orderTimeoutMs < m_clock;
   m_clock = Clock;
   m_clockAt = Now;
+  if (!Restarted)
+    return;
+  m_restartCheckSerial = m_serial + 1;
+  m_ports.event("workerClockReset", "", fmt::format("clock={}", Clock));
+  sendPoll(0, Now);
 }
 
 void Agent::recordLease(Millis Now) {
@@ -316,7 +327,10 @@
   PollCall C;
   C.m_serial = ++m_serial;
   C.m_fence = m_fence;
-  C.m_acknowledged = m_acknowledged;
+  // The next incarnation of the worker may carry out the poll and forget ends
+  // of its own, so nothing is acknowledged without need.
+  if (m_acknowledged > m_forgotten && m_answeredSerial >= m_restartCheckSerial)
+    C.m_acknowledged = m_sentAcknowledgements[C.m_serial] = m_acknowledged;
   C.m_waitMs = WaitMs;
   // A worker that may be lost gets no new lease, so that there is a time by
   // which all leases have ended.
@@ -334,6 +348,7 @@
     m_pollAt = A.m_answered ? Now : Now + PollRetryMs;
   }
   if (!A.m_answered) {
+    m_sentAcknowledgements.erase(Serial);
     if (++m_failedPolls == FailedPollsToUnhealthy) {
       m_ports.event("workerSilent", "", "polls failed");
       m_changed = true;
@@ -364,6 +379,11 @@
     recordLease(Now);
   m_changed = m_changed || !m_synced;
   m_synced = true;
+  if (const auto Sent = m_sentAcknowledgements.find(Serial);
+      Sent != m_sentAcknowledgements.end())
+    m_forgotten = std::max(m_forgotten, Sent->second);
+  m_sentAcknowledgements.erase(m_sentAcknowledgements.begin(),
+                               m_sentAcknowledgements.upper_bound(Serial));
   if (Serial >= m_fenceSerial && m_answeredFence < m_fence) {
     m_answeredFence = m_fence;
     m_changed = true;
--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -218,6 +218,12 @@
   std::set<std::int64_t> m_storedEnds;
   MalformedRows m_malformed;       ///< Of the newest answered poll.
   std::int64_t m_acknowledged = 0; ///< All ends up to this number are stored.
+  /// The worker has forgotten all ends up to this number.
+  std::int64_t m_forgotten = 0;
+  /// What polls without an answer acknowledge, by their serial.
+  std::map<std::uint64_t, std::int64_t> m_sentAcknowledgements;
+  /// The worker may have restarted until this poll or a later one is answered.
+  std::uint64_t m_restartCheckSerial = 0;
 
   std::uint64_t m_serial = 0;         ///< Of the newest poll.
   std::uint64_t m_answeredSerial = 0; ///< Of the newest answered poll.
--- a/tests/batch/agent_test.cc
+++ b/tests/batch/agent_test.cc
@@ -261,6 +261,48 @@
   EXPECT_EQ(m_worker.m_reports.back().m_fence, 0u);
 }
 
+// Guards against the loss of an end: the next incarnation of the worker carries
+// out a poll that repeats an acknowledgement of the earlier one.
+TEST_F(AgentTest, AnAcknowledgementIsNotRepeatedOnceItIsAnswered) {
+  startA();
+  m_worker.end(TaskA, 1, EndKind::Done);
+  m_worker.pass(1100);
+  AgentReply R;
+  R.m_acknowledged = {{TaskA, 1, EndKind::Done, "", 1, ""}};
+  m_worker.reply(R);
+  passWithReplies(5000);
+  EXPECT_EQ(m_worker.m_acknowledged, 1);
+  EXPECT_EQ(m_worker.m_acknowledgements, 1);
+}
+
+// Guards against the loss of an end: a start is carried out by the next
+// incarnation of the worker, and a poll that acknowledges an end of the earlier
+// one makes it forget the run's end (restart simulation, seeds 12583 and
+// 17411).
+TEST_F(AgentTest, NothingIsAcknowledgedToAWorkerThatMayHaveRestarted) {
+  constexpr const char *TaskB = "00000000000000bb.0.0.0";
+  startA();
+  m_worker.end(TaskA, 1, EndKind::Done);
+  passWithReplies(1500);
+  m_worker.m_unreachable = true;
+  AgentReply R;
+  R.m_acknowledged = {{TaskA, 1, EndKind::Done, "", 1, ""}};
+  R.m_starts = {{TaskB, 1, "payload", ""}};
+  m_worker.reply(R);
+  m_worker.pass(50);
+  m_worker.restart();
+  m_worker.m_dropsPolls = true;
+  m_worker.m_unreachable = false;
+  m_worker.pass(500);
+  ASSERT_TRUE(m_worker.m_runs.contains({TaskB, 1}));
+  m_worker.end(TaskB, 1, EndKind::Done);
+  m_worker.m_dropsPolls = false;
+  passWithReplies(1500);
+  m_worker.pass(20);
+  EXPECT_EQ(m_worker.m_acknowledged, 0);
+  EXPECT_TRUE(m_worker.reported(EndKind::Done));
+}
+
 // Guards against a late call with the number of an earlier epoch or generation.
 TEST_F(AgentTest, NeverLowersTheFence) {
   AgentReply R;
--- a/tests/batch/fake_worker.h
+++ b/tests/batch/fake_worker.h
@@ -27,6 +27,7 @@
 
   // Faults.
   bool m_unreachable = false; ///< Calls are neither answered nor carried out.
+  bool m_dropsPolls = false;  ///< Polls are neither answered nor carried out.
   bool m_dropsStarts = false; ///< Starts are neither answered nor carried out.
   /// Starts are not answered; applyDelayedStarts() carries them out.
   bool m_delaysStarts = false;
@@ -59,8 +60,12 @@
     m_newestStopped.clear();
     m_lastEnd = 0;
     m_deadline = 0;
+    m_clockZero = m_now;
   }
 
+  /// The worker's clock, which starts anew with each incarnation.
+  Millis clock() const { return m_now - m_clockZero; }
+
   void end(const std::string &Task, int Run, EndKind Kind,
            const std::string &Saved = "") {
     m_runs.erase({Task, Run});
@@ -77,7 +82,7 @@
   void pass(Millis Ms) {
     for (Millis I = 0; I < Ms; ++I) {
       ++m_now;
-      if (m_deadline > 0 && m_now > m_deadline && !m_runs.empty()) {
+      if (m_deadline > 0 && clock() > m_deadline && !m_runs.empty()) {
         const auto Runs = m_runs;
         for (const auto &[K, R] : Runs)
           end(K.first, K.second, EndKind::LeaseExpired, R.m_checkpoint);
@@ -118,10 +123,12 @@
   std::uint64_t m_epoch = 1;
   bool m_draining = false;
   int m_startTime = 1;
+  Millis m_clockZero = 0; ///< Time at which clock() was 0.
   std::map<std::pair<std::string, int>, Running> m_runs;
   std::vector<EndReport> m_ends;
   std::int64_t m_lastEnd = 0;
-  std::int64_t m_acknowledged = 0;
+  std::int64_t m_acknowledged = 0; ///< Highest number acknowledged by a poll.
+  int m_acknowledgements = 0;      ///< Polls that acknowledged an end.
   Millis m_deadline = 0;
   std::uint64_t m_fence = 0; ///< Of the last start or poll.
   int m_starts = 0;          ///< Runs that were started.
@@ -151,7 +158,7 @@
     const auto SendResult = [this, Task, Run](OrderOutcome O,
                                               const std::string &Reason) {
       answerLater([=, this] {
-        m_agent.onStartResult(Task, Run, {O, Reason, m_now}, m_now);
+        m_agent.onStartResult(Task, Run, {O, Reason, clock()}, m_now);
       });
     };
     if (m_unreachable || m_dropsStarts || m_delaysStarts) {
@@ -182,26 +189,27 @@
     if (m_runs.contains({C.m_task, C.m_run}))
       end(C.m_task, C.m_run, EndKind::Stopped, "saved");
     answerLater([this, C] {
-      m_agent.onStopResult(C.m_task, C.m_run, {OrderOutcome::Done, "", m_now},
+      m_agent.onStopResult(C.m_task, C.m_run, {OrderOutcome::Done, "", clock()},
                            m_now);
     });
   }
 
   void poll(const PollCall &C) override {
-    if (m_unreachable)
+    if (m_unreachable || m_dropsPolls)
       return answerLater(
           [this, C] { m_agent.onPollResult(C.m_serial, {}, m_now); });
     m_fence = C.m_fence;
     if (C.m_deadline)
       m_deadline = std::max(m_deadline, *C.m_deadline);
     m_acknowledged = std::max(m_acknowledged, C.m_acknowledged);
+    m_acknowledgements += C.m_acknowledged > 0 ? 1 : 0;
     std::erase_if(m_ends, [&](const EndReport &E) {
       return E.m_number <= C.m_acknowledged;
     });
     PollResult A;
     A.m_answered = true;
     A.m_workerIncarnation = info().m_workerIncarnation;
-    A.m_clock = m_now;
+    A.m_clock = clock();
     for (const auto &[K, R] : m_runs)
       A.m_runs.push_back({K.first, K.second, RunPhase::Running, R.m_percent,
                           R.m_checkpoint, 0});
