Split the restart simulation into files of one job each

Code was moved only; three bounds that two files use (WorkerTickMs, GangTimeoutMs and MaxLateMs) went into the class.

--- a/tests/batch/restart_simulation.h
+++ b/tests/batch/restart_simulation.h
@@ -31,11 +31,34 @@
   std::string run();
 
 private:
-  struct Job;
   struct LeaderProcess;
   struct AgentProcess;
   struct Journal;
 
+  /// A worker looks this often whether a run has ended.
+  static constexpr Millis WorkerTickMs = 20;
+  /// Members of a gang that wait for longer end.
+  static constexpr Millis GangTimeoutMs = 3000;
+  /// A late call is carried out by then.
+  static constexpr Millis MaxLateMs = 6000;
+
+  /// A job as its caller knows it.
+  struct Job {
+    JobSpec m_spec;
+    int m_attempts = 1;
+    bool m_hopeless = false; ///< Its tasks always fail.
+    int m_openSubmissions = 0;
+    int m_unrefused = 0; ///< Submissions that were not refused.
+    int m_sent = 0;
+    bool m_accepted = false;
+    bool m_givenUp = false;
+    bool m_cancelSent = false;
+    Millis m_cancelledAt = -1; ///< When a cancellation was acknowledged.
+    Millis m_doneAt = -1;      ///< When it was first shown as done.
+    std::optional<JobPhase> m_shown;
+    Millis m_shownAt = -1;
+  };
+
   /// A task at work on a worker.
   struct LiveRun {
     Millis m_startedAt = 0;
@@ -128,13 +151,13 @@
   void sendQuery(const std::string &Id);
   void ask(CallerRequest R,
            const std::function<void(const CallerReply &)> &Then);
-  void handleShown(const std::string &Id, JobPhase Phase, Millis SentAt);
 
   // Faults.
   void playFaults();
   void injectFault();
 
   // Checks.
+  void handleShown(const std::string &Id, JobPhase Phase, Millis SentAt);
   void checkStart(const Worker &W, const StartCall &C, bool Late);
   void checkAcknowledged(const std::string &Task);
   void checkEnd();
