--- a/tests/batch/restart_simulation_callers.cc
+++ b/tests/batch/restart_simulation_callers.cc
@@ -8,6 +8,13 @@
 constexpr int MaxJobs = 10;
 constexpr Millis CallerWaitMs = 3000;
 
+CallerRequest requestOf(CallerRequestKind Kind, const std::string &Id) {
+  CallerRequest R;
+  R.m_kind = Kind;
+  R.m_id = Id;
+  return R;
+}
+
 } // namespace
 
 void RestartSimulation::submitJob() {
@@ -70,9 +77,7 @@
 
 void RestartSimulation::sendSubmission(const std::string &Id) {
   Job &J = *m_jobs[Id];
-  CallerRequest R;
-  R.m_kind = CallerRequestKind::Submit;
-  R.m_id = Id;
+  CallerRequest R = requestOf(CallerRequestKind::Submit, Id);
   R.m_spec = J.m_spec;
   ++J.m_sent;
   ++J.m_openSubmissions;
@@ -102,10 +107,8 @@
 
 void RestartSimulation::sendCancel(const std::string &Id) {
   Job &J = *m_jobs[Id];
-  CallerRequest R;
-  R.m_kind = CallerRequestKind::Cancel;
-  R.m_id = Id;
   J.m_cancelSent = true;
+  const CallerRequest R = requestOf(CallerRequestKind::Cancel, Id);
   ask(R, [this, Id, &J](const CallerReply &Reply) {
     log(Id, fmt::format("caller: cancellation is answered {}",
                         base::nameOf(Reply.m_verdict)));
@@ -120,9 +123,7 @@
 void RestartSimulation::sendQuery(const std::string &Id) {
   Job &J = *m_jobs[Id];
   const bool Accepted = J.m_accepted;
-  CallerRequest R;
-  R.m_kind = CallerRequestKind::Query;
-  R.m_id = Id;
+  const CallerRequest R = requestOf(CallerRequestKind::Query, Id);
   ask(R, [this, Id, Accepted, &J, SentAt = m_now](const CallerReply &Reply) {
     if (Reply.m_verdict == Verdict::Gone && Accepted && !J.m_cancelSent)
       fail(Id, "an accepted job is not known: " + Id);
