--- a/tests/batch/agent_test.cc
+++ b/tests/batch/agent_test.cc
@@ -31,6 +31,13 @@
     m_worker.pass(50);
   }
 
+  // The leader acknowledges that run 1 of a task has ended as done.
+  void acknowledgeDone(const char *Task, std::int64_t Number) {
+    AgentReply R;
+    R.m_acknowledged = {{Task, 1, EndKind::Done, "", Number, ""}};
+    m_worker.reply(R);
+  }
+
   // Advances the clock while the leader replies every 50 ms.
   void passWithReplies(Millis Ms) {
     for (Millis I = 0; I < Ms; I += 50) {
@@ -57,9 +64,7 @@
   m_worker.pass(1100);
   ASSERT_TRUE(m_worker.reported(EndKind::Done));
   EXPECT_EQ(m_worker.m_acknowledged, 0);
-  AgentReply R;
-  R.m_acknowledged = {{TaskA, 1, EndKind::Done, "", 1, ""}};
-  m_worker.reply(R);
+  acknowledgeDone(TaskA, 1);
   m_worker.pass(100);
   EXPECT_EQ(m_worker.m_acknowledged, 1);
 }
@@ -148,9 +153,7 @@
           LowestNumber);
     };
     m_worker.pass(1100);
-    R = {};
-    R.m_acknowledged = {{TaskA, 1, EndKind::Done, "", 1, ""}};
-    m_worker.reply(R);
+    acknowledgeDone(TaskA, 1);
     m_worker.pass(500);
     m_worker.reply({});
     m_worker.pass(500);
@@ -162,8 +165,7 @@
   m_worker.reply({});
   m_worker.pass(1100);
   ASSERT_TRUE(m_worker.reported(EndKind::Done));
-  R.m_acknowledged = {{TaskB, 1, EndKind::Done, "", 2, ""}};
-  m_worker.reply(R);
+  acknowledgeDone(TaskB, 2);
   m_worker.pass(1100);
   EXPECT_EQ(m_worker.m_acknowledged, 2);
 }
