--- a/tests/batch/leader_fixture.h
+++ b/tests/batch/leader_fixture.h
@@ -117,6 +117,24 @@
     report(Name);
   }
 
+  /// Adds an agent, submits job "a" of one task and waits for its start.
+  void startTaskOn(const std::string &Agent, Millis WaitMs) {
+    addAgent(Agent);
+    submit("a", jobOf({step(1, 1)}));
+    pass(WaitMs);
+  }
+
+  /// Adds the agents "v" and "w", submits job "a" of a gang that needs both and
+  /// waits for its start.
+  void startGang(Millis WaitMs) {
+    addAgent("v");
+    addAgent("w");
+    Step Gang = step(2, 8);
+    Gang.m_gang = true;
+    submit("a", jobOf({Gang}));
+    pass(WaitMs);
+  }
+
   void report(const std::string &Name) {
     FakeAgent &B = m_agents[Name];
     AgentReport R;
--- a/tests/batch/leader_test.cc
+++ b/tests/batch/leader_test.cc
@@ -105,9 +105,7 @@
 }
 
 TEST_F(LeaderTest, AnEndIsAcknowledgedOnlyOnceItIsStored) {
-  addAgent("w");
-  submit("a", jobOf({step(1, 1)}));
-  pass(500);
+  startTaskOn("w", 500);
   end("w", "a.0.0.0", EndKind::Done);
   m_outcome.reset();
   report("w");
@@ -122,12 +120,7 @@
 // Ends of the other members of a done gang were acknowledged before the gang's
 // end was stored. After a restart of all processes the members ran again.
 TEST_F(LeaderTest, EndsOfADoneGangAreAcknowledgedOnlyOnceTheyAreStored) {
-  addAgent("v");
-  addAgent("w");
-  Step Gang = step(2, 8);
-  Gang.m_gang = true;
-  submit("a", jobOf({Gang}));
-  pass(500);
+  startGang(500);
   ASSERT_EQ(m_starts["a.0.0.0"], 1);
   ASSERT_EQ(m_starts["a.0.0.1"], 1);
   m_outcome = AppendOutcome::NotDone;
@@ -174,9 +167,7 @@
 // During a long outage of the store, a job was dropped before its end was
 // stored. It was unknown to callers, and the next leader ran it again.
 TEST_F(LeaderTest, AJobIsDroppedOnlyOnceItsEndIsStored) {
-  addAgent("w");
-  submit("a", jobOf({step(1, 1)}));
-  pass(500);
+  startTaskOn("w", 500);
   m_outcome = AppendOutcome::NotDone;
   end("w", "a.0.0.0", EndKind::Done);
   pass(Timing{}.m_retentionMs + 1000);
@@ -190,9 +181,7 @@
 // The identifier of a dropped job was submitted again before its removal was
 // stored. The removal then also removed the new job.
 TEST_F(LeaderTest, AnIdThatIsUsedAgainOutlivesTheRemovalOfTheDroppedJob) {
-  addAgent("w");
-  submit("a", jobOf({step(1, 1)}));
-  pass(500);
+  startTaskOn("w", 500);
   end("w", "a.0.0.0", EndKind::Done);
   pass(Timing{}.m_retentionMs - 200);
   ASSERT_EQ(m_leader->jobs().count("a"), 1u);
@@ -251,9 +240,7 @@
 // A repeated submission was answered with an end that was not stored and that
 // the next leader did not know (restart simulation, seed 9).
 TEST_F(LeaderTest, ARepeatedSubmissionShowsAnEndOnlyOnceItIsStored) {
-  addAgent("w");
-  submit("a", jobOf({step(1, 1)}));
-  pass(500);
+  startTaskOn("w", 500);
   end("w", "a.0.0.0", EndKind::Done);
   m_outcome.reset();
   report("w");
@@ -266,9 +253,7 @@
 }
 
 TEST_F(LeaderTest, FailsAJobAfterItsAttempts) {
-  addAgent("w");
-  submit("a", jobOf({step(1, 1)}));
-  pass(300);
+  startTaskOn("w", 300);
   end("w", "a.0.0.0", EndKind::Failed);
   pass(4000);
   ASSERT_EQ(m_starts["a.0.0.0"], 2);
@@ -290,12 +275,7 @@
 }
 
 TEST_F(LeaderTest, AGangIsDoneWhenOneMemberReportsDone) {
-  addAgent("v");
-  addAgent("w");
-  Step S = step(2, 8);
-  S.m_gang = true;
-  submit("a", jobOf({S}));
-  pass(300);
+  startGang(300);
   ASSERT_EQ(m_starts.size(), 2u);
   end("v", m_agents["v"].m_runs.begin()->first, EndKind::Done);
   pass(100);
@@ -305,12 +285,7 @@
 }
 
 TEST_F(LeaderTest, AGangRunsAgainOnlyWhenAllMembersHaveEnded) {
-  addAgent("v");
-  addAgent("w");
-  Step S = step(2, 8);
-  S.m_gang = true;
-  submit("a", jobOf({S}));
-  pass(300);
+  startGang(300);
   m_stopsWork = false;
   end("v", m_agents["v"].m_runs.begin()->first, EndKind::Failed);
   pass(1000);
@@ -322,9 +297,7 @@
 }
 
 TEST_F(LeaderTest, ARunOfASilentAgentIsStartedElsewhereOnlyAfterItsLease) {
-  addAgent("v");
-  submit("a", jobOf({step(1, 1)}));
-  pass(300);
+  startTaskOn("v", 300);
   m_alive.clear();
   addAgent("w");
   const Timing T;
@@ -335,9 +308,7 @@
 }
 
 TEST_F(LeaderTest, ANewLeaderKeepsRunsThatGoOn) {
-  addAgent("w");
-  submit("a", jobOf({step(1, 1)}));
-  pass(300);
+  startTaskOn("w", 300);
   makeLeader();
   pass(15000);
   EXPECT_EQ(m_starts["a.0.0.0"], 1);
@@ -347,9 +318,7 @@
 }
 
 TEST_F(LeaderTest, ARestartedWorkerHasLostItsRuns) {
-  addAgent("w");
-  submit("a", jobOf({step(1, 1)}));
-  pass(300);
+  startTaskOn("w", 300);
   m_agents["w"].m_workerIncarnation = "w@2";
   m_agents["w"].m_runs.clear();
   pass(300);
@@ -357,9 +326,7 @@
 }
 
 TEST_F(LeaderTest, ARunStartedInTheNextWorkerIncarnationIsAdopted) {
-  addAgent("w");
-  submit("a", jobOf({step(1, 1)}));
-  pass(300);
+  startTaskOn("w", 300);
   m_agents["w"].m_workerIncarnation = "w@2";
   pass(1000);
   EXPECT_EQ(m_starts["a.0.0.0"], 1);
@@ -370,9 +337,7 @@
 // process is carried out by the worker's next incarnation after the leader has
 // counted the run as lost (restart simulation, seed 1590).
 TEST_F(LeaderTest, ARunOfARestartedWorkerIsLostOnlyOnceTheWorkerIsFenced) {
-  addAgent("w");
-  submit("a", jobOf({step(1, 1)}));
-  pass(300);
+  startTaskOn("w", 300);
   m_agents["w"].m_workerSilent = true;
   restartAgent("w");
   m_agents["w"].m_workerIncarnation = "w@2";
@@ -392,9 +357,7 @@
 // Guards against a task that never runs again: its worker has restarted, but
 // its agent never confirms a fence, as one of an earlier version.
 TEST_F(LeaderTest, ARunOfARestartedWorkerIsLostOnceLateOrdersAreVoid) {
-  addAgent("w");
-  submit("a", jobOf({step(1, 1)}));
-  pass(300);
+  startTaskOn("w", 300);
   m_agents["w"].m_workerSilent = true;
   m_agents["w"].m_workerIncarnation = "w@2";
   m_agents["w"].m_runs.clear();
@@ -426,9 +389,7 @@
 // A leader that had never seen the earlier incarnation declared the run lost
 // and started it elsewhere (restart simulation, seeds 332 and 662).
 TEST_F(LeaderTest, ANewLeaderAdoptsARunOfTheNextWorkerIncarnation) {
-  addAgent("w");
-  submit("a", jobOf({step(1, 1)}));
-  pass(300);
+  startTaskOn("w", 300);
   m_agents["w"].m_workerIncarnation = "w@2";
   makeLeader();
   pass(1000);
@@ -439,9 +400,7 @@
 // The end of such a run was acknowledged without effect, and the task started
 // again although it was done (restart simulation, seed 165).
 TEST_F(LeaderTest, ANewLeaderTakesTheEndOfARunOfTheNextWorkerIncarnation) {
-  addAgent("w");
-  submit("a", jobOf({step(1, 1)}));
-  pass(300);
+  startTaskOn("w", 300);
   m_agents["w"].m_workerIncarnation = "w@2";
   end("w", "a.0.0.0", EndKind::Done);
   makeLeader();
@@ -453,9 +412,7 @@
 // The run of an order for the previous incarnation was over before the leader
 // heard of the new one. It counted as lost, and the task ran again.
 TEST_F(LeaderTest, ARunThatEndedInTheNextWorkerIncarnationIsNotStartedAgain) {
-  addAgent("w");
-  submit("a", jobOf({step(1, 1)}));
-  pass(300);
+  startTaskOn("w", 300);
   ASSERT_EQ(m_starts["a.0.0.0"], 1);
   m_agents["w"].m_workerIncarnation = "w@2";
   end("w", "a.0.0.0", EndKind::Done);
@@ -468,9 +425,7 @@
 // worker, which was gone for good. Its runs were never counted as lost.
 TEST_F(LeaderTest,
        RunsOfAnAgentWithoutAWorkerAreStartedElsewhereAfterTheirLease) {
-  addAgent("w");
-  submit("a", jobOf({step(1, 1)}));
-  pass(500);
+  startTaskOn("w", 500);
   ASSERT_EQ(m_starts["a.0.0.0"], 1);
   m_alive.clear();
   addAgent("x");
