--- a/tests/batch/restart_simulation.h
+++ b/tests/batch/restart_simulation.h
@@ -135,7 +135,7 @@
   void tickWorkers();
   void tickWorker(Worker &W);
   void endRun(Worker &W, const RunKey &K, EndKind Kind);
-  void breakGang(const RunKey &K);
+  void endGang(const RunKey &K, EndKind Kind);
   void crashWorker(Worker &W);
   void renewLease(Worker &W, std::optional<Millis> Deadline);
   OrderResult carryOutStart(Worker &W, const StartCall &C, bool Late);
--- a/tests/batch/restart_simulation_workers.cc
+++ b/tests/batch/restart_simulation_workers.cc
@@ -151,19 +151,20 @@
                   K.second, base::nameOf(Kind)));
 }
 
-// The other members of a gang end when one has ended.
-void RestartSimulation::breakGang(const RunKey &K) {
+// Ends the other members of a gang when one has ended. Members that still wait
+// for the others are not broken; they end alone.
+void RestartSimulation::endGang(const RunKey &K, EndKind Kind) {
   const std::string Gang = gangOf(K);
   if (Gang.empty())
     return;
   for (Worker &W : m_workers) {
-    std::vector<RunKey> Broken;
+    std::vector<RunKey> Members;
     for (const auto &[Key, L] : W.m_runs) {
-      if (gangOf(Key) == Gang && L.m_worksSince >= 0)
-        Broken.push_back(Key);
+      if (gangOf(Key) == Gang && (Kind == EndKind::Done || L.m_worksSince >= 0))
+        Members.push_back(Key);
     }
-    for (const RunKey &Key : Broken)
-      endRun(W, Key, EndKind::Broken);
+    for (const RunKey &Key : Members)
+      endRun(W, Key, Kind);
   }
 }
 
@@ -180,7 +181,7 @@
     while (!W.m_runs.empty()) {
       const RunKey K = W.m_runs.begin()->first;
       endRun(W, K, EndKind::LeaseExpired);
-      breakGang(K);
+      endGang(K, EndKind::Broken);
     }
   }
   std::vector<std::pair<RunKey, EndKind>> Ends;
@@ -196,23 +197,7 @@
     if (!W.m_runs.contains(K))
       continue;
     endRun(W, K, Kind);
-    const std::string Gang = gangOf(K);
-    if (Gang.empty())
-      continue;
-    if (Kind != EndKind::Done) {
-      breakGang(K);
-      continue;
-    }
-    // All members end as done together.
-    for (Worker &Other : m_workers) {
-      std::vector<RunKey> Members;
-      for (const auto &[Key, L] : Other.m_runs) {
-        if (gangOf(Key) == Gang)
-          Members.push_back(Key);
-      }
-      for (const RunKey &Key : Members)
-        endRun(Other, Key, EndKind::Done);
-    }
+    endGang(K, Kind == EndKind::Done ? EndKind::Done : EndKind::Broken);
   }
 }
 
@@ -228,7 +213,7 @@
   }
   W.m_runs.clear();
   for (const RunKey &K : Lost)
-    breakGang(K);
+    endGang(K, EndKind::Broken);
   after(between(50, 3000), [this, &W] {
     W.m_up = true;
     W.m_startTime = wallNow();
