--- a/tests/batch/agent_test.cc
+++ b/tests/batch/agent_test.cc
@@ -38,14 +38,6 @@
     m_worker.reply(R);
   }
 
-  // Advances the clock while the leader replies every 50 ms.
-  void passWithReplies(Millis Ms) {
-    for (Millis I = 0; I < Ms; I += 50) {
-      m_worker.pass(50);
-      m_worker.reply({});
-    }
-  }
-
   FakeWorker m_worker;
 };
 
@@ -73,9 +65,9 @@
 // because each failed poll counts as a renewal of the lease.
 TEST_F(AgentTest, RunsOfAnUnreachableWorkerEndWithTheLastLease) {
   startA();
-  passWithReplies(1000);
+  m_worker.passWithReplies(1000);
   m_worker.m_unreachable = true;
-  passWithReplies(7500);
+  m_worker.passWithReplies(7500);
   m_worker.pass(100);
   EXPECT_TRUE(m_worker.reported(EndKind::LeaseExpired));
 }
@@ -122,10 +114,10 @@
   m_worker.m_delaysStarts = true;
   startA();
   m_worker.m_delaysStarts = false;
-  passWithReplies(1000);
+  m_worker.passWithReplies(1000);
   ASSERT_EQ(m_worker.m_starts, 1);
   m_worker.end(TaskA, 1, EndKind::Done);
-  passWithReplies(1000);
+  m_worker.passWithReplies(1000);
   m_worker.restart();
   m_worker.heartbeat();
   m_worker.pass(500);
@@ -179,7 +171,7 @@
       A.m_runs.clear();
       A.m_malformed.add(Key);
     };
-    passWithReplies(3000);
+    m_worker.passWithReplies(3000);
     m_worker.pass(20);
     EXPECT_TRUE(m_worker.m_reports.back().m_ends.empty());
     EXPECT_EQ(m_worker.m_reports.back().m_runs.size(), 1u);
@@ -248,7 +240,7 @@
   AgentReply R;
   R.m_fence = Fence;
   m_worker.reply(R);
-  passWithReplies(500);
+  m_worker.passWithReplies(500);
   ASSERT_FALSE(m_worker.m_reports.empty());
   EXPECT_LT(m_worker.m_reports.back().m_fence, Fence);
   m_worker.m_unreachable = false;
@@ -258,7 +250,7 @@
   m_worker.restart();
   m_worker.m_unreachable = true;
   m_worker.heartbeat();
-  passWithReplies(500);
+  m_worker.passWithReplies(500);
   ASSERT_FALSE(m_worker.m_reports.empty());
   EXPECT_EQ(m_worker.m_reports.back().m_fence, 0u);
 }
@@ -315,10 +307,7 @@
   R.m_starts = {order(1)};
   W.reply(R);
   W.m_unreachable = false;
-  for (int I = 0; I < 20; ++I) {
-    W.pass(50);
-    W.reply({});
-  }
+  W.passWithReplies(1000);
   W.pass(20);
   EXPECT_FALSE(W.reported(EndKind::NeverStarted));
   ASSERT_FALSE(W.m_reports.empty());
@@ -336,10 +325,7 @@
   W.m_unreachable = true;
   W.pass(2500);
   W.m_leaderSilent = false;
-  for (int I = 0; I < 200; ++I) {
-    W.pass(50);
-    W.reply({});
-  }
+  W.passWithReplies(10000);
   W.pass(20);
   EXPECT_TRUE(W.reported(EndKind::LeaseExpired));
 }
--- a/tests/batch/fake_worker.h
+++ b/tests/batch/fake_worker.h
@@ -92,6 +92,14 @@
     }
   }
 
+  /// Advances the clock while the leader replies every 50 ms.
+  void passWithReplies(Millis Ms) {
+    for (Millis I = 0; I < Ms; I += 50) {
+      pass(50);
+      reply({});
+    }
+  }
+
   /// Replies to all open reports: to the newest with \p R, to the others
   /// without orders.
   void reply(AgentReply R) {
