--- a/tests/batch/restart_simulation.cc
+++ b/tests/batch/restart_simulation.cc
@@ -128,6 +128,23 @@
   after(between(50, 1200), [this] { playFaults(); });
 }
 
+void RestartSimulation::sendHeartbeats() {
+  for (auto &A : m_agents) {
+    if (!A || !A->m_worker.m_up)
+      continue;
+    const Worker &W = A->m_worker;
+    WorkerInfo I;
+    I.m_id = W.m_name;
+    I.m_workerIncarnation = W.incarnation();
+    I.m_startTime = W.m_startTime;
+    I.m_service = "s";
+    I.m_dataCentre = "a";
+    I.m_rack = W.m_rack;
+    I.m_capacity = {64000, 10000, WorkerAccelerators};
+    A->m_agent.onWorkerInfo(I, m_now);
+  }
+}
+
 std::string RestartSimulation::run() {
   startLeader();
   for (std::size_t I = 0; I < WorkerCount; ++I)
@@ -139,22 +156,7 @@
         A->m_agent.advance(m_now);
     }
   });
-  every(HeartbeatMs, [this] {
-    for (auto &A : m_agents) {
-      if (!A || !A->m_worker.m_up)
-        continue;
-      const Worker &W = A->m_worker;
-      WorkerInfo I;
-      I.m_id = W.m_name;
-      I.m_workerIncarnation = W.incarnation();
-      I.m_startTime = W.m_startTime;
-      I.m_service = "s";
-      I.m_dataCentre = "a";
-      I.m_rack = W.m_rack;
-      I.m_capacity = {64000, 10000, WorkerAccelerators};
-      A->m_agent.onWorkerInfo(I, m_now);
-    }
-  });
+  every(HeartbeatMs, [this] { sendHeartbeats(); });
   every(ConfirmMs, [this] {
     if (LeaderProcess *L = currentLeader(); L != nullptr && !m_leaderWanted)
       L->m_leader->confirm(m_now);
--- a/tests/batch/restart_simulation.h
+++ b/tests/batch/restart_simulation.h
@@ -132,6 +132,7 @@
 
   // Workers.
   Millis clockOf(const Worker &W) const;
+  void sendHeartbeats();
   void tickWorkers();
   void tickWorker(Worker &W);
   void endRun(Worker &W, const RunKey &K, EndKind Kind);
