--- a/tests/batch/agent_test.cc
+++ b/tests/batch/agent_test.cc
@@ -261,10 +261,8 @@
   startA();
   m_worker.end(TaskA, 1, EndKind::Done);
   m_worker.pass(1100);
-  AgentReply R;
-  R.m_acknowledged = {{TaskA, 1, EndKind::Done, "", 1, ""}};
-  m_worker.reply(R);
-  passWithReplies(5000);
+  acknowledgeDone(TaskA, 1);
+  m_worker.passWithReplies(5000);
   EXPECT_EQ(m_worker.m_acknowledged, 1);
   EXPECT_EQ(m_worker.m_acknowledgements, 1);
 }
@@ -277,7 +275,7 @@
   constexpr const char *TaskB = "00000000000000bb.0.0.0";
   startA();
   m_worker.end(TaskA, 1, EndKind::Done);
-  passWithReplies(1500);
+  m_worker.passWithReplies(1500);
   m_worker.m_unreachable = true;
   AgentReply R;
   R.m_acknowledged = {{TaskA, 1, EndKind::Done, "", 1, ""}};
@@ -291,7 +289,7 @@
   ASSERT_TRUE(m_worker.m_runs.contains({TaskB, 1}));
   m_worker.end(TaskB, 1, EndKind::Done);
   m_worker.m_dropsPolls = false;
-  passWithReplies(1500);
+  m_worker.passWithReplies(1500);
   m_worker.pass(20);
   EXPECT_EQ(m_worker.m_acknowledged, 0);
   EXPECT_TRUE(m_worker.reported(EndKind::Done));
