Keep room on a restarted worker for a run that may still start

Workers that do not guard their capacity could be brought over it: a task was placed on the new incarnation of a worker while a late start order for a run of the earlier one could still be carried out there. The same held for the number of tasks of a step that one worker may run.

Such a run stays placed until the worker is fenced (or, without a fence, for 20 s), but it was charged only to the incarnation that it was placed on, which no candidate stands for any more. It is now charged to the present incarnation of its agent's worker as long as it is placed. That ends with its adoption, its end or its loss, usually with the first answered poll after the fence.

Seen before: LeaderTest.ARestartedWorkerKeepsRoomForARunThatMayStillStart and ARunThatMayStillStartCountsAsOneOfItsStepOnTheWorker failed: the other task was placed at once and went on when the late run was adopted. Now both pass. Not covered: late copies of a start whose run has ended or was lost already.

--- a/src/batch/leader_schedule.cc
+++ b/src/batch/leader_schedule.cc
@@ -56,9 +56,10 @@
     forEachTask(J.m_progress, [&](int, int Step, int, const Task &T) {
       if (T.m_phase != TaskPhase::Placed)
         return;
+      // A run of the worker's earlier incarnation may still be started in the
+      // present one by a late order, until it counts as lost.
       const auto At = ByAgent.find(T.m_agent);
-      if (At == ByAgent.end() ||
-          Out[At->second].m_workerIncarnation != T.m_workerIncarnation)
+      if (At == ByAgent.end())
         return;
       const Resources Each =
           allocationOf(J.m_spec.m_steps[static_cast<std::size_t>(Step)]);
--- a/src/batch/schedule.cc
+++ b/src/batch/schedule.cc
@@ -130,9 +130,10 @@
         }
         if (Tasks[I].m_phase != TaskPhase::Placed)
           continue;
-        const auto At =
-            Index.find({Tasks[I].m_agent, Tasks[I].m_workerIncarnation});
-        if (At != Index.end())
+        // A run of an earlier incarnation may still be started in the present
+        // one by a late order.
+        const auto At = Index.lower_bound({Tasks[I].m_agent, ""});
+        if (At != Index.end() && At->first.first == Tasks[I].m_agent)
           ++U.m_running[At->second];
       }
       if (Waiting.empty() || (Kind.m_gang && Waiting.size() < Tasks.size()) ||
--- a/tests/batch/leader_test.cc
+++ b/tests/batch/leader_test.cc
@@ -404,6 +404,45 @@
   EXPECT_EQ(m_starts["a.0.0.0"], 2);
 }
 
+// A late start order of the earlier incarnation brought the next one over its
+// capacity: other work had been placed there before the worker was fenced.
+TEST_F(LeaderTest, ARestartedWorkerKeepsRoomForARunThatMayStillStart) {
+  addAgent("w");
+  submit("a", jobOf({step(1, 8)}));
+  pass(300);
+  ASSERT_EQ(m_starts["a.0.0.0"], 1);
+  m_agents["w"].m_workerSilent = true;
+  m_agents["w"].m_workerIncarnation = "w@2";
+  const auto LateRuns = std::exchange(m_agents["w"].m_runs, {});
+  submit("b", jobOf({step(1, 8)}));
+  pass(1000);
+  EXPECT_EQ(m_starts["b.0.0.0"], 0);
+  m_agents["w"].m_runs.insert(LateRuns.begin(), LateRuns.end());
+  pass(1000);
+  EXPECT_EQ(m_starts["b.0.0.0"], 0);
+  end("w", "a.0.0.0", EndKind::Done);
+  pass(500);
+  EXPECT_EQ(m_starts["b.0.0.0"], 1);
+}
+
+// The same for the number of tasks of a step that a worker may run.
+TEST_F(LeaderTest, ARunThatMayStillStartCountsAsOneOfItsStepOnTheWorker) {
+  addAgent("w");
+  Step S = step(2, 1);
+  S.m_perWorker = 1;
+  submit("a", jobOf({S}));
+  pass(300);
+  ASSERT_EQ(m_starts.size(), 1u);
+  m_agents["w"].m_workerSilent = true;
+  m_agents["w"].m_workerIncarnation = "w@2";
+  m_agents["w"].m_runs.clear();
+  pass(1000);
+  EXPECT_EQ(m_starts.size(), 1u);
+  m_agents["w"].m_workerSilent = false;
+  pass(1000);
+  EXPECT_EQ(m_starts["a.0.0.0"] + m_starts["a.0.0.1"], 2);
+}
+
 TEST_F(LeaderTest, RenewsTheFenceForEachAgentProcessAndWorkerIncarnation) {
   addAgent("w");
   const std::uint64_t First = m_agents["w"].m_fence;
