Permit no leases by a report that the leader ignores

A run could count as lost, and start elsewhere, before its lease had ended: an agent that is restarted after the clock of its machine was set back has a lower incarnation. The leader ignores its reports until the agent counts as silent, but answered them like any other. The agent took the answer for a contact and renewed the lease of its worker, while the leader counts leases from the last report that it had taken. If the agent is cut off then, its worker may run up to 2.5 s longer than the leader allows for, of which its margin covers 0.5 s. The answer also carried the fence and the orders of the earlier agent process.

The leader now answers such a report as one that does not lead, if the report describes the worker. Answers to other reports permit neither leases nor starts, and an agent needs their fence to reach its worker. The agent reports again after 200 ms; a report that is merely overtaken by a later one of the same process is answered as before, since the leader has counted the later one.

Seen before: LeaderTest.AReportThatIsIgnoredPermitsNoLeases failed, for an agent and for a worker with an earlier start time. That a task runs twice was not played.

--- a/src/batch/leader.cc
+++ b/src/batch/leader.cc
@@ -214,6 +214,9 @@
     });
     m_scheduleDue = m_scheduleDue || !R.m_ends.empty() ||
                     acceptsWork(A, Now) != AcceptedWork;
+  } else if (R.m_worker && (NewProcess || !FromCurrentIncarnation)) {
+    // A reply would permit leases that the leader does not count.
+    return Answer({});
   }
   A.m_heldReports.push_back(
       {Now + m_timing.m_longPollMs, R.m_longPoll, std::move(Answer)});
--- a/tests/batch/leader_test.cc
+++ b/tests/batch/leader_test.cc
@@ -561,6 +561,47 @@
   EXPECT_EQ(m_starts["a.0.0.0"], 1);
 }
 
+// The reply to a report that the leader had ignored let the agent grant leases
+// that the leader did not count. A run could then count as lost before its
+// lease had ended. Such reports come from an agent that was restarted after the
+// clock of its machine was set back.
+TEST_F(LeaderTest, AReportThatIsIgnoredPermitsNoLeases) {
+  m_agents["w"].m_incarnation = 5;
+  addAgent("w");
+  pass(100);
+  m_alive.clear();
+  AgentReport R;
+  R.m_agent = "w";
+  R.m_incarnation = 4;
+  R.m_worker.emplace();
+  R.m_worker->m_id = "w";
+  R.m_worker->m_workerIncarnation = "w@1";
+  R.m_worker->m_startTime = 1;
+  R.m_worker->m_service = "s";
+  R.m_worker->m_capacity = {16000, 10000, 8};
+  std::vector<AgentReply> Replies;
+  const auto Report = [&] {
+    ++R.m_sequence;
+    m_leader->report(R, m_now, wallNow(), [&Replies](const AgentReply &Reply) {
+      Replies.push_back(Reply);
+    });
+    pass(100);
+  };
+  Report();
+  ASSERT_EQ(Replies.size(), 1u);
+  EXPECT_FALSE(Replies.back().m_leads);
+  pass(Timing{}.m_silentMs);
+  Report();
+  ASSERT_EQ(Replies.size(), 2u);
+  EXPECT_TRUE(Replies.back().m_leads);
+  // The same holds for a worker that seems to have started earlier.
+  R.m_worker->m_workerIncarnation = "w@0";
+  R.m_worker->m_startTime = 0;
+  Report();
+  ASSERT_EQ(Replies.size(), 3u);
+  EXPECT_FALSE(Replies.back().m_leads);
+}
+
 TEST_F(LeaderTest, StopsRunsThatAreNotCurrent) {
   addAgent("w");
   m_agents["w"].m_runs["zz.0.0.0"] = {"zz.0.0.0", 1,  RunPhase::Running,
