Keep the removal of a dropped job when a new one is refused

After a change of leader, callers could be shown the end of a job that had been dropped, in answer to the id of a new job that was refused.

If the id of a dropped job is used again, the batch under way may hold both the removal of the old records and the new ones. When the store refuses that batch, the new job is withdrawn from it by its keys, which are those of the removal too. JournalWriter::withdraw() now takes out the values of a key only.

Seen before: LeaderTest.ARefusedSubmissionKeepsTheRemovalOfADroppedJob failed. Now it passes.

--- a/src/batch/journal.cc
+++ b/src/batch/journal.cc
@@ -54,8 +54,9 @@
 }
 
 void JournalWriter::withdraw(const std::string &Key) {
-  std::erase_if(m_batch.m_records,
-                [&](const KeyedRecord &R) { return R.m_key == Key; });
+  std::erase_if(m_batch.m_records, [&](const KeyedRecord &R) {
+    return R.m_key == Key && !R.m_value.empty();
+  });
   if (!m_batch.m_records.empty())
     return;
   m_durable = m_newest;
--- a/src/batch/journal.h
+++ b/src/batch/journal.h
@@ -67,8 +67,9 @@
   /// Handles the outcome of the last append.
   void onOutcome(AppendOutcome Outcome, Millis Now);
 
-  /// Removes the records of \p Key from the current batch. If none is left, the
-  /// batch is discarded and counts as stored. Requires withdrawable().
+  /// Takes the values of \p Key out of the current batch; the removal of an
+  /// older value stays. If no record is left, the batch is discarded and counts
+  /// as stored. Requires withdrawable().
   void withdraw(const std::string &Key);
 
   /// True if no attempt to append the current batch can have taken effect.
--- a/tests/batch/leader_test.cc
+++ b/tests/batch/leader_test.cc
@@ -209,6 +209,37 @@
   EXPECT_EQ(m_leader->jobs().count("a"), 1u);
 }
 
+// The removal of a dropped job was forgotten when a new job of the same id was
+// refused. The next leader showed the end of the dropped job for the new one.
+TEST_F(LeaderTest, ARefusedSubmissionKeepsTheRemovalOfADroppedJob) {
+  addAgent("w");
+  submit("a", jobOf({step(1, 1)}));
+  pass(500);
+  end("w", "a.0.0.0", EndKind::Done);
+  pass(Timing{}.m_retentionMs - 200);
+  ASSERT_EQ(m_leader->jobs().count("a"), 1u);
+  m_outcome.reset();
+  submit("b", jobOf({step(1, 1)}));
+  pass(400);
+  ASSERT_EQ(m_leader->jobs().count("a"), 0u);
+  const auto Again = submit("a", jobOf({step(1, 1)}));
+  // The first batch is refused and discarded, the next one removes the job.
+  m_outcome = AppendOutcome::NotDone;
+  answerAppends();
+  ASSERT_TRUE(Again->has_value());
+  EXPECT_EQ((*Again)->m_verdict, Verdict::Unavailable);
+  m_outcome.reset();
+  const auto Later = submit("a", jobOf({step(1, 1)}));
+  m_outcome = AppendOutcome::NotDone;
+  pass(500);
+  ASSERT_TRUE(Later->has_value());
+  EXPECT_EQ((*Later)->m_verdict, Verdict::Unavailable);
+  m_outcome = AppendOutcome::Done;
+  pass(500);
+  restartLeader();
+  EXPECT_EQ(m_leader->jobs().count("a"), 0u);
+}
+
 // The cancelling of a job whose submission was refused waited for the next
 // batch and then counted as done, also if the job had been submitted again.
 TEST_F(LeaderTest, CancellingARefusedSubmissionFindsNoJob) {
