Stop the rest of a broken gang after a change of leader

A gang could stand still after a change of leader: one of its members had ended without being done, the others were being stopped, and the new leader neither stopped them nor could place the gang again before they had ended. It relied on the workers to end them, and sent start orders for members not started yet.

That a run is being stopped is kept in memory only. For a gang it follows from what is stored: members are placed together, so if one is waiting again, those still placed belong to a broken run. The new leader now orders them to stop.

Seen before: LeaderTest.ANewLeaderStopsTheRestOfAGangThatLostAMember failed.

--- a/src/batch/leader.cc
+++ b/src/batch/leader.cc
@@ -104,6 +104,7 @@
       if (Ended && T.m_phase == TaskPhase::Placed)
         T.m_stop = StopReason::Cancelled;
     });
+    stopBrokenGangs(J);
   }
   m_ports.event(
       "journalLoaded", "",
@@ -111,6 +112,26 @@
   return Out;
 }
 
+// The members of a gang are placed together. If one of them is waiting, it has
+// ended, and the others must end too. That they are being stopped is not
+// stored.
+void Leader::stopBrokenGangs(Job &J) {
+  for (Occurrence &O : J.m_progress.m_occurrences) {
+    for (std::size_t S = 0; S < O.size(); ++S) {
+      const Step &Kind = J.m_spec.m_steps[S];
+      if (!Kind.m_gang || Kind.m_longRunning ||
+          std::none_of(O[S].begin(), O[S].end(), [](const Task &T) {
+            return T.m_phase == TaskPhase::Waiting;
+          }))
+        continue;
+      for (Task &T : O[S]) {
+        if (T.m_phase == TaskPhase::Placed && T.m_stop == StopReason::None)
+          T.m_stop = StopReason::Broken;
+      }
+    }
+  }
+}
+
 void Leader::setTiming(const Timing &T) {
   const Millis LeaseMs = std::max(m_timing.m_leaseMs, T.m_leaseMs);
   m_timing = T;
--- a/src/batch/leader.h
+++ b/src/batch/leader.h
@@ -169,6 +169,7 @@
   using Job = JobState;
   using AgentView = detail::AgentView;
 
+  static void stopBrokenGangs(Job &J);
   void adoptRuns(const AgentReport &R);
   void renewFence(AgentView &A, const char *Reason);
 
--- a/tests/batch/leader_test.cc
+++ b/tests/batch/leader_test.cc
@@ -352,6 +352,26 @@
   EXPECT_EQ(m_starts["a.0.0.1"], 2);
 }
 
+// A new leader did not know that the rest of a gang was being stopped because
+// one member had ended. The gang did not run again while the others went on.
+TEST_F(LeaderTest, ANewLeaderStopsTheRestOfAGangThatLostAMember) {
+  addAgent("v");
+  addAgent("w");
+  Step S = step(2, 8);
+  S.m_gang = true;
+  submit("a", jobOf({S}));
+  pass(300);
+  m_stopsWork = false;
+  end("v", m_agents["v"].m_runs.begin()->first, EndKind::Failed);
+  pass(300);
+  ASSERT_EQ(m_agents["w"].m_stops.size(), 1u);
+  m_stopsWork = true;
+  restartLeader();
+  pass(1000);
+  EXPECT_EQ(m_starts["a.0.0.0"], 2);
+  EXPECT_EQ(m_starts["a.0.0.1"], 2);
+}
+
 TEST_F(LeaderTest, ARunOfASilentAgentIsStartedElsewhereOnlyAfterItsLease) {
   addAgent("v");
   submit("a", jobOf({step(1, 1)}));
