Wait for the fence also if the agent of a restarted worker is silent

A task could run twice: its worker had restarted and its agent had reported the new incarnation, but not yet that the worker was fenced, and was then cut off. The run counted as lost 10.7 s later, with the lease of the agent, although start orders may be late by 20 s. The new incarnation that carries one out grants the run a lease that starts only then.

As for an agent in contact, such a run is now lost once the worker is fenced or 20 s after its incarnation was first seen.

Seen before: LeaderTest.ARunOfARestartedWorkerWithASilentAgentIsNotLostWithItsLease failed; now it passes. ...IsLostInTheEnd guards against a run that is never lost.

--- a/src/batch/leader_runs.cc
+++ b/src/batch/leader_runs.cc
@@ -303,11 +303,11 @@
   const bool Known =
       It != m_agents.end() && !It->second.m_worker.m_workerIncarnation.empty();
   // A start order for the earlier incarnation may be carried out by the present
-  // one, which lists the run then.
-  if (Known &&
-      It->second.m_worker.m_workerIncarnation != T.m_workerIncarnation &&
-      (It->second.m_fenced || Now - It->second.m_workerSeenAt > LateOrderMs))
-    return "workerRestarted";
+  // one, which lists the run then and grants it a lease of its own.
+  if (Known && It->second.m_worker.m_workerIncarnation != T.m_workerIncarnation)
+    return It->second.m_fenced || Now - It->second.m_workerSeenAt > LateOrderMs
+               ? "workerRestarted"
+               : nullptr;
   // After the last report that described its worker, an agent grants leases for
   // the autonomy time. Its runs end with the last of these leases at the
   // latest. The agent may have been in contact with the previous leader until
--- a/tests/batch/leader_test.cc
+++ b/tests/batch/leader_test.cc
@@ -494,6 +494,44 @@
   EXPECT_EQ(m_starts["a.0.0.0"] + m_starts["a.0.0.1"], 2);
 }
 
+// A run of a restarted worker counted as lost with the lease of a silent agent,
+// although a late start order may still be carried out by the new incarnation,
+// which then grants the run a lease of its own.
+TEST_F(LeaderTest,
+       ARunOfARestartedWorkerWithASilentAgentIsNotLostWithItsLease) {
+  addAgent("w");
+  submit("a", jobOf({step(1, 1)}));
+  pass(300);
+  m_agents["w"].m_workerSilent = true;
+  m_agents["w"].m_workerIncarnation = "w@2";
+  const auto LateRuns = std::exchange(m_agents["w"].m_runs, {});
+  report("w");
+  m_alive.clear();
+  addAgent("x");
+  const Timing T;
+  pass(T.m_autonomyMs + T.m_leaseMs + 1500);
+  EXPECT_EQ(m_starts["a.0.0.0"], 1);
+  m_agents["w"].m_runs = LateRuns;
+  m_alive.emplace_back("w");
+  pass(LateOrderMs);
+  EXPECT_EQ(m_starts["a.0.0.0"], 1);
+  EXPECT_TRUE(m_agents["w"].m_stops.empty());
+}
+
+TEST_F(LeaderTest, ARunOfARestartedWorkerWithASilentAgentIsLostInTheEnd) {
+  addAgent("w");
+  submit("a", jobOf({step(1, 1)}));
+  pass(300);
+  m_agents["w"].m_workerSilent = true;
+  m_agents["w"].m_workerIncarnation = "w@2";
+  m_agents["w"].m_runs.clear();
+  report("w");
+  m_alive.clear();
+  addAgent("x");
+  pass(LateOrderMs + 500);
+  EXPECT_EQ(m_starts["a.0.0.0"], 2);
+}
+
 TEST_F(LeaderTest, RenewsTheFenceForEachAgentProcessAndWorkerIncarnation) {
   addAgent("w");
   const std::uint64_t First = m_agents["w"].m_fence;
