Repeat a resignation that the store did not take

Callers were refused for ten seconds with "no leader": a leader that was cut off from its agents resigned, but the store did not take the record. The process took itself for resigned and waited for its cooldown, the other entries still took it for the leader and a member of the group, and nobody claimed.

A resignation relied on a record that was not stored. It is now repeated every 300 ms until it is stored or the end of the stream has moved: then this record or a later claim is stored.

--- a/src/node/election.cc
+++ b/src/node/election.cc
@@ -24,7 +24,7 @@
 /// Minimum interval between the reads that refresh() starts.
 constexpr Millis MinRefreshIntervalMs = 500;
 /// Delay between a claim that failed or has an unknown outcome and the next
-/// read of the leader record.
+/// read of the leader record, and before a failed resignation is repeated.
 constexpr Millis ClaimRetryMs = 300;
 /// Long-poll timeout of a read of the leader stream. A dead connection is
 /// detected after this time plus the margin of the call.
@@ -64,7 +64,8 @@
 Election::Election(http::Reactor &R, Store &S, ElectionSettings Settings,
                    Handlers H)
     : m_store(S), m_settings(std::move(Settings)), m_handlers(std::move(H)),
-      m_joinTimer(R.timer()), m_claimTimer(R.timer()) {
+      m_joinTimer(R.timer()), m_claimTimer(R.timer()),
+      m_resignTimer(R.timer()) {
   Follower::Handlers F;
   F.m_record = [this](const KeyedRecord &Record) {
     handleLeaderRecord(Record);
@@ -281,12 +282,25 @@
   m_handlers.m_event("leadershipResigned",
                      fmt::format("epoch={}", m_leader.m_epoch));
   m_leader = R;
+  storeResignation(R);
+}
+
+// The other entries take this one for the leader until the record is stored.
+void Election::storeResignation(const LeaderRecord &R) {
   m_store.appendAt(
       Stream::Leaders, {LeaderKey, base::dumpJson(base::encode(R))},
-      m_streamEnd,
-      [this, Alive = std::weak_ptr<int>(m_alive)](const ConditionalAppend &) {
-        if (!Alive.expired() && !m_leaving)
-          m_follower->restart();
+      R.m_epoch - 1,
+      [this, R,
+       Alive = std::weak_ptr<int>(m_alive)](const ConditionalAppend &A) {
+        if (Alive.expired() || m_leaving)
+          return;
+        // If the end has moved, this record or a claim is stored.
+        if (A.m_outcome == AppendOutcome::Done || A.m_endMoved)
+          return m_follower->restart();
+        m_handlers.m_event("resignFailed",
+                           fmt::format("epoch={} outcome={}", R.m_epoch,
+                                       static_cast<int>(A.m_outcome)));
+        m_resignTimer->start(ClaimRetryMs, [this, R] { storeResignation(R); });
       });
 }
 
--- a/src/node/election.h
+++ b/src/node/election.h
@@ -115,6 +115,7 @@
   void handleLeaderRecord(const KeyedRecord &R);
   void scheduleClaim();
   void claim();
+  void storeResignation(const LeaderRecord &R);
   void setLeader(const LeaderRecord &R);
   void updateLeaderPresence();
   bool mayClaim() const;
@@ -124,6 +125,7 @@
   Handlers m_handlers;
   std::unique_ptr<http::Timer> m_joinTimer;
   std::unique_ptr<http::Timer> m_claimTimer;
+  std::unique_ptr<http::Timer> m_resignTimer;
   std::unique_ptr<Follower> m_follower;
   std::int64_t m_streamEnd = -1; ///< Of Stream::Leaders; -1: not known yet.
   LeaderRecord m_leader;
--- a/tests/node/election_test.cc
+++ b/tests/node/election_test.cc
@@ -139,6 +139,23 @@
 
 // The store may be unreachable for the leader only. Waiting until its
 // membership expired left callers without service for two seconds.
+// A leader whose resignation the store did not take had resigned in its own
+// memory only. Nobody led until its cooldown was over.
+TEST_F(ElectionTest, AResignationThatFailedIsRepeated) {
+  Candidate A(*m_reactor, m_shared, "a");
+  ASSERT_TRUE(until([&] { return A.m_election->leads(); }));
+  Candidate B(*m_reactor, m_shared, "b");
+  ASSERT_TRUE(until([&] {
+    return A.m_election->members() == 2 && B.m_election->members() == 2 &&
+           B.m_election->leader().m_member == A.m_member;
+  }));
+  A.m_store.m_unreachable = true;
+  A.m_election->resign(10000);
+  EXPECT_FALSE(until([&] { return B.m_election->leads(); }, 150));
+  A.m_store.m_unreachable = false;
+  EXPECT_TRUE(until([&] { return B.m_election->leads(); }));
+}
+
 TEST_F(ElectionTest, TakesOverAtOnceWhenTheLeaderAsks) {
   Candidate A(*m_reactor, m_shared, "a");
   ASSERT_TRUE(until([&] { return A.m_election->leads(); }));
