--- a/tests/platform/ingress_test.cc
+++ b/tests/platform/ingress_test.cc
@@ -94,5 +94,22 @@
   EXPECT_FALSE(Filter.accept(heartbeat("a", 20, 2)));
 }
 
+// The clock of a machine was set back and its worker restarted: all heartbeats
+// of the new incarnation were acknowledged and ignored, for good.
+TEST(HeartbeatFilter, AcceptsAnEarlierStartTimeOnceTheLaterOneIsSilent) {
+  HeartbeatFilter Filter;
+  base::Millis Now = 1000;
+  EXPECT_TRUE(Filter.accept(heartbeat("a", 20, 5), Now));
+  EXPECT_FALSE(Filter.accept(heartbeat("a", 10, 1), Now + 1500));
+  EXPECT_TRUE(Filter.accept(heartbeat("a", 20, 6), Now + 3000));
+  Now += 3000;
+  EXPECT_FALSE(Filter.accept(heartbeat("a", 10, 2), Now + 4500));
+  EXPECT_FALSE(Filter.accept(heartbeat("a", 20, 6), Now + 6000));
+  EXPECT_TRUE(Filter.accept(heartbeat("a", 10, 3), Now + 6000));
+  EXPECT_FALSE(Filter.accept(heartbeat("a", 10, 2), Now + 6100));
+  // A late heartbeat of the earlier incarnation does no harm for long.
+  EXPECT_TRUE(Filter.accept(heartbeat("a", 20, 7), Now + 6200));
+}
+
 } // namespace
 } // namespace pomelokeel::platform::tests
