Follow a claim that a resignation has lost against

Callers met two changes of leader instead of one: a leader resigned, as it was cut off from its agents, just after another entry had claimed. Its record was refused, but it had already taken the next epoch for its own resignation. That is the epoch of the claim too, so it ignored the claim's record, believed that nobody led, and replaced the new leader once its cooldown was over.

A leader that resigns now keeps its epoch in memory until a record of the next one is read, be it its own or a claim.

Seen before: ElectionTest.AResignationAfterAClaimDoesNotHideIt failed. Now it passes.

--- a/src/node/election.cc
+++ b/src/node/election.cc
@@ -281,7 +281,11 @@
   R.m_epoch = m_streamEnd + 1;
   m_handlers.m_event("leadershipResigned",
                      fmt::format("epoch={}", m_leader.m_epoch));
-  m_leader = R;
+  // The epoch stays that of the resigned leader: if another entry has claimed
+  // the next one, its record must count.
+  const std::int64_t Epoch = m_leader.m_epoch;
+  m_leader = {};
+  m_leader.m_epoch = Epoch;
   storeResignation(R);
 }
 
--- a/tests/node/election_test.cc
+++ b/tests/node/election_test.cc
@@ -156,6 +156,26 @@
   EXPECT_TRUE(until([&] { return B.m_election->leads(); }));
 }
 
+// A leader resigned when another entry had just claimed. Both records had the
+// same epoch, so it ignored the claim and replaced that leader in turn.
+TEST_F(ElectionTest, AResignationAfterAClaimDoesNotHideIt) {
+  Candidate A(*m_reactor, m_shared, "a");
+  ASSERT_TRUE(until([&] { return A.m_election->leads(); }));
+  Candidate B(*m_reactor, m_shared, "b");
+  ASSERT_TRUE(until([&] {
+    return A.m_election->members() == 2 && B.m_election->members() == 2 &&
+           B.m_election->leader().m_member == A.m_member;
+  }));
+  A.m_store.m_dropsWakeUps = true;
+  B.m_election->claimOnRequest(A.m_election->leader().m_epoch);
+  ASSERT_TRUE(until([&] { return B.m_election->leads(); }));
+  ASSERT_TRUE(A.m_election->leads());
+  A.m_election->resign(0);
+  EXPECT_TRUE(until(
+      [&] { return A.m_election->leader().m_member == B.m_member; }, 1000));
+  EXPECT_FALSE(until([&] { return !B.m_election->leads(); }, 500));
+}
+
 TEST_F(ElectionTest, TakesOverAtOnceWhenTheLeaderAsks) {
   Candidate A(*m_reactor, m_shared, "a");
   ASSERT_TRUE(until([&] { return A.m_election->leads(); }));
