--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -201,7 +201,7 @@
                         fmt::format("epoch={} outcome={}", Epoch,
                                     static_cast<int>(Outcome)));
                   if (Outcome == AppendOutcome::Fenced)
-                    return stepDown("fenced");
+                    return leaveFencedJournal();
                   m_loadTimer->start(TakeoverRetryMs,
                                      [this, Epoch] { fence(Epoch); });
                 });
@@ -254,10 +254,17 @@
       return;
     L->appended(Outcome, base::bootNow());
     if (L->fenced())
-      stepDown("fenced");
+      leaveFencedJournal();
   });
 }
 
+// If no other entry has claimed leadership, only a new epoch can write the
+// journal again. If one has, the record of the resignation is not stored.
+void EntryNode::leaveFencedJournal() {
+  m_election->resign(0);
+  stepDown("fenced");
+}
+
 void EntryNode::tick() {
   m_tick->start(TickMs, [this] { tick(); });
   const Millis Now = base::bootNow();
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -61,6 +61,7 @@
   void loadJournal(std::int64_t Epoch);
   void startLeading(std::int64_t Epoch, const Snapshot &S);
   void stepDown(const char *Reason);
+  void leaveFencedJournal();
   void tick();
   void checkIsolation(Millis Now);
   void dispatch(batch::CallerRequest R, Millis Deadline,
--- a/tests/node/entry_node_test.cc
+++ b/tests/node/entry_node_test.cc
@@ -178,5 +178,20 @@
       until([&] { return Next.m_counters.get("leader_epoch") > 0; }, 2000));
 }
 
+// Guards against a journal that refuses the leader although no other entry
+// leads, as after a conflict of batch numbers. Nobody led from then on, since
+// the leader's record and its membership stayed.
+TEST_F(EntryNodeTest, ALeaderWhoseJournalIsFencedIsReplaced) {
+  ASSERT_TRUE(until([&] { return hasLeader() && other().m_node->ready(); }));
+  ASSERT_TRUE(until([&] { return m_shared->m_members.size() == 2; }));
+  ++m_shared->m_epoch;
+  leader().call(CallerCall::Method::Submit, "1");
+  ASSERT_TRUE(until([&] { return !hasLeader(); }));
+  ASSERT_TRUE(until([&] { return hasLeader(); }));
+  const auto Submitted = other().call(CallerCall::Method::Submit, "1");
+  ASSERT_TRUE(until([&] { return Submitted->has_value(); }));
+  EXPECT_EQ(*Submitted, Verdict::Ok);
+}
+
 } // namespace
 } // namespace pomelokeel::node::tests
