--- a/tests/batch/leader_test.cc
+++ b/tests/batch/leader_test.cc
@@ -198,6 +198,37 @@
   EXPECT_EQ(m_leader->jobs().count("a"), 1u);
 }
 
+// The removal of a dropped job was forgotten when a new job of the same id was
+// refused. The next leader showed the end of the dropped job for the new one.
+TEST_F(LeaderTest, ARefusedSubmissionKeepsTheRemovalOfADroppedJob) {
+  addAgent("w");
+  submit("a", jobOf({step(1, 1)}));
+  pass(500);
+  end("w", "a.0.0.0", EndKind::Done);
+  pass(Timing{}.m_retentionMs - 200);
+  ASSERT_EQ(m_leader->jobs().count("a"), 1u);
+  m_outcome.reset();
+  submit("b", jobOf({step(1, 1)}));
+  pass(400);
+  ASSERT_EQ(m_leader->jobs().count("a"), 0u);
+  const auto Again = submit("a", jobOf({step(1, 1)}));
+  // The first batch is refused and discarded, the next one removes the job.
+  m_outcome = AppendOutcome::NotDone;
+  answerAppends();
+  ASSERT_TRUE(Again->has_value());
+  EXPECT_EQ((*Again)->m_verdict, Verdict::Unavailable);
+  m_outcome.reset();
+  const auto Later = submit("a", jobOf({step(1, 1)}));
+  m_outcome = AppendOutcome::NotDone;
+  pass(500);
+  ASSERT_TRUE(Later->has_value());
+  EXPECT_EQ((*Later)->m_verdict, Verdict::Unavailable);
+  m_outcome = AppendOutcome::Done;
+  pass(500);
+  restartLeader();
+  EXPECT_EQ(m_leader->jobs().count("a"), 0u);
+}
+
 // The cancelling of a job whose submission was refused waited for the next
 // batch and then counted as done, also if the job had been submitted again.
 TEST_F(LeaderTest, CancellingARefusedSubmissionFindsNoJob) {
@@ -296,6 +327,26 @@
   EXPECT_EQ(m_starts["a.0.0.1"], 2);
 }
 
+// A new leader did not know that the rest of a gang was being stopped because
+// one member had ended. The gang did not run again while the others went on.
+TEST_F(LeaderTest, ANewLeaderStopsTheRestOfAGangThatLostAMember) {
+  addAgent("v");
+  addAgent("w");
+  Step S = step(2, 8);
+  S.m_gang = true;
+  submit("a", jobOf({S}));
+  pass(300);
+  m_stopsWork = false;
+  end("v", m_agents["v"].m_runs.begin()->first, EndKind::Failed);
+  pass(300);
+  ASSERT_EQ(m_agents["w"].m_stops.size(), 1u);
+  m_stopsWork = true;
+  restartLeader();
+  pass(1000);
+  EXPECT_EQ(m_starts["a.0.0.0"], 2);
+  EXPECT_EQ(m_starts["a.0.0.1"], 2);
+}
+
 TEST_F(LeaderTest, ARunOfASilentAgentIsStartedElsewhereOnlyAfterItsLease) {
   startTaskOn("v", 300);
   m_alive.clear();
@@ -367,6 +418,83 @@
   EXPECT_EQ(m_starts["a.0.0.0"], 2);
 }
 
+// A late start order of the earlier incarnation brought the next one over its
+// capacity: other work had been placed there before the worker was fenced.
+TEST_F(LeaderTest, ARestartedWorkerKeepsRoomForARunThatMayStillStart) {
+  addAgent("w");
+  submit("a", jobOf({step(1, 8)}));
+  pass(300);
+  ASSERT_EQ(m_starts["a.0.0.0"], 1);
+  m_agents["w"].m_workerSilent = true;
+  m_agents["w"].m_workerIncarnation = "w@2";
+  const auto LateRuns = std::exchange(m_agents["w"].m_runs, {});
+  submit("b", jobOf({step(1, 8)}));
+  pass(1000);
+  EXPECT_EQ(m_starts["b.0.0.0"], 0);
+  m_agents["w"].m_runs.insert(LateRuns.begin(), LateRuns.end());
+  pass(1000);
+  EXPECT_EQ(m_starts["b.0.0.0"], 0);
+  end("w", "a.0.0.0", EndKind::Done);
+  pass(500);
+  EXPECT_EQ(m_starts["b.0.0.0"], 1);
+}
+
+// The same for the number of tasks of a step that a worker may run.
+TEST_F(LeaderTest, ARunThatMayStillStartCountsAsOneOfItsStepOnTheWorker) {
+  addAgent("w");
+  Step S = step(2, 1);
+  S.m_perWorker = 1;
+  submit("a", jobOf({S}));
+  pass(300);
+  ASSERT_EQ(m_starts.size(), 1u);
+  m_agents["w"].m_workerSilent = true;
+  m_agents["w"].m_workerIncarnation = "w@2";
+  m_agents["w"].m_runs.clear();
+  pass(1000);
+  EXPECT_EQ(m_starts.size(), 1u);
+  m_agents["w"].m_workerSilent = false;
+  pass(1000);
+  EXPECT_EQ(m_starts["a.0.0.0"] + m_starts["a.0.0.1"], 2);
+}
+
+// A run of a restarted worker counted as lost with the lease of a silent agent,
+// although a late start order may still be carried out by the new incarnation,
+// which then grants the run a lease of its own.
+TEST_F(LeaderTest,
+       ARunOfARestartedWorkerWithASilentAgentIsNotLostWithItsLease) {
+  addAgent("w");
+  submit("a", jobOf({step(1, 1)}));
+  pass(300);
+  m_agents["w"].m_workerSilent = true;
+  m_agents["w"].m_workerIncarnation = "w@2";
+  const auto LateRuns = std::exchange(m_agents["w"].m_runs, {});
+  report("w");
+  m_alive.clear();
+  addAgent("x");
+  const Timing T;
+  pass(T.m_autonomyMs + T.m_leaseMs + 1500);
+  EXPECT_EQ(m_starts["a.0.0.0"], 1);
+  m_agents["w"].m_runs = LateRuns;
+  m_alive.emplace_back("w");
+  pass(LateOrderMs);
+  EXPECT_EQ(m_starts["a.0.0.0"], 1);
+  EXPECT_TRUE(m_agents["w"].m_stops.empty());
+}
+
+TEST_F(LeaderTest, ARunOfARestartedWorkerWithASilentAgentIsLostInTheEnd) {
+  addAgent("w");
+  submit("a", jobOf({step(1, 1)}));
+  pass(300);
+  m_agents["w"].m_workerSilent = true;
+  m_agents["w"].m_workerIncarnation = "w@2";
+  m_agents["w"].m_runs.clear();
+  report("w");
+  m_alive.clear();
+  addAgent("x");
+  pass(LateOrderMs + 500);
+  EXPECT_EQ(m_starts["a.0.0.0"], 2);
+}
+
 TEST_F(LeaderTest, RenewsTheFenceForEachAgentProcessAndWorkerIncarnation) {
   addAgent("w");
   const std::uint64_t First = m_agents["w"].m_fence;
@@ -477,6 +605,47 @@
   EXPECT_EQ(m_starts["a.0.0.0"], 1);
 }
 
+// The reply to a report that the leader had ignored let the agent grant leases
+// that the leader did not count. A run could then count as lost before its
+// lease had ended. Such reports come from an agent that was restarted after the
+// clock of its machine was set back.
+TEST_F(LeaderTest, AReportThatIsIgnoredPermitsNoLeases) {
+  m_agents["w"].m_incarnation = 5;
+  addAgent("w");
+  pass(100);
+  m_alive.clear();
+  AgentReport R;
+  R.m_agent = "w";
+  R.m_incarnation = 4;
+  R.m_worker.emplace();
+  R.m_worker->m_id = "w";
+  R.m_worker->m_workerIncarnation = "w@1";
+  R.m_worker->m_startTime = 1;
+  R.m_worker->m_service = "s";
+  R.m_worker->m_capacity = {16000, 10000, 8};
+  std::vector<AgentReply> Replies;
+  const auto Report = [&] {
+    ++R.m_sequence;
+    m_leader->report(R, m_now, wallNow(), [&Replies](const AgentReply &Reply) {
+      Replies.push_back(Reply);
+    });
+    pass(100);
+  };
+  Report();
+  ASSERT_EQ(Replies.size(), 1u);
+  EXPECT_FALSE(Replies.back().m_leads);
+  pass(Timing{}.m_silentMs);
+  Report();
+  ASSERT_EQ(Replies.size(), 2u);
+  EXPECT_TRUE(Replies.back().m_leads);
+  // The same holds for a worker that seems to have started earlier.
+  R.m_worker->m_workerIncarnation = "w@0";
+  R.m_worker->m_startTime = 0;
+  Report();
+  ASSERT_EQ(Replies.size(), 3u);
+  EXPECT_FALSE(Replies.back().m_leads);
+}
+
 TEST_F(LeaderTest, StopsRunsThatAreNotCurrent) {
   addAgent("w");
   m_agents["w"].m_runs["zz.0.0.0"] = {"zz.0.0.0", 1,  RunPhase::Running,
