--- a/tests/batch/agent_test.cc
+++ b/tests/batch/agent_test.cc
@@ -31,12 +31,11 @@
     m_worker.pass(50);
   }
 
-  // Advances the clock while the leader replies every 50 ms.
-  void passWithReplies(Millis Ms) {
-    for (Millis I = 0; I < Ms; I += 50) {
-      m_worker.pass(50);
-      m_worker.reply({});
-    }
+  // The leader acknowledges that run 1 of a task has ended as done.
+  void acknowledgeDone(const char *Task, std::int64_t Number) {
+    AgentReply R;
+    R.m_acknowledged = {{Task, 1, EndKind::Done, "", Number, ""}};
+    m_worker.reply(R);
   }
 
   FakeWorker m_worker;
@@ -57,9 +56,7 @@
   m_worker.pass(1100);
   ASSERT_TRUE(m_worker.reported(EndKind::Done));
   EXPECT_EQ(m_worker.m_acknowledged, 0);
-  AgentReply R;
-  R.m_acknowledged = {{TaskA, 1, EndKind::Done, "", 1, ""}};
-  m_worker.reply(R);
+  acknowledgeDone(TaskA, 1);
   m_worker.pass(100);
   EXPECT_EQ(m_worker.m_acknowledged, 1);
 }
@@ -68,9 +65,9 @@
 // because each failed poll counts as a renewal of the lease.
 TEST_F(AgentTest, RunsOfAnUnreachableWorkerEndWithTheLastLease) {
   startA();
-  passWithReplies(1000);
+  m_worker.passWithReplies(1000);
   m_worker.m_unreachable = true;
-  passWithReplies(7500);
+  m_worker.passWithReplies(7500);
   m_worker.pass(100);
   EXPECT_TRUE(m_worker.reported(EndKind::LeaseExpired));
 }
@@ -117,10 +114,10 @@
   m_worker.m_delaysStarts = true;
   startA();
   m_worker.m_delaysStarts = false;
-  passWithReplies(1000);
+  m_worker.passWithReplies(1000);
   ASSERT_EQ(m_worker.m_starts, 1);
   m_worker.end(TaskA, 1, EndKind::Done);
-  passWithReplies(1000);
+  m_worker.passWithReplies(1000);
   m_worker.restart();
   m_worker.heartbeat();
   m_worker.pass(500);
@@ -148,9 +145,7 @@
           LowestNumber);
     };
     m_worker.pass(1100);
-    R = {};
-    R.m_acknowledged = {{TaskA, 1, EndKind::Done, "", 1, ""}};
-    m_worker.reply(R);
+    acknowledgeDone(TaskA, 1);
     m_worker.pass(500);
     m_worker.reply({});
     m_worker.pass(500);
@@ -162,8 +157,7 @@
   m_worker.reply({});
   m_worker.pass(1100);
   ASSERT_TRUE(m_worker.reported(EndKind::Done));
-  R.m_acknowledged = {{TaskB, 1, EndKind::Done, "", 2, ""}};
-  m_worker.reply(R);
+  acknowledgeDone(TaskB, 2);
   m_worker.pass(1100);
   EXPECT_EQ(m_worker.m_acknowledged, 2);
 }
@@ -177,7 +171,7 @@
       A.m_runs.clear();
       A.m_malformed.add(Key);
     };
-    passWithReplies(3000);
+    m_worker.passWithReplies(3000);
     m_worker.pass(20);
     EXPECT_TRUE(m_worker.m_reports.back().m_ends.empty());
     EXPECT_EQ(m_worker.m_reports.back().m_runs.size(), 1u);
@@ -239,6 +233,80 @@
   EXPECT_EQ(m_worker.m_starts, 0);
 }
 
+// The leader gives up the runs of an earlier incarnation on this report.
+TEST_F(AgentTest, ReportsAFenceOnlyOnceTheWorkerHasAnsweredAPollWithIt) {
+  const std::uint64_t Fence = fenceOf(m_worker.m_epoch, 3);
+  m_worker.m_unreachable = true;
+  AgentReply R;
+  R.m_fence = Fence;
+  m_worker.reply(R);
+  m_worker.passWithReplies(500);
+  ASSERT_FALSE(m_worker.m_reports.empty());
+  EXPECT_LT(m_worker.m_reports.back().m_fence, Fence);
+  m_worker.m_unreachable = false;
+  m_worker.pass(1500);
+  ASSERT_FALSE(m_worker.m_reports.empty());
+  EXPECT_EQ(m_worker.m_reports.back().m_fence, Fence);
+  m_worker.restart();
+  m_worker.m_unreachable = true;
+  m_worker.heartbeat();
+  m_worker.passWithReplies(500);
+  ASSERT_FALSE(m_worker.m_reports.empty());
+  EXPECT_EQ(m_worker.m_reports.back().m_fence, 0u);
+}
+
+// Guards against the loss of an end: the next incarnation of the worker carries
+// out a poll that repeats an acknowledgement of the earlier one.
+TEST_F(AgentTest, AnAcknowledgementIsNotRepeatedOnceItIsAnswered) {
+  startA();
+  m_worker.end(TaskA, 1, EndKind::Done);
+  m_worker.pass(1100);
+  acknowledgeDone(TaskA, 1);
+  m_worker.passWithReplies(5000);
+  EXPECT_EQ(m_worker.m_acknowledged, 1);
+  EXPECT_EQ(m_worker.m_acknowledgements, 1);
+}
+
+// Guards against the loss of an end: a start is carried out by the next
+// incarnation of the worker, and a poll that acknowledges an end of the earlier
+// one makes it forget the run's end (restart simulation, seeds 12583 and
+// 17411).
+TEST_F(AgentTest, NothingIsAcknowledgedToAWorkerThatMayHaveRestarted) {
+  constexpr const char *TaskB = "00000000000000bb.0.0.0";
+  startA();
+  m_worker.end(TaskA, 1, EndKind::Done);
+  m_worker.passWithReplies(1500);
+  m_worker.m_unreachable = true;
+  AgentReply R;
+  R.m_acknowledged = {{TaskA, 1, EndKind::Done, "", 1, ""}};
+  R.m_starts = {{TaskB, 1, "payload", ""}};
+  m_worker.reply(R);
+  m_worker.pass(50);
+  m_worker.restart();
+  m_worker.m_dropsPolls = true;
+  m_worker.m_unreachable = false;
+  m_worker.pass(500);
+  ASSERT_TRUE(m_worker.m_runs.contains({TaskB, 1}));
+  m_worker.end(TaskB, 1, EndKind::Done);
+  m_worker.m_dropsPolls = false;
+  m_worker.passWithReplies(1500);
+  m_worker.pass(20);
+  EXPECT_EQ(m_worker.m_acknowledged, 0);
+  EXPECT_TRUE(m_worker.reported(EndKind::Done));
+}
+
+// Guards against a late call with the number of an earlier epoch or generation.
+TEST_F(AgentTest, NeverLowersTheFence) {
+  AgentReply R;
+  R.m_fence = fenceOf(m_worker.m_epoch, 3);
+  m_worker.reply(R);
+  m_worker.pass(20);
+  R.m_fence = fenceOf(m_worker.m_epoch, 2);
+  m_worker.reply(R);
+  startA();
+  EXPECT_EQ(m_worker.m_fence, fenceOf(m_worker.m_epoch, 3));
+}
+
 TEST_F(AgentTest, ReportsWhatTheWorkerRunsAfterAnAgentRestart) {
   startA();
   FakeWorker Next;
@@ -279,10 +347,7 @@
   R.m_starts = {order(1)};
   W.reply(R);
   W.m_unreachable = false;
-  for (int I = 0; I < 20; ++I) {
-    W.pass(50);
-    W.reply({});
-  }
+  W.passWithReplies(1000);
   W.pass(20);
   EXPECT_FALSE(W.reported(EndKind::NeverStarted));
   ASSERT_FALSE(W.m_reports.empty());
@@ -300,10 +365,7 @@
   W.m_unreachable = true;
   W.pass(2500);
   W.m_leaderSilent = false;
-  for (int I = 0; I < 200; ++I) {
-    W.pass(50);
-    W.reply({});
-  }
+  W.passWithReplies(10000);
   W.pass(20);
   EXPECT_TRUE(W.reported(EndKind::LeaseExpired));
 }
--- a/tests/batch/leader_fixture.h
+++ b/tests/batch/leader_fixture.h
@@ -107,6 +107,8 @@
     bool m_draining = false;
     std::vector<StopOrder> m_stops;
     std::vector<EndReport> m_acknowledged;
+    std::uint64_t m_fence = 0;
+    bool m_workerSilent = false; ///< The worker answers no polls.
   };
 
   void addAgent(const std::string &Name) {
@@ -115,6 +117,24 @@
     report(Name);
   }
 
+  /// Adds an agent, submits job "a" of one task and waits for its start.
+  void startTaskOn(const std::string &Agent, Millis WaitMs) {
+    addAgent(Agent);
+    submit("a", jobOf({step(1, 1)}));
+    pass(WaitMs);
+  }
+
+  /// Adds the agents "v" and "w", submits job "a" of a gang that needs both and
+  /// waits for its start.
+  void startGang(Millis WaitMs) {
+    addAgent("v");
+    addAgent("w");
+    Step Gang = step(2, 8);
+    Gang.m_gang = true;
+    submit("a", jobOf({Gang}));
+    pass(WaitMs);
+  }
+
   void report(const std::string &Name) {
     FakeAgent &B = m_agents[Name];
     AgentReport R;
@@ -137,6 +157,7 @@
       R.m_runs.push_back(Run);
     }
     R.m_ends = B.m_ends;
+    R.m_fence = B.m_fence;
     m_leader->report(
         R, m_now, wallNow(),
         [this, Name](const AgentReply &Reply) { applyReply(Name, Reply); });
@@ -167,6 +188,8 @@
     FakeAgent &B = m_agents[Name];
     if (R.m_epoch < m_epoch)
       return;
+    if (!B.m_workerSilent)
+      B.m_fence = std::max(B.m_fence, R.m_fence);
     for (const StartOrder &O : R.m_starts) {
       B.m_runs[O.m_task] = {O.m_task, O.m_run, RunPhase::Running, 0, "", 0};
       ++m_starts[O.m_task];
--- a/tests/batch/leader_test.cc
+++ b/tests/batch/leader_test.cc
@@ -105,9 +105,7 @@
 }
 
 TEST_F(LeaderTest, AnEndIsAcknowledgedOnlyOnceItIsStored) {
-  addAgent("w");
-  submit("a", jobOf({step(1, 1)}));
-  pass(500);
+  startTaskOn("w", 500);
   end("w", "a.0.0.0", EndKind::Done);
   m_outcome.reset();
   report("w");
@@ -122,12 +120,7 @@
 // Ends of the other members of a done gang were acknowledged before the gang's
 // end was stored. After a restart of all processes the members ran again.
 TEST_F(LeaderTest, EndsOfADoneGangAreAcknowledgedOnlyOnceTheyAreStored) {
-  addAgent("v");
-  addAgent("w");
-  Step Gang = step(2, 8);
-  Gang.m_gang = true;
-  submit("a", jobOf({Gang}));
-  pass(500);
+  startGang(500);
   ASSERT_EQ(m_starts["a.0.0.0"], 1);
   ASSERT_EQ(m_starts["a.0.0.1"], 1);
   m_outcome = AppendOutcome::NotDone;
@@ -174,9 +167,7 @@
 // During a long outage of the store, a job was dropped before its end was
 // stored. It was unknown to callers, and the next leader ran it again.
 TEST_F(LeaderTest, AJobIsDroppedOnlyOnceItsEndIsStored) {
-  addAgent("w");
-  submit("a", jobOf({step(1, 1)}));
-  pass(500);
+  startTaskOn("w", 500);
   m_outcome = AppendOutcome::NotDone;
   end("w", "a.0.0.0", EndKind::Done);
   pass(Timing{}.m_retentionMs + 1000);
@@ -190,9 +181,7 @@
 // The identifier of a dropped job was submitted again before its removal was
 // stored. The removal then also removed the new job.
 TEST_F(LeaderTest, AnIdThatIsUsedAgainOutlivesTheRemovalOfTheDroppedJob) {
-  addAgent("w");
-  submit("a", jobOf({step(1, 1)}));
-  pass(500);
+  startTaskOn("w", 500);
   end("w", "a.0.0.0", EndKind::Done);
   pass(Timing{}.m_retentionMs - 200);
   ASSERT_EQ(m_leader->jobs().count("a"), 1u);
@@ -209,6 +198,37 @@
   EXPECT_EQ(m_leader->jobs().count("a"), 1u);
 }
 
+// The removal of a dropped job was forgotten when a new job of the same id was
+// refused. The next leader showed the end of the dropped job for the new one.
+TEST_F(LeaderTest, ARefusedSubmissionKeepsTheRemovalOfADroppedJob) {
+  addAgent("w");
+  submit("a", jobOf({step(1, 1)}));
+  pass(500);
+  end("w", "a.0.0.0", EndKind::Done);
+  pass(Timing{}.m_retentionMs - 200);
+  ASSERT_EQ(m_leader->jobs().count("a"), 1u);
+  m_outcome.reset();
+  submit("b", jobOf({step(1, 1)}));
+  pass(400);
+  ASSERT_EQ(m_leader->jobs().count("a"), 0u);
+  const auto Again = submit("a", jobOf({step(1, 1)}));
+  // The first batch is refused and discarded, the next one removes the job.
+  m_outcome = AppendOutcome::NotDone;
+  answerAppends();
+  ASSERT_TRUE(Again->has_value());
+  EXPECT_EQ((*Again)->m_verdict, Verdict::Unavailable);
+  m_outcome.reset();
+  const auto Later = submit("a", jobOf({step(1, 1)}));
+  m_outcome = AppendOutcome::NotDone;
+  pass(500);
+  ASSERT_TRUE(Later->has_value());
+  EXPECT_EQ((*Later)->m_verdict, Verdict::Unavailable);
+  m_outcome = AppendOutcome::Done;
+  pass(500);
+  restartLeader();
+  EXPECT_EQ(m_leader->jobs().count("a"), 0u);
+}
+
 // The cancelling of a job whose submission was refused waited for the next
 // batch and then counted as done, also if the job had been submitted again.
 TEST_F(LeaderTest, CancellingARefusedSubmissionFindsNoJob) {
@@ -251,9 +271,7 @@
 // A repeated submission was answered with an end that was not stored and that
 // the next leader did not know (restart simulation, seed 9).
 TEST_F(LeaderTest, ARepeatedSubmissionShowsAnEndOnlyOnceItIsStored) {
-  addAgent("w");
-  submit("a", jobOf({step(1, 1)}));
-  pass(500);
+  startTaskOn("w", 500);
   end("w", "a.0.0.0", EndKind::Done);
   m_outcome.reset();
   report("w");
@@ -266,9 +284,7 @@
 }
 
 TEST_F(LeaderTest, FailsAJobAfterItsAttempts) {
-  addAgent("w");
-  submit("a", jobOf({step(1, 1)}));
-  pass(300);
+  startTaskOn("w", 300);
   end("w", "a.0.0.0", EndKind::Failed);
   pass(4000);
   ASSERT_EQ(m_starts["a.0.0.0"], 2);
@@ -290,12 +306,7 @@
 }
 
 TEST_F(LeaderTest, AGangIsDoneWhenOneMemberReportsDone) {
-  addAgent("v");
-  addAgent("w");
-  Step S = step(2, 8);
-  S.m_gang = true;
-  submit("a", jobOf({S}));
-  pass(300);
+  startGang(300);
   ASSERT_EQ(m_starts.size(), 2u);
   end("v", m_agents["v"].m_runs.begin()->first, EndKind::Done);
   pass(100);
@@ -305,6 +316,20 @@
 }
 
 TEST_F(LeaderTest, AGangRunsAgainOnlyWhenAllMembersHaveEnded) {
+  startGang(300);
+  m_stopsWork = false;
+  end("v", m_agents["v"].m_runs.begin()->first, EndKind::Failed);
+  pass(1000);
+  EXPECT_EQ(m_starts["a.0.0.0"] + m_starts["a.0.0.1"], 2);
+  end("w", m_agents["w"].m_runs.begin()->first, EndKind::Broken);
+  pass(1000);
+  EXPECT_EQ(m_starts["a.0.0.0"], 2);
+  EXPECT_EQ(m_starts["a.0.0.1"], 2);
+}
+
+// A new leader did not know that the rest of a gang was being stopped because
+// one member had ended. The gang did not run again while the others went on.
+TEST_F(LeaderTest, ANewLeaderStopsTheRestOfAGangThatLostAMember) {
   addAgent("v");
   addAgent("w");
   Step S = step(2, 8);
@@ -313,18 +338,17 @@
   pass(300);
   m_stopsWork = false;
   end("v", m_agents["v"].m_runs.begin()->first, EndKind::Failed);
-  pass(1000);
-  EXPECT_EQ(m_starts["a.0.0.0"] + m_starts["a.0.0.1"], 2);
-  end("w", m_agents["w"].m_runs.begin()->first, EndKind::Broken);
+  pass(300);
+  ASSERT_EQ(m_agents["w"].m_stops.size(), 1u);
+  m_stopsWork = true;
+  restartLeader();
   pass(1000);
   EXPECT_EQ(m_starts["a.0.0.0"], 2);
   EXPECT_EQ(m_starts["a.0.0.1"], 2);
 }
 
 TEST_F(LeaderTest, ARunOfASilentAgentIsStartedElsewhereOnlyAfterItsLease) {
-  addAgent("v");
-  submit("a", jobOf({step(1, 1)}));
-  pass(300);
+  startTaskOn("v", 300);
   m_alive.clear();
   addAgent("w");
   const Timing T;
@@ -335,9 +359,7 @@
 }
 
 TEST_F(LeaderTest, ANewLeaderKeepsRunsThatGoOn) {
-  addAgent("w");
-  submit("a", jobOf({step(1, 1)}));
-  pass(300);
+  startTaskOn("w", 300);
   makeLeader();
   pass(15000);
   EXPECT_EQ(m_starts["a.0.0.0"], 1);
@@ -347,9 +369,7 @@
 }
 
 TEST_F(LeaderTest, ARestartedWorkerHasLostItsRuns) {
-  addAgent("w");
-  submit("a", jobOf({step(1, 1)}));
-  pass(300);
+  startTaskOn("w", 300);
   m_agents["w"].m_workerIncarnation = "w@2";
   m_agents["w"].m_runs.clear();
   pass(300);
@@ -357,21 +377,147 @@
 }
 
 TEST_F(LeaderTest, ARunStartedInTheNextWorkerIncarnationIsAdopted) {
+  startTaskOn("w", 300);
+  m_agents["w"].m_workerIncarnation = "w@2";
+  pass(1000);
+  EXPECT_EQ(m_starts["a.0.0.0"], 1);
+  EXPECT_TRUE(m_agents["w"].m_stops.empty());
+}
+
+// Guards against a task that runs twice: a start order of an earlier agent
+// process is carried out by the worker's next incarnation after the leader has
+// counted the run as lost (restart simulation, seed 1590).
+TEST_F(LeaderTest, ARunOfARestartedWorkerIsLostOnlyOnceTheWorkerIsFenced) {
+  startTaskOn("w", 300);
+  m_agents["w"].m_workerSilent = true;
+  restartAgent("w");
+  m_agents["w"].m_workerIncarnation = "w@2";
+  const auto LateRuns = std::exchange(m_agents["w"].m_runs, {});
+  addAgent("x");
+  pass(1000);
+  EXPECT_EQ(m_starts["a.0.0.0"], 1);
+  m_agents["w"].m_runs = LateRuns;
+  pass(1000);
+  EXPECT_EQ(m_starts["a.0.0.0"], 1);
+  EXPECT_TRUE(m_agents["w"].m_stops.empty());
+  m_agents["w"].m_workerSilent = false;
+  pass(1000);
+  EXPECT_EQ(m_starts["a.0.0.0"], 1);
+}
+
+// Guards against a task that never runs again: its worker has restarted, but
+// its agent never confirms a fence, as one of an earlier version.
+TEST_F(LeaderTest, ARunOfARestartedWorkerIsLostOnceLateOrdersAreVoid) {
+  startTaskOn("w", 300);
+  m_agents["w"].m_workerSilent = true;
+  m_agents["w"].m_workerIncarnation = "w@2";
+  m_agents["w"].m_runs.clear();
+  pass(LateOrderMs - 500);
+  EXPECT_EQ(m_starts["a.0.0.0"], 1);
+  pass(1000);
+  EXPECT_EQ(m_starts["a.0.0.0"], 2);
+}
+
+// A late start order of the earlier incarnation brought the next one over its
+// capacity: other work had been placed there before the worker was fenced.
+TEST_F(LeaderTest, ARestartedWorkerKeepsRoomForARunThatMayStillStart) {
   addAgent("w");
-  submit("a", jobOf({step(1, 1)}));
+  submit("a", jobOf({step(1, 8)}));
+  pass(300);
+  ASSERT_EQ(m_starts["a.0.0.0"], 1);
+  m_agents["w"].m_workerSilent = true;
+  m_agents["w"].m_workerIncarnation = "w@2";
+  const auto LateRuns = std::exchange(m_agents["w"].m_runs, {});
+  submit("b", jobOf({step(1, 8)}));
+  pass(1000);
+  EXPECT_EQ(m_starts["b.0.0.0"], 0);
+  m_agents["w"].m_runs.insert(LateRuns.begin(), LateRuns.end());
+  pass(1000);
+  EXPECT_EQ(m_starts["b.0.0.0"], 0);
+  end("w", "a.0.0.0", EndKind::Done);
+  pass(500);
+  EXPECT_EQ(m_starts["b.0.0.0"], 1);
+}
+
+// The same for the number of tasks of a step that a worker may run.
+TEST_F(LeaderTest, ARunThatMayStillStartCountsAsOneOfItsStepOnTheWorker) {
+  addAgent("w");
+  Step S = step(2, 1);
+  S.m_perWorker = 1;
+  submit("a", jobOf({S}));
   pass(300);
+  ASSERT_EQ(m_starts.size(), 1u);
+  m_agents["w"].m_workerSilent = true;
   m_agents["w"].m_workerIncarnation = "w@2";
+  m_agents["w"].m_runs.clear();
   pass(1000);
+  EXPECT_EQ(m_starts.size(), 1u);
+  m_agents["w"].m_workerSilent = false;
+  pass(1000);
+  EXPECT_EQ(m_starts["a.0.0.0"] + m_starts["a.0.0.1"], 2);
+}
+
+// A run of a restarted worker counted as lost with the lease of a silent agent,
+// although a late start order may still be carried out by the new incarnation,
+// which then grants the run a lease of its own.
+TEST_F(LeaderTest,
+       ARunOfARestartedWorkerWithASilentAgentIsNotLostWithItsLease) {
+  addAgent("w");
+  submit("a", jobOf({step(1, 1)}));
+  pass(300);
+  m_agents["w"].m_workerSilent = true;
+  m_agents["w"].m_workerIncarnation = "w@2";
+  const auto LateRuns = std::exchange(m_agents["w"].m_runs, {});
+  report("w");
+  m_alive.clear();
+  addAgent("x");
+  const Timing T;
+  pass(T.m_autonomyMs + T.m_leaseMs + 1500);
+  EXPECT_EQ(m_starts["a.0.0.0"], 1);
+  m_agents["w"].m_runs = LateRuns;
+  m_alive.emplace_back("w");
+  pass(LateOrderMs);
   EXPECT_EQ(m_starts["a.0.0.0"], 1);
   EXPECT_TRUE(m_agents["w"].m_stops.empty());
 }
 
-// A leader that had never seen the earlier incarnation declared the run lost
-// and started it elsewhere (restart simulation, seeds 332 and 662).
-TEST_F(LeaderTest, ANewLeaderAdoptsARunOfTheNextWorkerIncarnation) {
+TEST_F(LeaderTest, ARunOfARestartedWorkerWithASilentAgentIsLostInTheEnd) {
   addAgent("w");
   submit("a", jobOf({step(1, 1)}));
   pass(300);
+  m_agents["w"].m_workerSilent = true;
+  m_agents["w"].m_workerIncarnation = "w@2";
+  m_agents["w"].m_runs.clear();
+  report("w");
+  m_alive.clear();
+  addAgent("x");
+  pass(LateOrderMs + 500);
+  EXPECT_EQ(m_starts["a.0.0.0"], 2);
+}
+
+TEST_F(LeaderTest, RenewsTheFenceForEachAgentProcessAndWorkerIncarnation) {
+  addAgent("w");
+  const std::uint64_t First = m_agents["w"].m_fence;
+  EXPECT_GT(First, 0u);
+  pass(500);
+  EXPECT_EQ(m_agents["w"].m_fence, First);
+  m_agents["w"].m_workerIncarnation = "w@2";
+  pass(500);
+  const std::uint64_t Second = m_agents["w"].m_fence;
+  EXPECT_GT(Second, First);
+  restartAgent("w");
+  pass(500);
+  const std::uint64_t Third = m_agents["w"].m_fence;
+  EXPECT_GT(Third, Second);
+  makeLeader();
+  pass(500);
+  EXPECT_GT(m_agents["w"].m_fence, Third);
+}
+
+// A leader that had never seen the earlier incarnation declared the run lost
+// and started it elsewhere (restart simulation, seeds 332 and 662).
+TEST_F(LeaderTest, ANewLeaderAdoptsARunOfTheNextWorkerIncarnation) {
+  startTaskOn("w", 300);
   m_agents["w"].m_workerIncarnation = "w@2";
   makeLeader();
   pass(1000);
@@ -382,9 +528,7 @@
 // The end of such a run was acknowledged without effect, and the task started
 // again although it was done (restart simulation, seed 165).
 TEST_F(LeaderTest, ANewLeaderTakesTheEndOfARunOfTheNextWorkerIncarnation) {
-  addAgent("w");
-  submit("a", jobOf({step(1, 1)}));
-  pass(300);
+  startTaskOn("w", 300);
   m_agents["w"].m_workerIncarnation = "w@2";
   end("w", "a.0.0.0", EndKind::Done);
   makeLeader();
@@ -396,9 +540,7 @@
 // The run of an order for the previous incarnation was over before the leader
 // heard of the new one. It counted as lost, and the task ran again.
 TEST_F(LeaderTest, ARunThatEndedInTheNextWorkerIncarnationIsNotStartedAgain) {
-  addAgent("w");
-  submit("a", jobOf({step(1, 1)}));
-  pass(300);
+  startTaskOn("w", 300);
   ASSERT_EQ(m_starts["a.0.0.0"], 1);
   m_agents["w"].m_workerIncarnation = "w@2";
   end("w", "a.0.0.0", EndKind::Done);
@@ -411,9 +553,7 @@
 // worker, which was gone for good. Its runs were never counted as lost.
 TEST_F(LeaderTest,
        RunsOfAnAgentWithoutAWorkerAreStartedElsewhereAfterTheirLease) {
-  addAgent("w");
-  submit("a", jobOf({step(1, 1)}));
-  pass(500);
+  startTaskOn("w", 500);
   ASSERT_EQ(m_starts["a.0.0.0"], 1);
   m_alive.clear();
   addAgent("x");
@@ -465,6 +605,47 @@
   EXPECT_EQ(m_starts["a.0.0.0"], 1);
 }
 
+// The reply to a report that the leader had ignored let the agent grant leases
+// that the leader did not count. A run could then count as lost before its
+// lease had ended. Such reports come from an agent that was restarted after the
+// clock of its machine was set back.
+TEST_F(LeaderTest, AReportThatIsIgnoredPermitsNoLeases) {
+  m_agents["w"].m_incarnation = 5;
+  addAgent("w");
+  pass(100);
+  m_alive.clear();
+  AgentReport R;
+  R.m_agent = "w";
+  R.m_incarnation = 4;
+  R.m_worker.emplace();
+  R.m_worker->m_id = "w";
+  R.m_worker->m_workerIncarnation = "w@1";
+  R.m_worker->m_startTime = 1;
+  R.m_worker->m_service = "s";
+  R.m_worker->m_capacity = {16000, 10000, 8};
+  std::vector<AgentReply> Replies;
+  const auto Report = [&] {
+    ++R.m_sequence;
+    m_leader->report(R, m_now, wallNow(), [&Replies](const AgentReply &Reply) {
+      Replies.push_back(Reply);
+    });
+    pass(100);
+  };
+  Report();
+  ASSERT_EQ(Replies.size(), 1u);
+  EXPECT_FALSE(Replies.back().m_leads);
+  pass(Timing{}.m_silentMs);
+  Report();
+  ASSERT_EQ(Replies.size(), 2u);
+  EXPECT_TRUE(Replies.back().m_leads);
+  // The same holds for a worker that seems to have started earlier.
+  R.m_worker->m_workerIncarnation = "w@0";
+  R.m_worker->m_startTime = 0;
+  Report();
+  ASSERT_EQ(Replies.size(), 3u);
+  EXPECT_FALSE(Replies.back().m_leads);
+}
+
 TEST_F(LeaderTest, StopsRunsThatAreNotCurrent) {
   addAgent("w");
   m_agents["w"].m_runs["zz.0.0.0"] = {"zz.0.0.0", 1,  RunPhase::Running,
