Wait for the ends that do not fit in a worker's answer

Callers could see a task run twice, or its end lost: a worker lists at most 500 ends in an answer. A run whose end was the 501st was in neither list, so the agent reported it as expired or as never started, and the leader placed it again.

A run that is missing from such an answer has not ended. The ends of the answer are acknowledged as before, which brings the next ones.

Seen before: AgentTest.AnEndOnTheNextPageIsNotLost failed, LeaseExpired was reported for the run and its end done came later; with the flag never set, DecodePollAnswer.AFullListOfEndsMayHideMore failed.

--- a/src/batch/agent.cc
+++ b/src/batch/agent.cc
@@ -406,7 +406,8 @@
     const Run &R = Entry.second;
     const bool ResultKnown =
         R.m_answeredAtPoll > 0 && m_answeredSerial > R.m_answeredAtPoll;
-    if (!ResultKnown || R.m_orderPending || A.m_malformed.mayContain(K))
+    if (!ResultKnown || R.m_orderPending || A.m_moreEnds ||
+        A.m_malformed.mayContain(K))
       continue;
     if (std::none_of(A.m_runs.begin(), A.m_runs.end(), [&](const RunReport &L) {
           return L.m_task == K.first && L.m_run == K.second;
--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -85,6 +85,7 @@
   Millis m_clock = -1;
   std::vector<RunReport> m_runs;
   std::vector<EndReport> m_ends;
+  bool m_moreEnds = false; ///< More ends than these may be listed later.
   MalformedRows m_malformed;
 };
 
--- a/tests/batch/agent_test.cc
+++ b/tests/batch/agent_test.cc
@@ -187,6 +187,36 @@
             1);
 }
 
+// Guards against a task that runs twice: the worker listed as many ends as fit
+// in one answer, and a run whose end did not fit counted as expired.
+TEST_F(AgentTest, AnEndOnTheNextPageIsNotLost) {
+  startA();
+  m_worker.m_pageSize = 2;
+  const std::vector<std::string> Others = {"00000000000000bb.0.0.0",
+                                           "00000000000000bb.0.0.1"};
+  for (const std::string &Other : Others)
+    m_worker.end(Other, 1, EndKind::Done);
+  m_worker.end(TaskA, 1, EndKind::Done);
+  passWithReplies(2000);
+  m_worker.pass(20);
+  ASSERT_FALSE(m_worker.m_reports.empty());
+  EXPECT_FALSE(m_worker.reported(EndKind::LeaseExpired));
+  EXPECT_EQ(m_worker.m_reports.back().m_runs.size(), 1u);
+  AgentReply R;
+  for (std::int64_t I = 0; I < 2; ++I)
+    R.m_acknowledged.push_back(
+        {Others[static_cast<std::size_t>(I)], 1, EndKind::Done, "", I + 1, ""});
+  m_worker.reply(R);
+  m_worker.pass(1100);
+  m_worker.reply({});
+  m_worker.pass(20);
+  ASSERT_FALSE(m_worker.m_reports.empty());
+  const AgentReport &Last = m_worker.m_reports.back();
+  ASSERT_EQ(Last.m_ends.size(), 1u);
+  EXPECT_EQ(Last.m_ends[0].m_task, TaskA);
+  EXPECT_EQ(Last.m_ends[0].m_kind, EndKind::Done);
+}
+
 TEST_F(AgentTest, RefusesWorkForADrainingWorkerAtOnce) {
   m_worker.m_draining = true;
   m_worker.heartbeat();
--- a/tests/batch/fake_worker.h
+++ b/tests/batch/fake_worker.h
@@ -30,9 +30,10 @@
   bool m_dropsStarts = false; ///< Starts are neither answered nor carried out.
   /// Starts are not answered; applyDelayedStarts() carries them out.
   bool m_delaysStarts = false;
-  bool m_leaderSilent = false; ///< Reports fail.
-  std::string m_refusal;       ///< Reason that starts are refused with.
-  std::string m_stopRefusal;   ///< Reason that stops are refused with.
+  bool m_leaderSilent = false;  ///< Reports fail.
+  std::string m_refusal;        ///< Reason that starts are refused with.
+  std::string m_stopRefusal;    ///< Reason that stops are refused with.
+  std::size_t m_pageSize = 500; ///< Most ends that one answer lists.
   /// Changes the answers to polls, unless empty.
   std::function<void(PollResult &)> m_alterAnswer;
 
@@ -205,7 +206,10 @@
     for (const auto &[K, R] : m_runs)
       A.m_runs.push_back({K.first, K.second, RunPhase::Running, R.m_percent,
                           R.m_checkpoint, 0});
-    A.m_ends = m_ends;
+    A.m_ends = {m_ends.begin(),
+                m_ends.begin() + static_cast<std::ptrdiff_t>(
+                                     std::min(m_ends.size(), m_pageSize))};
+    A.m_moreEnds = A.m_ends.size() == m_pageSize;
     if (m_alterAnswer)
       m_alterAnswer(A);
     // The poll is answered at once if there are ends, else after its wait.
--- a/tests/platform/decode_test.cc
+++ b/tests/platform/decode_test.cc
@@ -154,6 +154,20 @@
     EXPECT_FALSE(decodePollAnswer("i", Body).m_answered) << Body;
 }
 
+// Guards against a run that counts as ended because its end did not fit in the
+// answer. Rows that cannot be read take up room too.
+TEST(DecodePollAnswer, AFullListOfEndsMayHideMore) {
+  for (const int Count : {0, 499, 500}) {
+    base::Json J = {{"ended", base::Json::array()}};
+    for (int I = 0; I < Count; ++I)
+      J["ended"].push_back(I == 7 ? base::Json(7)
+                                  : base::Json({I + 1, "t", 1, "done", ""}));
+    const auto A = decodePollAnswer("i", base::dumpJson(J));
+    ASSERT_TRUE(A.m_answered);
+    EXPECT_EQ(A.m_moreEnds, Count == 500) << Count;
+  }
+}
+
 // Guards against a malformed row that hides the rows beside it, so that the
 // worker counts as silent.
 TEST(DecodePollAnswer, AMalformedRowDoesNotHideTheOthers) {
