Believe a new incarnation only once the worker confirms it

Callers could see tasks run twice, or workers without work: one heartbeat of another writer, with another id or an odd start time, made the agent drop the runs of its worker and describe another one to the leader. Its calls then named an id that the worker refuses. If such a heartbeat came first, its start time reached the leader, which took later reports of the worker for late ones.

The agent now asks the worker first. A heartbeat of another incarnation leads to a poll under the id that it names, without a lease and without acknowledging ends. Only an answer that names this incarnation makes it the current one; otherwise the heartbeat is logged as ignored. While the worker may have restarted under its id, it gets no start and no lease, and reports leave it out, as before. Each call carries the id of the worker that it is for. An incarnation that a poll shows first is reported once a heartbeat has described it, because it may be of another kind.

Seen before: AHeartbeatThatTheWorkerDoesNotConfirmChangesNothing (no worker and no run in the reports) and AnOddFirstHeartbeatLocksNoWorkerOut (start time reported for the real incarnation) failed.

--- a/src/batch/agent.cc
+++ b/src/batch/agent.cc
@@ -56,24 +56,50 @@
       m_ports(Ports), m_counters(Counters) {}
 
 void Agent::onWorkerInfo(const WorkerInfo &W, Millis Now) {
-  const bool NewIncarnation =
-      !m_worker || m_worker->m_workerIncarnation != W.m_workerIncarnation;
-  const bool DrainStarts =
-      W.m_draining && (NewIncarnation || !m_worker->m_draining);
-  if (NewIncarnation) {
+  if (!m_worker) {
     m_ports.event("workerSeen", "",
-                  fmt::format("life={} before={}", W.m_workerIncarnation,
-                              m_worker ? m_worker->m_workerIncarnation : ""));
-    if (m_worker)
-      resetForNewIncarnation(Now);
-    else
-      m_inheritedStartsUntil = Now + LateOrderMs;
+                  fmt::format("life={} before=", W.m_workerIncarnation));
+    m_inheritedStartsUntil = Now + LateOrderMs;
+    m_changed = true;
+  } else if (m_worker->m_workerIncarnation != W.m_workerIncarnation) {
+    m_candidate = W;
+    sendProbe();
+    return advance(Now);
+  } else {
+    m_changed =
+        m_changed || !m_described || (W.m_draining && !m_worker->m_draining);
   }
   m_worker = W;
-  m_changed = m_changed || NewIncarnation || DrainStarts;
+  m_described = true;
   advance(Now);
 }
 
+// Asks the worker whether it is the candidate. The call grants no lease and
+// acknowledges no end, because the ends of each incarnation have their own
+// numbers.
+void Agent::sendProbe() {
+  PollCall C;
+  C.m_serial = ++m_serial;
+  C.m_fence = m_fence;
+  C.m_worker = m_candidate->m_id;
+  m_probes[C.m_serial] = C.m_worker;
+  m_ports.poll(C);
+}
+
+// Drops the candidate if the answer to the poll Serial or to a later one shows
+// that the worker is another one.
+void Agent::settleCandidate(std::uint64_t Serial) {
+  if (!m_candidate || (!m_probes.empty() && m_probes.rbegin()->first > Serial))
+    return;
+  m_ports.event("heartbeatIgnored", "",
+                fmt::format("life={} known={} reason=\"not confirmed\"",
+                            m_candidate->m_workerIncarnation,
+                            m_worker->m_workerIncarnation));
+  // A report may have left out the worker.
+  m_changed = m_changed || inDoubt();
+  m_candidate.reset();
+}
+
 void Agent::recordLateStart(const Key &K, Millis Now) {
   std::erase_if(m_lateStarts, [&](const auto &L) { return L.second < Now; });
   m_lateStarts[K] = Now + LateOrderMs;
@@ -235,18 +261,18 @@
 }
 
 void Agent::sendStart(Run &R, Millis Now) {
-  if (m_clockAt < 0 || !m_synced) {
+  if (m_clockAt < 0 || !m_synced || inDoubt()) {
     R.m_retryAt = Now + OrderRetryMs;
     return;
   }
   R.m_orderPending = true;
-  m_ports.start({R.m_order, extendLease(Now), m_fence});
+  m_ports.start({R.m_order, extendLease(Now), m_fence, m_worker->m_id});
 }
 
 void Agent::sendStop(Run &R, Millis Now) {
   R.m_orderPending = true;
   R.m_retryAt = Now + OrderRetryMs;
-  m_ports.stop({R.m_report.m_task, R.m_report.m_run, m_fence});
+  m_ports.stop({R.m_report.m_task, R.m_report.m_run, m_fence, m_worker->m_id});
 }
 
 void Agent::onStartResult(const std::string &Task, int RunNumber,
@@ -318,9 +344,11 @@
   C.m_fence = m_fence;
   C.m_acknowledged = m_acknowledged;
   C.m_waitMs = WaitMs;
+  C.m_worker = m_worker->m_id;
   // A worker that may be lost gets no new lease, so that there is a time by
   // which all leases have ended.
-  if (m_synced && m_clockAt >= 0 && m_failedPolls == 0 && inContact(Now))
+  if (m_synced && m_clockAt >= 0 && m_failedPolls == 0 && !inDoubt() &&
+      inContact(Now))
     C.m_deadline = extendLease(Now);
   if (WaitMs > 0 || m_waitingPoll == 0)
     m_waitingPoll = C.m_serial;
@@ -333,6 +361,17 @@
     m_waitingPoll = 0;
     m_pollAt = A.m_answered ? Now : Now + PollRetryMs;
   }
+  const auto Probe = m_probes.extract(Serial);
+  if (Probe && m_worker &&
+      (!A.m_answered || (Probe.mapped() != m_worker->m_id &&
+                         (!m_candidate || m_candidate->m_workerIncarnation !=
+                                              A.m_workerIncarnation)))) {
+    // The worker refuses a call for another one. Under its own id it may be
+    // restarting.
+    if (m_candidate && !inDoubt())
+      settleCandidate(Serial);
+    return advance(Now);
+  }
   if (!A.m_answered) {
     if (++m_failedPolls == FailedPollsToUnhealthy) {
       m_ports.event("workerSilent", "", "polls failed");
@@ -343,15 +382,20 @@
   if (!m_worker || Serial <= m_answeredSerial)
     return advance(Now);
   if (A.m_workerIncarnation != m_worker->m_workerIncarnation) {
-    // The next heartbeat describes the new incarnation in full.
+    m_described = m_candidate &&
+                  m_candidate->m_workerIncarnation == A.m_workerIncarnation;
     m_ports.event("workerSeen", "",
-                  fmt::format("life={} before={} by=look",
+                  fmt::format("life={} before={} described={}",
                               A.m_workerIncarnation,
-                              m_worker->m_workerIncarnation));
+                              m_worker->m_workerIncarnation, m_described));
     resetForNewIncarnation(Now);
+    // If no heartbeat has described this incarnation yet, the next one does.
+    if (m_described)
+      m_worker = *std::exchange(m_candidate, std::nullopt);
     m_worker->m_workerIncarnation = A.m_workerIncarnation;
     m_changed = true;
   }
+  settleCandidate(Serial);
   if (m_failedPolls >= FailedPollsToUnhealthy) {
     m_ports.event("workerAnswers", "", fmt::format("after={}", m_failedPolls));
     m_changed = true;
@@ -465,7 +509,7 @@
   R.m_longPoll = LongPoll;
   R.m_unhealthy = m_failedPolls >= FailedPollsToUnhealthy;
   // The runs are unknown until the worker has answered a poll.
-  if (m_synced) {
+  if (m_synced && m_described && !inDoubt()) {
     R.m_worker = m_worker;
     for (const auto &[K, Known] : m_runs)
       R.m_runs.push_back(Known.m_report);
--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -30,12 +30,14 @@
   StartOrder m_order;
   Millis m_deadline = 0; ///< Lease end on the worker's clock.
   std::uint64_t m_fence = 0;
+  std::string m_worker; ///< Id of the worker that the call is for.
 };
 
 struct StopCall {
   std::string m_task;
   int m_run = 0;
   std::uint64_t m_fence = 0;
+  std::string m_worker; ///< Id of the worker that the call is for.
 };
 
 /// Asks for the runs and ends of the worker and renews the lease if a deadline
@@ -46,7 +48,8 @@
   std::uint64_t m_fence = 0;
   /// The worker may forget ends up to this number.
   std::int64_t m_acknowledged = 0;
-  Millis m_waitMs = 0; ///< How long the answer may wait for an end.
+  Millis m_waitMs = 0;  ///< How long the answer may wait for an end.
+  std::string m_worker; ///< Id of the worker that the call is for.
 };
 
 enum class OrderOutcome {
@@ -115,7 +118,9 @@
   /// Sets the length of the leases granted from now on.
   void setLease(Millis LeaseMs) { m_timing.m_leaseMs = LeaseMs; }
 
-  /// Handles a heartbeat, in which the worker describes itself.
+  /// Handles a heartbeat, in which the worker describes itself. A new
+  /// incarnation counts only once the worker has named it in answer to a poll,
+  /// because another program may have sent the heartbeat.
   void onWorkerInfo(const WorkerInfo &W, Millis Now);
 
   /// Handles the outcome of a start order.
@@ -170,6 +175,12 @@
   void sendStart(Run &R, Millis Now);
   void sendStop(Run &R, Millis Now);
   void sendPoll(Millis WaitMs, Millis Now);
+  void sendProbe();
+  void settleCandidate(std::uint64_t Serial);
+  /// Whether the worker may have restarted since it last answered.
+  bool inDoubt() const {
+    return m_candidate && m_candidate->m_id == m_worker->m_id;
+  }
   void sendReport(bool LongPoll, Millis Now);
   void addEnd(const EndReport &E);
   void endUnreportedRun(const Key &K, EndKind Kind, const std::string &Detail);
@@ -193,6 +204,12 @@
   base::Counters &m_counters;
 
   std::optional<WorkerInfo> m_worker;
+  /// Whether a heartbeat described the current incarnation.
+  bool m_described = false;
+  /// The incarnation of a heartbeat that the worker has not confirmed.
+  std::optional<WorkerInfo> m_candidate;
+  /// The open polls that ask for a candidate: the worker's id by serial.
+  std::map<std::uint64_t, std::string> m_probes;
   bool m_synced = false;    ///< A poll of the current incarnation was answered.
   Millis m_clock = 0;       ///< The worker's clock at m_clockAt.
   Millis m_clockAt = -1;    ///< On the agent's clock; -1: not known.
--- a/src/node/agent_node.cc
+++ b/src/node/agent_node.cc
@@ -80,7 +80,6 @@
 }
 
 void AgentNode::handleHeartbeat(const batch::WorkerInfo &W) {
-  m_worker.setWorker(W);
   m_agent->onWorkerInfo(W, base::bootNow());
 }
 
--- a/src/node/agent_node.h
+++ b/src/node/agent_node.h
@@ -29,8 +29,6 @@
   /// Polls the state of the worker.
   virtual void poll(const batch::PollCall &C, Millis TimeoutMs,
                     std::function<void(batch::PollResult)> Done) = 0;
-  /// Sets the worker that later calls address.
-  virtual void setWorker(const batch::WorkerInfo &W) = 0;
 };
 
 /// The agent process beside a worker. It finds the leader, sends reports to it
--- a/tests/batch/agent_test.cc
+++ b/tests/batch/agent_test.cc
@@ -5,7 +5,10 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <functional>
 #include <optional>
+#include <string>
+#include <vector>
 
 namespace pomelokeel::batch::tests {
 namespace {
@@ -217,6 +220,96 @@
   EXPECT_EQ(Last.m_ends[0].m_kind, EndKind::Done);
 }
 
+/// Changes of a valid heartbeat as another writer makes them.
+struct OddHeartbeat {
+  const char *m_name;
+  std::function<void(WorkerInfo &)> m_change;
+};
+
+const std::vector<OddHeartbeat> &oddHeartbeats() {
+  static const std::vector<OddHeartbeat> All = {
+      {"start time in the future",
+       [](WorkerInfo &W) { W.m_startTime = 999'999'999'999'999; }},
+      {"start time before 1970", [](WorkerInfo &W) { W.m_startTime = -1; }},
+      {"earlier life", [](WorkerInfo &W) { --W.m_startTime; }},
+      {"no id", [](WorkerInfo &W) { W.m_id.clear(); }},
+      {"other id", [](WorkerInfo &W) { W.m_id = "w-2"; }},
+      {"other id, later life", [](WorkerInfo &W) {
+         W.m_id = "w-2";
+         ++W.m_startTime;
+       }}};
+  return All;
+}
+
+// Guards against tasks that run twice: the agent believed a heartbeat of
+// another writer, dropped the runs of its worker and described another one.
+TEST_F(AgentTest, AHeartbeatThatTheWorkerDoesNotConfirmChangesNothing) {
+  startA();
+  passWithReplies(100);
+  for (const OddHeartbeat &Odd : oddHeartbeats()) {
+    m_worker.heartbeat(Odd.m_change);
+    for (int I = 0; I < 30; ++I) {
+      m_worker.pass(50);
+      const Millis Granted = m_worker.m_deadline;
+      ASSERT_FALSE(m_worker.m_reports.empty()) << Odd.m_name;
+      for (const AgentReport &R : m_worker.m_reports) {
+        ASSERT_TRUE(R.m_worker.has_value()) << Odd.m_name;
+        EXPECT_EQ(R.m_worker->m_workerIncarnation,
+                  m_worker.info().m_workerIncarnation)
+            << Odd.m_name;
+        EXPECT_EQ(R.m_runs.size(), 1u) << Odd.m_name;
+      }
+      EXPECT_GT(Granted, m_worker.m_now) << Odd.m_name;
+      m_worker.reply({});
+    }
+    const auto Ignored = std::count(
+        m_worker.m_events.begin(), m_worker.m_events.end(), "heartbeatIgnored");
+    EXPECT_EQ(Ignored, &Odd - oddHeartbeats().data() + 1) << Odd.m_name;
+  }
+  EXPECT_EQ(m_worker.m_runs.size(), 1u);
+}
+
+// Guards against a worker that gets no work: the first heartbeat came from
+// another writer, and those of the worker counted as late from then on.
+TEST(AgentRestartTest, AnOddFirstHeartbeatLocksNoWorkerOut) {
+  for (const OddHeartbeat &Odd : oddHeartbeats()) {
+    FakeWorker W;
+    W.heartbeat(Odd.m_change);
+    W.pass(500);
+    for (const AgentReport &R : W.m_reports)
+      EXPECT_FALSE(R.m_worker.has_value()) << Odd.m_name;
+    W.heartbeat();
+    W.pass(20);
+    W.reply({});
+    W.pass(20);
+    ASSERT_FALSE(W.m_reports.empty()) << Odd.m_name;
+    ASSERT_TRUE(W.m_reports.back().m_worker.has_value()) << Odd.m_name;
+    EXPECT_EQ(base::encode(*W.m_reports.back().m_worker),
+              base::encode(W.info()))
+        << Odd.m_name;
+    AgentReply R;
+    R.m_starts = {order(1)};
+    W.reply(R);
+    W.pass(50);
+    EXPECT_EQ(W.m_starts, 1) << Odd.m_name;
+  }
+}
+
+// A worker whose clock was set back starts again with an earlier start time.
+TEST_F(AgentTest, ALaterLifeMayHaveAnEarlierStartTime) {
+  startA();
+  m_worker.restart();
+  m_worker.m_startTime = -5;
+  m_worker.heartbeat();
+  passWithReplies(50);
+  m_worker.pass(20);
+  ASSERT_FALSE(m_worker.m_reports.empty());
+  ASSERT_TRUE(m_worker.m_reports.back().m_worker.has_value());
+  EXPECT_EQ(base::encode(*m_worker.m_reports.back().m_worker),
+            base::encode(m_worker.info()));
+  EXPECT_TRUE(m_worker.m_reports.back().m_runs.empty());
+}
+
 TEST_F(AgentTest, RefusesWorkForADrainingWorkerAtOnce) {
   m_worker.m_draining = true;
   m_worker.heartbeat();
--- a/tests/batch/fake_worker.h
+++ b/tests/batch/fake_worker.h
@@ -39,10 +39,15 @@
 
   Millis m_now = 1000;
 
+  static std::string incarnationOf(const WorkerInfo &W) {
+    return W.m_id + "@" + std::to_string(W.m_startTime);
+  }
+
   WorkerInfo info() const {
     WorkerInfo W;
     W.m_id = "w-1";
-    W.m_workerIncarnation = "w-1@" + std::to_string(m_startTime);
+    W.m_startTime = m_startTime;
+    W.m_workerIncarnation = incarnationOf(W);
     W.m_service = "render";
     W.m_dataCentre = "a";
     W.m_capacity = {8000, 1000, 8};
@@ -52,6 +57,14 @@
 
   void heartbeat() { m_agent.onWorkerInfo(info(), m_now); }
 
+  /// Sends a heartbeat of another writer, which differs by \p Change.
+  void heartbeat(const std::function<void(WorkerInfo &)> &Change) {
+    WorkerInfo W = info();
+    Change(W);
+    W.m_workerIncarnation = incarnationOf(W);
+    m_agent.onWorkerInfo(W, m_now);
+  }
+
   /// Simulates a crash and a restart under the same id.
   void restart() {
     ++m_startTime;
@@ -189,7 +202,8 @@
   }
 
   void poll(const PollCall &C) override {
-    if (m_unreachable)
+    // A call that names another worker is refused.
+    if (m_unreachable || C.m_worker != info().m_id)
       return answerLater(
           [this, C] { m_agent.onPollResult(C.m_serial, {}, m_now); });
     m_fence = C.m_fence;
