Read odd answers of entries without an exception in ctl

Operators saw a ctl command end by an uncaught exception (type_error.306) when a balancer or another program answered in place of an entry: an error body that is a list or a text, an "error" that is no object, a kind of another type, or an answer without the form of an entry's, which was asked for the leader's address.

Members of a wrong type count as missing now, so that such an answer is an internal error with its exit code. getFromLeader() moves to client.cc for the test.

--- a/src/ctl/client.cc
+++ b/src/ctl/client.cc
@@ -12,6 +12,15 @@
 using base::Json;
 using base::Result;
 
+// Returns the text in a member, or "" if another program answered in a form of
+// its own.
+std::string textOf(const Json &Object, const char *Name) {
+  if (!Object.is_object())
+    return "";
+  const auto It = Object.find(Name);
+  return It != Object.end() && It->is_string() ? It->get<std::string>() : "";
+}
+
 Result<Json> decodeResponse(const http::Response &R) {
   Json Body = base::parseJson(R.m_body);
   if (Body.is_discarded())
@@ -19,8 +28,8 @@
   if (R.m_status < 300)
     return Body;
   const Json &Detail = Body.contains("error") ? Body["error"] : Body;
-  const auto Kind = base::errorKindFromName(Detail.value("kind", ""));
-  return Error{Kind.value_or(ErrorKind::Internal), Detail.value("message", "")};
+  const auto Kind = base::errorKindFromName(textOf(Detail, "kind"));
+  return Error{Kind.value_or(ErrorKind::Internal), textOf(Detail, "message")};
 }
 
 } // namespace
@@ -67,4 +76,15 @@
   return Last;
 }
 
+Result<Json> getFromLeader(const Client &C, const std::string &Target) {
+  auto Answer = C.get(Target);
+  if (!Answer)
+    return Answer;
+  const std::string Leader = textOf(*Answer, "askLeader");
+  if (Leader.empty())
+    return Answer;
+  auto Complete = C.getFrom(Leader, Target);
+  return Complete ? Complete : Answer;
+}
+
 } // namespace pomelokeel::ctl
--- a/src/ctl/client.h
+++ b/src/ctl/client.h
@@ -47,4 +47,10 @@
   int m_timeoutMs;
 };
 
+/// Reads \p Target from an entry. If the entry answers that only the leader has
+/// the complete answer, reads it from the leader, and keeps the incomplete
+/// answer if the leader fails to answer.
+base::Result<base::Json> getFromLeader(const Client &C,
+                                       const std::string &Target);
+
 } // namespace pomelokeel::ctl
--- a/src/ctl/ctl.cc
+++ b/src/ctl/ctl.cc
@@ -208,20 +208,6 @@
       report::renderJob);
 }
 
-// Reads Target from an entry. If the entry answers that only the leader has the
-// complete answer, reads it from the leader, and keeps the incomplete answer if
-// the leader fails to answer.
-Result<Json> getFromLeader(const Client &C, const std::string &Target) {
-  auto Answer = C.get(Target);
-  if (!Answer)
-    return Answer;
-  const std::string Leader = Answer->value("askLeader", "");
-  if (Leader.empty())
-    return Answer;
-  auto Complete = C.getFrom(Leader, Target);
-  return Complete ? Complete : Answer;
-}
-
 int status(const Options &O) {
   return printAnswer(O, getFromLeader(makeClient(O), "/v1/status"),
                      report::renderStatus);
