Check the numbers and types of workers' fields in full

Callers could see ends lost, and tasks run twice: an end with a number too large was acknowledged, so that the worker forgot all its later ends, and a run or an end with a number like 1.5 was read as another one. A heartbeat counted as valid with a sequence number below 0 or not whole, a negative capacity, a label that is no text (which shifted the rack), no id, or a wrong type in a field that is not used, though such a heartbeat names no worker to use.

Numbers that identify something must be whole now. A percent is at most 100.

--- a/tests/platform/decode_test.cc
+++ b/tests/platform/decode_test.cc
@@ -125,6 +125,71 @@
   EXPECT_FALSE(decodeHeartbeat("i-1", base::dumpJson(J)).ok());
 }
 
+/// Values that a reader must refuse in place of a number, as JSON text. A
+/// number beyond the range of a double and NaN are not valid JSON.
+const std::vector<std::string> &oddNumbers() {
+  static const std::vector<std::string> All = {"1e300",
+                                               "-1e300",
+                                               "1e999",
+                                               "NaN",
+                                               "18446744073709551616",
+                                               "9223372036854775807",
+                                               "-1",
+                                               "1.5",
+                                               "\"1\"",
+                                               "null",
+                                               "true",
+                                               "[]",
+                                               "{}"};
+  return All;
+}
+
+// Guards against a worker that is described by a heartbeat of another writer:
+// every odd value of a field makes it name no worker.
+TEST(DecodeHeartbeat, AnOddFieldMakesItNameNoWorker) {
+  const base::Json Valid = base::parseJson(ValidHeartbeat);
+  const auto With = [&](const std::string &Name, const std::string &Value) {
+    base::Json J = Valid;
+    J.erase(Name);
+    std::string Text = base::dumpJson(J);
+    return Text.substr(0, Text.size() - 1) + ",\"" + Name + "\":" + Value + "}";
+  };
+  ASSERT_TRUE(decodeHeartbeat("i-1", With("seq", "7")).ok());
+  ASSERT_TRUE(decodeHeartbeat("i-1", With("born", "1.7e12")).ok());
+  for (const std::string &Value : oddNumbers()) {
+    EXPECT_FALSE(decodeHeartbeat("i-1", With("seq", Value)).ok()) << Value;
+    if (Value == "null")
+      continue; // Other fields may be missing.
+    EXPECT_FALSE(decodeHeartbeat("i-1", With("born", Value)).ok()) << Value;
+    if (Value == "1.5")
+      continue; // An amount need not be a whole number.
+    for (const char *Name : {"cpu", "memMb", "gpu"}) {
+      const std::string Capacity =
+          "{\"" + std::string(Name) + "\":" + Value + "}";
+      EXPECT_FALSE(decodeHeartbeat("i-1", With("capacity", Capacity)).ok())
+          << Capacity;
+    }
+  }
+  for (const char *Name :
+       {"service", "addr", "zone", "state", "capacity", "labels", "version"}) {
+    for (const char *Value :
+         {"7", "true", "\"\xff\"", "[7]", "[[]]", "[\"a\",{}]"})
+      EXPECT_FALSE(decodeHeartbeat("i-1", With(Name, Value)).ok())
+          << Name << Value;
+  }
+  for (const char *Name : {"slots", "coldLeftMs", "remainingMs", "clockMs"}) {
+    for (const char *Value : {"\"1\"", "1e300", "[]", "true"})
+      EXPECT_FALSE(decodeHeartbeat("i-1", With(Name, Value)).ok())
+          << Name << Value;
+  }
+  for (const char *Address : {"\"a:0\"", "\"a:65536\"", "\"a:1.5\""})
+    EXPECT_FALSE(decodeHeartbeat("i-1", With("addr", Address)).ok()) << Address;
+  EXPECT_FALSE(decodeHeartbeat("", ValidHeartbeat).ok());
+  EXPECT_FALSE(decodeHeartbeat("i-1", "").ok());
+  // The last one of several equal keys counts.
+  EXPECT_FALSE(decodeHeartbeat("i-1", With("seq", "1,\"seq\":\"x\"")).ok());
+}
+
 TEST(DecodeHeartbeat, RejectsDeepNesting) {
   const std::string Text = ValidHeartbeat;
   const std::string Deep(100000, '[');
@@ -149,9 +214,12 @@
 }
 
 TEST(DecodePollAnswer, AMalformedAnswerIsNoAnswer) {
-  for (const char *Body : {"", "[]", R"({"running":7})", R"({"ended":{}})",
-                           R"({"clockMs":1e300})", R"({"born":"x"})"})
+  for (const char *Body :
+       {"", "[]", R"({"running":7})", R"({"ended":{}})", R"({"clockMs":1e300})",
+        R"({"born":"x"})", R"({"born":1.5})", R"({"born":-1})", "\xff",
+        R"({"running":[["\xff",1,"",5]]})", R"({"clockMs":NaN})"})
     EXPECT_FALSE(decodePollAnswer("i", Body).m_answered) << Body;
+  EXPECT_FALSE(decodePollAnswer("i", std::string(100000, '[')).m_answered);
 }
 
 // Guards against a run that counts as ended because its end did not fit in the
@@ -207,6 +275,49 @@
   }
 }
 
+// Guards against an end that names another run, or that makes the worker forget
+// all its later ends: a run or a number that is no whole number was cut, and a
+// number too large was acknowledged.
+TEST(DecodePollAnswer, OddNumbersInARowNameNoRunAndNoEnd) {
+  const auto Ended = [](const std::string &Row) {
+    return decodePollAnswer(
+        "i", R"({"clockMs":60000,"born":9,"running":[["a",1,"",5]],)"
+             R"("ended":[[58,"t",1,"done",""],)" +
+                 Row + R"(,[59,"u",1,"done",""]]})");
+  };
+  for (const std::string &Value : oddNumbers()) {
+    if (Value == "1e999" || Value == "NaN")
+      continue; // Not valid JSON.
+    for (const std::string &Row : {"[" + Value + R"(,"v",1,"done",""])",
+                                   R"([60,"v",)" + Value + R"(,"done",""])"}) {
+      const auto A = Ended(Row);
+      ASSERT_TRUE(A.m_answered) << Row;
+      ASSERT_EQ(A.m_ends.size(), 2u) << Row;
+      EXPECT_EQ(A.m_ends[1].m_task, "u") << Row;
+      EXPECT_EQ(A.m_malformed.m_count, 1) << Row;
+    }
+    const auto A = decodePollAnswer("i", R"({"running":[["t",)" + Value +
+                                             R"(,"s",5],["u",2,"s",6]]})");
+    ASSERT_EQ(A.m_runs.size(), 1u) << Value;
+    EXPECT_EQ(A.m_runs[0].m_task, "u");
+    EXPECT_TRUE(A.m_malformed.mayContain({"t", 1})) << Value;
+  }
+  // The worker has run for a minute, so it cannot have ended as many runs.
+  const auto TooLarge = Ended(R"([2147483647,"v",1,"done",""])");
+  EXPECT_EQ(TooLarge.m_ends.size(), 2u);
+  EXPECT_EQ(TooLarge.m_malformed.m_lowestEnd, 2147483647);
+  EXPECT_TRUE(TooLarge.m_malformed.mayContain({"v", 1}));
+}
+
+// A row is read whatever its figures are; a percent is at most 100.
+TEST(DecodePollAnswer, OddFiguresOfARunDoNotHideIt) {
+  const auto A = decodePollAnswer(
+      "i", R"({"running":[["t",1,"",2147483647,1e300],["u",1,"",99.9,"x"]]})");
+  ASSERT_EQ(A.m_runs.size(), 2u);
+  EXPECT_EQ(A.m_runs[0].m_percent, 100);
+  EXPECT_EQ(A.m_runs[1].m_percent, 99);
+}
+
 constexpr const char *ValidPollAnswer =
     R"({"clockMs":5,"born":9,"running":[["a.0.0.0",2,"s",41,3],)"
     R"(["b.0.0.0",2,"s",41,3],["c.0.0.0",2,"s",41,3]],)"
@@ -283,5 +394,22 @@
   EXPECT_EQ(decodeOrderAnswer(421, R"({"clockMs":7})").m_clock, -1);
 }
 
+// Whatever the body is, the status tells the outcome.
+TEST(DecodeOrderAnswer, AnOddBodyChangesNoOutcome) {
+  using batch::OrderOutcome;
+  const std::string Deep(100000, '[');
+  for (const std::string &Body :
+       {std::string(), std::string("[]"), std::string("\xff\xfe"), Deep,
+        "{\"x\":" + Deep + "}", std::string(R"({"clockMs":1e300})"),
+        std::string(R"({"clockMs":"7","reason":7})"),
+        std::string(R"({"clockMs":-7,"reason":[]})"),
+        std::string(R"({"clockMs":NaN})")}) {
+    EXPECT_EQ(decodeOrderAnswer(200, Body).m_outcome, OrderOutcome::Done);
+    EXPECT_LT(decodeOrderAnswer(200, Body).m_clock, 0) << Body.substr(0, 80);
+    EXPECT_EQ(decodeOrderAnswer(409, Body).m_outcome, OrderOutcome::Refused);
+    EXPECT_EQ(decodeOrderAnswer(409, Body).m_reason, "status409");
+  }
+}
+
 } // namespace
 } // namespace pomelokeel::platform::tests
