Add overdue occurrences of a job as its tasks end

All callers lost their service to one job: with "times" of 100,000 and an interval of 1 ms from a time long past, the leader made the tasks of all occurrences at once, up to 200 million. It would end by lack of memory, and so would each next one, since the job is stored. 1,000 occurrences of 250 tasks took a second of the leader.

A job gets no further occurrence while the others have 2,000 open tasks, as many as one occurrence may have. Each end of an occurrence makes room for the next.

Seen before: LeaderTest.OverdueOccurrencesAreAddedAsTasksEnd failed (1000 occurrences instead of 8), and AllOverdueOccurrencesRun, which shows that all of them run. After: batch_test passes. The lack of memory itself was not played.

--- a/src/batch/leader_runs.cc
+++ b/src/batch/leader_runs.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace pomelokeel::batch {
@@ -34,6 +35,24 @@
 /// is not reported.
 constexpr Millis EndingGangRunMs = 3000;
 
+/// A job gets no further occurrence while the others have this many tasks in
+/// all, as many as one may have. If its times are long past, all are due.
+constexpr std::size_t MaxOpenTasks = 2000;
+
+std::size_t taskCount(const Occurrence &O) {
+  std::size_t Out = 0;
+  for (const auto &Tasks : O)
+    Out += Tasks.size();
+  return Out;
+}
+
+std::size_t openTasks(const Progress &P) {
+  std::size_t Out = 0;
+  for (const Occurrence &O : P.m_occurrences)
+    Out += isDone(O) ? 0 : taskCount(O);
+  return Out;
+}
+
 } // namespace
 
 const Task *Leader::findTask(const TaskName &Name) const {
@@ -340,12 +359,20 @@
     if (isEnded(J.m_progress.m_phase))
       continue;
     auto &Occurrences = J.m_progress.m_occurrences;
+    std::optional<std::size_t> Open;
     while (static_cast<std::int64_t>(Occurrences.size()) <
                J.m_spec.m_occurrenceCount &&
            WallNow >=
                J.m_spec.m_firstMs + static_cast<Millis>(Occurrences.size()) *
                                         J.m_spec.m_intervalMs) {
-      Occurrences.push_back(makeOccurrence(J.m_spec));
+      Occurrence Next = makeOccurrence(J.m_spec);
+      const std::size_t Count = taskCount(Next);
+      if (!Open)
+        Open = openTasks(J.m_progress);
+      if (*Open > 0 && *Open + Count > MaxOpenTasks)
+        break;
+      *Open += Count;
+      Occurrences.push_back(std::move(Next));
       markChanged(J);
     }
   }
--- a/tests/batch/leader_test.cc
+++ b/tests/batch/leader_test.cc
@@ -612,5 +612,48 @@
   EXPECT_EQ((*Sure)->m_verdict, Verdict::Gone);
 }
 
+// Guards against a leader that ends by lack of memory, and every next one with
+// it: a job whose occurrences are all overdue got the tasks of all of them.
+TEST_F(LeaderTest, OverdueOccurrencesAreAddedAsTasksEnd) {
+  constexpr std::int64_t MaxOpenTasks = 2000;
+  for (const Millis First : {Millis{0}, -1'000'000'000'000'000}) {
+    JobSpec S = jobOf({step(250, 8)});
+    S.m_firstMs = First;
+    S.m_intervalMs = 1;
+    S.m_occurrenceCount = 1000;
+    const std::string Id = First == 0 ? "00000000000000aa" : "00000000000000bb";
+    submit(Id, S);
+    pass(300);
+    const auto &Occurrences = m_leader->jobs().at(Id).m_progress.m_occurrences;
+    EXPECT_EQ(Occurrences.size(), MaxOpenTasks / 250);
+    restartLeader();
+    pass(300);
+    EXPECT_EQ(m_leader->jobs().at(Id).m_progress.m_occurrences.size(),
+              MaxOpenTasks / 250);
+    ask(request(CallerRequestKind::Cancel, Id));
+  }
+}
+
+// The occurrences that wait for room are not forgotten.
+TEST_F(LeaderTest, AllOverdueOccurrencesRun) {
+  addAgent("w");
+  JobSpec S = jobOf({step(2000, 0)});
+  S.m_steps[0].m_each = {};
+  S.m_intervalMs = 1;
+  S.m_occurrenceCount = 3;
+  const std::string Id = "00000000000000aa";
+  submit(Id, S);
+  for (std::size_t Round = 1; Round <= 3; ++Round) {
+    pass(2000);
+    EXPECT_EQ(m_leader->jobs().at(Id).m_progress.m_occurrences.size(), Round);
+    const auto Runs = m_agents["w"].m_runs;
+    EXPECT_EQ(Runs.size(), 2000u);
+    for (const auto &[Task, Run] : Runs)
+      end("w", Task, EndKind::Done);
+  }
+  pass(1000);
+  EXPECT_EQ(phaseOf(Id), JobPhase::Done);
+}
+
 } // namespace
 } // namespace pomelokeel::batch::tests
