Refuse bounds and ports beyond any use in a settings file

A settings file with a bound like graceS 1e300 or stopGraceMs 2^63-1 was read as valid, also while the process ran, and led to conversions and sums that overflow in the leader and at the stop. A port 0 was accepted although no other process can connect to it, and an event ring of 2^31 entries although it fits no memory.

Times are at most 30 days now, counts at most a million, ports from 1 to 65535.

--- a/src/node/settings.cc
+++ b/src/node/settings.cc
@@ -13,6 +13,17 @@
 using base::Error;
 using base::ErrorKind;
 
+/// Longer times than 30 days are mistakes; sums and conversions of shorter ones
+/// do not overflow.
+constexpr Millis MaxBoundMs = 30LL * 24 * 3600 * 1000;
+constexpr double MaxBoundS = 30.0 * 24 * 3600;
+/// More events, connections or cores than any machine has.
+constexpr int MaxCount = 1000000;
+
+bool isBound(Millis Value, Millis Min) {
+  return Value >= Min && Value <= MaxBoundMs;
+}
+
 struct AddressField {
   const char *m_name;
   std::string Settings::*m_member;
@@ -38,6 +49,11 @@
     if (!Split)
       return Error{ErrorKind::BadSettings, "\"" + std::string(A.m_name) +
                                                "\" " + Split.error().m_message};
+    // Other processes could not connect to it.
+    if (Split->m_port == 0)
+      return Error{ErrorKind::BadSettings,
+                   "\"" + std::string(A.m_name) +
+                       "\" must name a port from 1 to 65535"};
   }
   return base::success();
 }
@@ -45,13 +61,16 @@
 base::Status checkSettings(const Settings &S, Role R) {
   if (S.m_name.empty())
     return Error{ErrorKind::BadSettings, "\"name\" must not be empty"};
-  if (S.m_eventRing < 1 || S.m_maxConnections < 1)
-    return Error{ErrorKind::BadSettings,
-                 "\"eventRing\" and \"maxConnections\" must be positive"};
+  if (S.m_eventRing < 1 || S.m_eventRing > MaxCount || S.m_maxConnections < 1 ||
+      S.m_maxConnections > MaxCount || S.m_cores < 0 || S.m_cores > MaxCount)
+    return Error{
+        ErrorKind::BadSettings,
+        "\"eventRing\", \"maxConnections\" or \"cores\" is out of range"};
   const Bounds &B = S.m_bounds;
-  if (B.m_leaseMaxMs < 1000 || B.m_stopGraceMs < 0 || B.m_gangTimeoutMs < 1 ||
-      B.m_configApplyMs < 1 || B.m_reclaimMs < 1 || B.m_graceS <= 0 ||
-      B.m_statusS <= 0)
+  if (!isBound(B.m_leaseMaxMs, 1000) || !isBound(B.m_stopGraceMs, 0) ||
+      !isBound(B.m_gangTimeoutMs, 1) || !isBound(B.m_configApplyMs, 1) ||
+      !isBound(B.m_reclaimMs, 1) || B.m_graceS <= 0 || B.m_graceS > MaxBoundS ||
+      B.m_statusS <= 0 || B.m_statusS > MaxBoundS)
     return Error{ErrorKind::BadSettings,
                  "a value of \"bounds\" is out of range"};
   if (auto Checked = checkAddresses(S, CommonAddresses); !Checked)
--- a/tests/node/settings_test.cc
+++ b/tests/node/settings_test.cc
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <fstream>
 #include <string>
+#include <vector>
 
 namespace pomelokeel::node::tests {
 namespace {
@@ -52,5 +53,37 @@
   EXPECT_FALSE(load("{" + std::string(Entry) + "}", Role::Agent).ok());
 }
 
+// Guards against conversions and sums that overflow: bounds beyond any use were
+// accepted, also from a file that changes while the process runs.
+TEST(NodeSettings, OddValuesAreErrors) {
+  const std::string Deep(100000, '[');
+  std::vector<std::string> Texts = {
+      Deep,
+      "{\"x\":" + Deep,
+      "\xff\xfe",
+      "[]",
+      "{" + std::string(Entry) + ",\"eventRing\":2147483647}",
+      "{" + std::string(Entry) + ",\"name\":\"\xff\"}"};
+  for (const char *Name : {"leaseMaxMs", "stopGraceMs", "gangTimeoutMs",
+                           "graceS", "statusS", "configApplyMs", "reclaimMs"}) {
+    for (const char *Value : {"1e300", "9223372036854775807", "-1", "1e999",
+                              "NaN", "\"1\"", "[]", "1e12"})
+      Texts.push_back("{" + std::string(Entry) + ",\"bounds\":{\"" + Name +
+                      "\":" + Value + "}}");
+  }
+  for (const char *Value : {"1e300", "-1", "\"1\""})
+    Texts.push_back("{" + std::string(Entry) + ",\"cores\":" + Value + "}");
+  for (const char *Port : {"0", "65536", "-1", ""}) {
+    for (const char *Name :
+         {"store", "controlListen", "callerListen", "readyListen"}) {
+      base::Json J = base::parseJson("{" + std::string(Entry) + "}");
+      J[Name] = std::string("1.2.3.4:") + Port;
+      Texts.push_back(base::dumpJson(J));
+    }
+  }
+  for (const std::string &Text : Texts)
+    EXPECT_FALSE(load(Text, Role::Entry).ok()) << Text.substr(0, 300);
+}
+
 } // namespace
 } // namespace pomelokeel::node::tests
