Order jobs by a due time that is always a number

A job of a queue with a stretch beyond any use, or with a declared time to match, came before all others: its due time did not fit 64 bits, and the conversion, which is undefined, made it the earliest of all. Other callers waited for it.

The stretched time counts up to 30,000 years, also in place of one that is no number, so that such a job comes last.

Seen before: ScheduleTest.AnOddStretchMakesNoJobUrgent failed (the odd job started). After: batch_test passes.

--- a/src/batch/schedule.cc
+++ b/src/batch/schedule.cc
@@ -84,6 +84,9 @@
   Unit m_unit;
 };
 
+/// Longest time that counts for the order of jobs, in ms: 30,000 years.
+constexpr double MaxStretchedMs = 1e15;
+
 // When an occurrence of a job is due. A guarantee is a bound from acceptance,
 // so guaranteed jobs ignore the declared estimates, which may be far off.
 Millis dueOf(const JobSpec &S, int Class, std::size_t Occurrence) {
@@ -93,9 +96,12 @@
       S.m_occurrenceCount > 0
           ? S.m_firstMs + static_cast<Millis>(Occurrence) * S.m_intervalMs
           : S.m_acceptedMs;
+  const double Stretched =
+      S.m_queue.m_stretch * static_cast<double>(criticalPathMs(S));
+  // A greater number, or one that is not a number, cannot be converted.
+  const bool Fits = Stretched >= 0 && Stretched < MaxStretchedMs;
   return Begin + S.m_queue.m_slackMs +
-         static_cast<Millis>(S.m_queue.m_stretch *
-                             static_cast<double>(criticalPathMs(S)));
+         static_cast<Millis>(Fits ? Stretched : MaxStretchedMs);
 }
 
 int classOf(const JobSpec &S, const std::set<std::string> &Guaranteed) {
--- a/tests/batch/schedule_test.cc
+++ b/tests/batch/schedule_test.cc
@@ -3,8 +3,10 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <cmath>
 #include <cstdio>
 #include <ctime>
+#include <limits>
 #include <set>
 #include <string>
 
@@ -174,6 +176,22 @@
   EXPECT_EQ(started(planNow()), std::set<std::string>{"long"});
 }
 
+// Guards against a conversion that is undefined: a job with a stretch too large
+// came before all others.
+TEST_F(ScheduleTest, AnOddStretchMakesNoJobUrgent) {
+  for (const double Stretch :
+       {1e300, -1e300, std::nan(""), std::numeric_limits<double>::infinity()}) {
+    m_jobs.clear();
+    m_workers.clear();
+    addWorkers(1);
+    JobState &Odd = addJob("odd", 1, {step(1, 8)});
+    Odd.m_spec.m_queue.m_stretch = Stretch;
+    Odd.m_spec.m_steps[0].m_estimateMs = 1'000'000'000'000'000;
+    addJob("plain", 1, {step(1, 8)});
+    EXPECT_EQ(started(planNow()), std::set<std::string>{"plain"}) << Stretch;
+  }
+}
+
 // Small jobs took each worker that became free, so that a gang that needs two
 // whole workers never found two at the same time.
 TEST_F(ScheduleTest, AWaitingGangReservesItsWorkers) {
