Report ends as done of a lost worker as long as their agent lives

Callers waited for work that was done: a run had ended as done and its agent had seen that, but the worker crashed before the leader had stored the end, and the task ran again from its last checkpoint.

When its worker came back as a new incarnation, the agent dropped all ends that were not acknowledged, as the worker does not list them any more. The leader that had them in memory may have been replaced, or its store slow, so the new leader counted the runs as lost. The agent now keeps the ends as done with number 0, as those that it records itself. The leader already takes an end in the report of a worker's next incarnation for the run placed in the earlier one (LeaderTest.ANewLeaderTakesTheEndOfARunOfTheNextWorkerIncarnation), before it counts that run as lost. Other ends are dropped as before, as a lost run costs its task no attempt.

AgentTest.ReportsAnEndAsDoneAfterTheLossOfItsWorker and ReportsOnlyEndsAsDoneAfterTheLossOfTheirWorker failed before.

--- a/src/batch/agent.cc
+++ b/src/batch/agent.cc
@@ -98,7 +98,7 @@
     R.m_retryAt = Now;
   }
   m_runs = std::move(Unsettled);
-  m_ends.clear();
+  keepEndsAsDone();
   m_highestEnd = m_acknowledged = 0;
   m_storedEnds.clear();
   m_malformed = {};
@@ -111,6 +111,20 @@
   m_pollAt = Now;
 }
 
+// The work of these runs is done, and nobody else can report it any more. Other
+// ends are dropped: the leader counts their runs as lost, which costs the task
+// no attempt.
+void Agent::keepEndsAsDone() {
+  std::erase_if(m_ends,
+                [](const EndReport &E) { return E.m_kind != EndKind::Done; });
+  for (EndReport &E : m_ends)
+    E.m_number = 0;
+  if (!m_ends.empty())
+    m_ports.event("endsKept", "",
+                  fmt::format("ends={} life={}", m_ends.size(),
+                              m_worker->m_workerIncarnation));
+}
+
 void Agent::setClock(Millis Clock, Millis Now) {
   if (Clock < 0)
     return;
--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -173,6 +173,7 @@
   void addEnd(const EndReport &E);
   void endUnreportedRun(const Key &K, EndKind Kind, const std::string &Detail);
   void resetForNewIncarnation(Millis Now);
+  void keepEndsAsDone();
   void recordLateStart(const Key &K, Millis Now);
   void expireLease(Millis Now);
   void reconcile(const PollResult &A);
@@ -212,7 +213,9 @@
   /// Until when the worker may still carry out start orders of an earlier
   /// process of this agent, which are not known here.
   Millis m_inheritedStartsUntil = 0;
-  std::vector<EndReport> m_ends; ///< Not acknowledged by the leader yet.
+  /// Not acknowledged by the leader yet. Those of earlier incarnations of the
+  /// worker have number 0.
+  std::vector<EndReport> m_ends;
   std::int64_t m_highestEnd = 0;
   /// Numbers of stored ends above m_acknowledged. The worker lists them again.
   std::set<std::int64_t> m_storedEnds;
--- a/tests/batch/agent_test.cc
+++ b/tests/batch/agent_test.cc
@@ -128,6 +128,46 @@
   EXPECT_TRUE(m_worker.m_runs.empty());
 }
 
+// Guards against work that is done twice: the worker is lost after a run has
+// ended and before the leader has stored the end, so only the agent knows of
+// it.
+TEST_F(AgentTest, ReportsAnEndAsDoneAfterTheLossOfItsWorker) {
+  startA();
+  m_worker.end(TaskA, 1, EndKind::Done);
+  m_worker.pass(1100);
+  ASSERT_TRUE(m_worker.reported(EndKind::Done));
+  m_worker.restart();
+  m_worker.heartbeat();
+  passWithReplies(500);
+  m_worker.pass(50);
+  ASSERT_TRUE(m_worker.reported(EndKind::Done));
+  // The numbers of the next incarnation start anew.
+  const EndReport &E = m_worker.m_reports.back().m_ends.front();
+  EXPECT_EQ(E.m_number, 0);
+  AgentReply R;
+  R.m_acknowledged = {E};
+  m_worker.reply(R);
+  m_worker.pass(500);
+  ASSERT_FALSE(m_worker.m_reports.empty());
+  EXPECT_FALSE(m_worker.reported(EndKind::Done));
+  EXPECT_EQ(m_worker.m_acknowledged, 0);
+}
+
+// The poll shows the new incarnation before its first heartbeat. A failed run
+// of a lost worker costs its task no attempt.
+TEST_F(AgentTest, ReportsOnlyEndsAsDoneAfterTheLossOfTheirWorker) {
+  startA();
+  m_worker.end(TaskA, 1, EndKind::Failed);
+  m_worker.end("00000000000000aa.0.0.1", 1, EndKind::Done);
+  m_worker.pass(1100);
+  ASSERT_TRUE(m_worker.reported(EndKind::Failed));
+  m_worker.restart();
+  passWithReplies(1500);
+  m_worker.pass(50);
+  EXPECT_TRUE(m_worker.reported(EndKind::Done));
+  EXPECT_FALSE(m_worker.reported(EndKind::Failed));
+}
+
 // Guards against the loss of an end that could not be read: the worker forgets
 // it once a later end is acknowledged, and the job never ends.
 TEST_F(AgentTest, AMalformedEndIsNotAcknowledged) {
