Count the grace period from the first SIGTERM

Callers saw requests cut that an entry had read: each further SIGTERM started the stop again, so an entry that was told to stop twice within its grace period served on and was then killed, with all its requests, before it closed.

The time to serve and the deadline were set by each signal.

GracefulStop begins once and keeps the deadline of its first begin().

--- /dev/null
+++ b/src/node/graceful_stop.cc
@@ -0,0 +1,29 @@
+#include "node/graceful_stop.h"
+
+#include <algorithm>
+
+namespace pomelokeel::node {
+namespace {
+
+constexpr Millis PollMs = 50;
+
+} // namespace
+
+void GracefulStop::begin(Millis ServeMs, Millis LimitMs) {
+  if (m_deadline >= 0)
+    return;
+  m_deadline = base::bootNow() + LimitMs;
+  m_steps.m_begin(LimitMs);
+  m_timer->start(ServeMs, [this] {
+    m_steps.m_close(std::max<Millis>(m_deadline - base::bootNow(), 0));
+    endWhenIdle();
+  });
+}
+
+void GracefulStop::endWhenIdle() {
+  if (m_steps.m_idle() || base::bootNow() >= m_deadline)
+    return m_steps.m_end();
+  m_timer->start(PollMs, [this] { endWhenIdle(); });
+}
+
+} // namespace pomelokeel::node
