Answer all requests before an entry ends

Callers saw requests cut without an answer, up to 2.2 s after they were sent, by an entry that was told to stop while no entry led, as when all are restarted. Such a request waits for a leader until its own deadline, but the process ends at the end of its grace period, whatever is still in flight.

The stop now sets a time by which all calls are answered, and waits for a leader or an answer end by then. A query is refused, a submission is refused if it was certainly not passed on, and its outcome is unknown otherwise, as at the caller's own deadline. EntryNodeTest.AnswersAllCallsBeforeItEnds fails without that time.

--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -55,7 +55,8 @@
 constexpr Millis MaxLeaderWaitMs = 1200;
 /// Interval between queries to other entries while the store is unreachable.
 constexpr Millis PeerQueryIntervalMs = 250;
-/// Part of the caller's deadline that is reserved for sending the answer.
+/// Part of the caller's deadline, and of the time in which this process ends,
+/// that is reserved for sending the answer.
 constexpr Millis AnswerMarginMs = 200;
 
 /// Delay before a failed step of a takeover is retried.
@@ -344,6 +345,7 @@
 void EntryNode::dispatch(CallerRequest R, Millis Deadline,
                          batch::CallerAnswer Answer) {
   const Millis Now = base::bootNow();
+  Deadline = std::min(Deadline, m_answerBy);
   R.m_remainingMs = std::max<Millis>(Deadline - Now, 0);
   if (m_leader) {
     m_leader->handle(
@@ -443,7 +445,7 @@
         fmt::format("reason=noLeader epoch={}", m_election->leader().m_epoch));
     return Answer(unavailable("no leader"));
   }
-  if (Now + ForwardRetryMs >= Deadline)
+  if (Now + ForwardRetryMs >= std::min(Deadline, m_answerBy))
     return Answer(OutcomeUnknown ? unknown("the leader did not answer")
                                  : unavailable("no leader"));
   const std::shared_ptr<http::Timer> Wait = m_reactor.timer();
@@ -504,9 +506,10 @@
     m_leader->setTiming(leaderTiming(B));
 }
 
-void EntryNode::beginStop() {
+void EntryNode::beginStop(Millis LimitMs) {
   if (std::exchange(m_stopping, true))
     return;
+  m_answerBy = base::bootNow() + LimitMs - AnswerMarginMs;
   event("stopping", "", fmt::format("inFlight={}", m_inFlight));
   const bool Led = m_election->leads();
   m_election->leave([] {});
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -12,6 +12,7 @@
 #include "node/store.h"
 
 #include <functional>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <string>
@@ -43,8 +44,9 @@
   /// Applies the bounds of a changed settings file. Addresses do not change.
   void reload(const Bounds &B);
 
-  /// Resigns leadership, leaves the group and reports not ready.
-  void beginStop();
+  /// Resigns leadership, leaves the group and reports not ready. Answers all
+  /// calls within \p LimitMs, whatever time their callers have.
+  void beginStop(Millis LimitMs);
 
   /// Number of unanswered calls of callers.
   std::size_t inFlight() const { return m_inFlight; }
@@ -98,6 +100,8 @@
   std::size_t m_inFlight = 0;
   Millis m_isolatedSince = -1;
   bool m_stopping = false;
+  /// All calls are answered by this time; set by beginStop().
+  Millis m_answerBy = std::numeric_limits<Millis>::max();
   /// Callbacks hold it weakly and do nothing after this object is destroyed.
   std::shared_ptr<int> m_alive = std::make_shared<int>();
 };
--- a/tests/node/entry_node_test.cc
+++ b/tests/node/entry_node_test.cc
@@ -172,11 +172,26 @@
   ASSERT_TRUE(until([&] { return hasLeader() && other().m_node->ready(); }));
   Entry &Stopping = leader();
   Entry &Next = other();
-  Stopping.m_node->beginStop();
+  Stopping.m_node->beginStop(3000);
   EXPECT_FALSE(Stopping.m_node->ready());
   EXPECT_TRUE(
       until([&] { return Next.m_counters.get("leader_epoch") > 0; }, 2000));
 }
 
+// Guards against requests that are cut without an answer when the process ends.
+TEST_F(EntryNodeTest, AnswersAllCallsBeforeItEnds) {
+  ASSERT_TRUE(until([&] { return hasLeader() && other().m_node->ready(); }));
+  Entry &Stopping = other();
+  leader().m_node->beginStop(1000);
+  const auto Before =
+      Stopping.call(CallerCall::Method::Query, "1", /*RemainingMs=*/20000);
+  Stopping.m_node->beginStop(1000);
+  const auto After =
+      Stopping.call(CallerCall::Method::Query, "1", /*RemainingMs=*/20000);
+  EXPECT_TRUE(until([&] { return Stopping.m_node->inFlight() == 0; }, 1000));
+  EXPECT_EQ(*Before, Verdict::Unavailable);
+  EXPECT_EQ(*After, Verdict::Unavailable);
+}
+
 } // namespace
 } // namespace pomelokeel::node::tests
