Send the last answer before an entry ends

Callers could see a request cut although the entry had answered it: an entry that stops ends as soon as no call is open, but an answer is sent by a later step of the event loop. If the loop is held up (a freeze, a busy processor), the step that answers and the check that ends the process follow each other, and the answer is never sent.

--- a/src/node/graceful_stop.cc
+++ b/src/node/graceful_stop.cc
@@ -1,6 +1,7 @@
 #include "node/graceful_stop.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace pomelokeel::node {
 namespace {
@@ -21,7 +22,10 @@
 }
 
 void GracefulStop::endWhenIdle() {
-  if (m_steps.m_idle() || base::bootNow() >= m_deadline)
+  // Answers that were given just before may not be sent yet, so the process
+  // must be found idle twice.
+  const bool WasIdle = std::exchange(m_wasIdle, m_steps.m_idle());
+  if ((WasIdle && m_wasIdle) || base::bootNow() >= m_deadline)
     return m_steps.m_end();
   m_timer->start(PollMs, [this] { endWhenIdle(); });
 }
--- a/src/node/graceful_stop.h
+++ b/src/node/graceful_stop.h
@@ -12,7 +12,7 @@
 using base::Millis;
 
 /// Ends a process in time after it was told to stop: it goes on serving for a
-/// while, then closes, and ends as soon as it is idle. All times count from the
+/// while, then closes, and ends once it is idle. All times count from the
 /// first request to stop, because the platform kills the process a fixed time
 /// after it.
 class GracefulStop {
@@ -38,6 +38,7 @@
   std::unique_ptr<http::Timer> m_timer;
   Steps m_steps;
   Millis m_deadline = -1; ///< -1 before begin().
+  bool m_wasIdle = false; ///< At the last check.
 };
 
 } // namespace pomelokeel::node
--- a/tests/node/graceful_stop_test.cc
+++ b/tests/node/graceful_stop_test.cc
@@ -2,9 +2,11 @@
 
 #include <gtest/gtest.h>
 
+#include <chrono>
 #include <functional>
 #include <memory>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -54,6 +56,8 @@
   EXPECT_EQ(m_steps, (Steps{"begin", "close"}));
   m_idle = true;
   m_timer.expire();
+  EXPECT_EQ(m_steps, (Steps{"begin", "close"}));
+  m_timer.expire();
   EXPECT_EQ(m_steps, (Steps{"begin", "close", "end"}));
 }
 
@@ -76,5 +80,27 @@
   EXPECT_EQ(m_starts.size(), 2U);
 }
 
+// Guards against an end before the last answer is sent: if the event loop is
+// held up, a call can be answered and the process found idle at once, while the
+// answer still waits to be sent.
+TEST(GracefulStopOnReactor, SendsTheLastAnswerBeforeItEnds) {
+  const auto R = http::Reactor::create();
+  bool Idle = false;
+  bool Sent = false;
+  GracefulStop Stop(R->timer(), {[](Millis) {}, [](Millis) {},
+                                 [&] { return Idle; }, [&] { R->stop(); }});
+  const auto Answer = R->timer();
+  const auto HeldUp = R->timer();
+  Answer->start(30, [&] {
+    Idle = true;
+    R->post([&] { Sent = true; });
+  });
+  HeldUp->start(
+      10, [] { std::this_thread::sleep_for(std::chrono::milliseconds(100)); });
+  Stop.begin(0, 2000);
+  R->run();
+  EXPECT_TRUE(Sent);
+}
+
 } // namespace
 } // namespace pomelokeel::node::tests
