Play planned work in series and overlapping in the soak

The soak sent one signal at a time, always beside other faults, and did not see a process that ended by itself or too late, nor a request that was cut.

Jobs are submitted just before and after the SIGTERM of their entry. Connections stay open until the process is gone, some with half a request whose rest is sent around the SIGTERM. - Checks: a request sent over lossSlackMs before must not be cut unless an unplanned disruption is near; a process ends within graceS after SIGTERM, and none ends by itself. The last two hold in all modes.

--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -30,6 +30,11 @@
 
 } // namespace
 
+std::string lengthQuery() {
+  return fmt::format("GET /q0/ HTTP/1.1\r\nHost: {}\r\n{}: {}key\r\n\r\n", Host,
+                     names::AuthorizationHeader, names::KeyScheme);
+}
+
 std::string configuration(int Version) {
   Json Routes = Json::array();
   for (const int Priority : {0, 1, 2})
@@ -62,20 +67,23 @@
   J.m_callInFlight = true;
   http::Request R = makeRequest(Method, J);
   R.m_body = std::move(Body);
-  J.m_entry->call(
-      std::move(R), CallTimeoutMs,
-      [this, Id = J.m_id, Done = std::move(Done)](const http::CallResult &Got) {
-        Job &J = m_jobs[Id];
-        J.m_callInFlight = false;
-        J.m_nextCallAt = base::bootNow() + RetryDelayMs;
-        const auto *Failed = std::get_if<http::CallError>(&Got);
-        J.m_entryIsGone = Failed != nullptr && Failed->m_error.m_kind ==
-                                                   base::ErrorKind::Unreachable;
-        Done(J, Got);
-      });
+  J.m_entry->call(std::move(R), CallTimeoutMs,
+                  [this, Id = J.m_id, SentAt = base::bootNow(),
+                   Done = std::move(Done)](const http::CallResult &Got) {
+                    Job &J = m_jobs[Id];
+                    J.m_callInFlight = false;
+                    J.m_nextCallAt = base::bootNow() + RetryDelayMs;
+                    const auto *Failed = std::get_if<http::CallError>(&Got);
+                    J.m_entryIsGone =
+                        Failed != nullptr &&
+                        Failed->m_error.m_kind == base::ErrorKind::Unreachable;
+                    if (J.m_entryIsGone && Failed->m_sent == http::Sent::Maybe)
+                      m_history.requestCut(J.m_entry->address(), SentAt);
+                    Done(J, Got);
+                  });
 }
 
-void Callers::addJob() {
+void Callers::addJobAt(const std::string &Entry) {
   Job J;
   J.m_id = fmt::format("{:016x}", m_random());
   const bool Gang = m_random() % m_jobsPerGang == 0;
@@ -96,6 +104,8 @@
   J.m_body = base::dumpJson(
       {{"spec", base::dumpJson(Payload)}, {"steps", Json::array({Step})}});
   J.m_shouldCancel = m_random() % 8 == 0;
+  if (!Entry.empty())
+    J.m_entry = http::AsyncClient::create(m_reactor, Entry);
   m_jobs[J.m_id] = J;
 }
 
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -27,7 +27,9 @@
   unsigned m_jobsPerGang = 3;
 
   /// Creates a job with random properties. The next tick() submits it.
-  void addJob();
+  void addJob() { addJobAt(""); }
+  /// Creates a job that is submitted to \p Entry first.
+  void addJobAt(const std::string &Entry);
   /// Sends the requests that are due, at most one at a time for each job.
   void tick();
 
@@ -70,6 +72,9 @@
   std::map<std::string, Job> m_jobs;
 };
 
+/// Bytes of a request for the length of a queue.
+std::string lengthQuery();
+
 /// Configuration with the queues and the account that the callers use.
 std::string configuration(int Version);
 
--- a/tests/soak/fleet.cc
+++ b/tests/soak/fleet.cc
@@ -4,6 +4,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <fstream>
 #include <utility>
 
@@ -16,19 +17,22 @@
   return fmt::format("127.0.0.1:{}", scenario::reservePort());
 }
 
+constexpr Millis GraceMs = 3000;
+
 const base::Json &bounds() {
   static const base::Json Out = {
-      {"leaseMaxMs", 10000}, {"stopGraceMs", 300}, {"gangTimeoutMs", 3000},
-      {"graceS", 3},         {"statusS", 120},     {"configApplyMs", 2500},
+      {"leaseMaxMs", 10000},      {"stopGraceMs", 300}, {"gangTimeoutMs", 3000},
+      {"graceS", GraceMs / 1000}, {"statusS", 120},     {"configApplyMs", 2500},
       {"reclaimMs", 3400}};
   return Out;
 }
 
 } // namespace
 
-Fleet::Fleet(std::string Program, std::string Folder, std::string Store)
+Fleet::Fleet(std::string Program, std::string Folder, std::string Store,
+             std::function<void(const std::string &)> OnFault)
     : m_program(std::move(Program)), m_folder(std::move(Folder)),
-      m_store(std::move(Store)) {}
+      m_store(std::move(Store)), m_onFault(std::move(OnFault)) {}
 
 Process Fleet::makeProcess(const std::string &Name, const std::string &Role,
                            const std::string &Settings) const {
@@ -78,10 +82,17 @@
       if (P.m_child && P.m_child->running()) {
         if (P.m_ending || P.m_resumeAt > 0)
           P.m_disturbedAt = Now;
+        if (P.m_killAt > 0 && Now >= P.m_killAt) {
+          P.m_killAt = 0;
+          m_onFault(P.m_name + " has not ended within the grace period");
+          P.m_child->signal(SIGKILL);
+        }
         continue;
       }
       P.m_disturbedAt = Now;
       if (P.m_child) {
+        if (!P.m_ending)
+          m_onFault(P.m_name + " has ended by itself");
         P.m_child.reset();
         P.m_startAt = std::max(P.m_startAt, Now);
       }
@@ -90,6 +101,7 @@
       P.m_child.emplace(P.m_command, P.m_logFile);
       P.m_startedAt = Now;
       P.m_ending = false;
+      P.m_killAt = 0;
     }
   }
 }
@@ -99,6 +111,8 @@
   if (!P.m_child)
     return;
   P.m_startAt = Now + RestartAfterMs;
+  if (Signal == SIGTERM && !P.m_ending)
+    P.m_killAt = Now + GraceMs;
   P.m_ending = true;
   P.m_child->signal(Signal);
   // A suspended process handles SIGTERM only after SIGCONT.
@@ -112,6 +126,13 @@
     return;
   P.m_child->signal(SIGSTOP);
   P.m_resumeAt = Now + DurationMs;
+  P.m_killAt += P.m_killAt > 0 ? DurationMs : 0;
+}
+
+bool Fleet::anyFrozen() const {
+  const auto IsFrozen = [](const Process &P) { return P.m_resumeAt > 0; };
+  return std::any_of(m_entries.begin(), m_entries.end(), IsFrozen) ||
+         std::any_of(m_agents.begin(), m_agents.end(), IsFrozen);
 }
 
 } // namespace pomelokeel::soak
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -3,7 +3,7 @@
 #include "base/clock.h"
 #include "scenario/process.h"
 
-#include <map>
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -22,6 +22,7 @@
   Millis m_startAt = 0;           ///< Earliest time of the next start.
   Millis m_resumeAt = 0;          ///< End of a freeze, or 0 if not frozen.
   bool m_ending = false;          ///< Was told to end.
+  Millis m_killAt = 0;            ///< End of the grace period, or 0.
   Millis m_startedAt = 0;         ///< Time of the last start.
   Millis m_disturbedAt = 0;       ///< When it last did not run freely.
   std::optional<scenario::Child> m_child;
@@ -31,7 +32,9 @@
 /// \p Folder.
 class Fleet {
 public:
-  Fleet(std::string Program, std::string Folder, std::string Store);
+  /// Passes to \p OnFault if a process ends by itself or too late.
+  Fleet(std::string Program, std::string Folder, std::string Store,
+        std::function<void(const std::string &)> OnFault);
 
   void addEntry(const std::string &Name);
   /// \p Endpoint is the address at which the agent's worker receives orders.
@@ -42,11 +45,13 @@
   void tick(Millis Now);
 
   /// Sends \p Signal to end the process, and restarts it once it has ended, at
-  /// the earliest after \p RestartAfterMs.
+  /// the earliest after \p RestartAfterMs. A process that has not ended within
+  /// the grace period after SIGTERM is killed.
   void terminate(Process &P, int Signal, Millis RestartAfterMs, Millis Now);
   /// Suspends the process (SIGSTOP) for \p DurationMs.
   void freeze(Process &P, Millis DurationMs, Millis Now);
 
+  bool anyFrozen() const;
   std::vector<Process> &entries() { return m_entries; }
   std::vector<Process> &agents() { return m_agents; }
 
@@ -57,6 +62,7 @@
   std::string m_program;
   std::string m_folder;
   std::string m_store;
+  std::function<void(const std::string &)> m_onFault;
   std::vector<Process> m_entries;
   std::vector<Process> m_agents;
 };
--- a/tests/soak/history.cc
+++ b/tests/soak/history.cc
@@ -11,6 +11,8 @@
 constexpr Millis CancelMs = 3000;
 /// Time without disturbances after which bounds of time hold.
 constexpr Millis ContactMs = 4000;
+/// A request that was sent this long before its connection ended was read.
+constexpr Millis LossSlackMs = 200;
 
 std::string jobOf(const std::string &Task) {
   return Task.substr(0, Task.find('.'));
@@ -115,7 +117,7 @@
   if (J.m_cancelAcknowledgedAt < 0 ||
       Now <= J.m_cancelAcknowledgedAt + CancelMs)
     return;
-  const Agent &A = m_agents[Worker];
+  const Agent &A = m_agents[Worker.substr(0, Worker.find('.'))];
   const bool Calm =
       Now - std::max(A.m_disturbedAt, m_storeDisturbedAt) >= ContactMs;
   if (Calm || A.m_startedAt > J.m_cancelAcknowledgedAt)
@@ -192,6 +194,14 @@
 
 void History::storeDisturbed() { m_storeDisturbedAt = base::bootNow(); }
 
+void History::requestCut(const std::string &Entry, Millis SentAt) {
+  const Millis Now = base::bootNow();
+  log(fmt::format("cut by {} after {} ms", Entry, Now - SentAt));
+  if (Now - SentAt > LossSlackMs && SentAt - m_unplannedAt >= ContactMs)
+    violation(fmt::format("lost: {} cut a request that was sent {} ms before",
+                          Entry, Now - SentAt));
+}
+
 void History::overCapacity(const std::string &Worker, const std::string &Task) {
   violation(
       fmt::format("limit {}: started beyond the capacity of {}", Task, Worker));
--- a/tests/soak/history.h
+++ b/tests/soak/history.h
@@ -55,6 +55,14 @@
   void agentDisturbed(const std::string &Worker);
   void storeDisturbed();
 
+  /// A disruption that is not planned work, or a delay of the soak itself.
+  void unplanned() { m_unplannedAt = base::bootNow(); }
+  /// A connection to \p Entry has ended without a complete answer to the
+  /// request whose last byte was sent at \p SentAt.
+  void requestCut(const std::string &Entry, Millis SentAt);
+  /// A process did not end in time, or ended by itself.
+  void processFault(const std::string &Text) { violation(Text); }
+
   /// \p Count jobs had not ended when the soak timed out.
   void notEndedInTime(std::size_t Count);
   /// Checks that no run of an ended job is still in progress. Called after all
@@ -112,8 +120,9 @@
   std::map<std::string, std::vector<Run>> m_runs;
   /// Tasks of which a run ended as done, by job.
   std::map<std::string, std::set<std::string>> m_done;
-  std::map<std::string, Agent> m_agents; ///< By worker.
+  std::map<std::string, Agent> m_agents; ///< By the first id of its worker.
   Millis m_storeDisturbedAt = 0;
+  Millis m_unplannedAt = 0;
   std::size_t m_starts = 0;
   std::size_t m_ends = 0;
 };
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -1,7 +1,9 @@
 #include "base/clock.h"
 #include "platform/names.h"
 #include "soak/callers.h"
+#include "soak/connections.h"
 #include "soak/fleet.h"
+#include "soak/operations.h"
 #include "soak/store.h"
 #include "soak/worker.h"
 
@@ -32,11 +34,13 @@
 /// Loads 4 workers to about 70%: an average job has 2.5 tasks that take 1.5 s
 /// on 2.3 accelerators.
 constexpr Millis JobIntervalMs = 400;
-/// Little is done while the store is out and after all were killed.
-constexpr Millis JobIntervalBesideKillAllMs = 800;
+/// Little is done while the store is out and after all were killed or stopped.
+constexpr Millis QuietJobIntervalMs = 800;
 constexpr int UsualWorkers = 4;
 constexpr Millis MinJobIntervalMs = 50;
 constexpr Millis FaultIntervalMs = 700;
+/// The soak itself was held up if a tick is later than this.
+constexpr Millis MaxTickDelayMs = 100;
 /// Time after the last fault within which all jobs must end. It covers leases
 /// of 6 s, the 4 s for which agents renew them without an answer of the leader,
 /// and the work itself.
@@ -64,6 +68,10 @@
   bool m_ordersOutliveCrashes = false;
   /// Also interrupts the store and then kills all processes at once.
   bool m_killsAll = false;
+  /// Plays planned work, and other faults only with m_killsAll.
+  bool m_planned = false;
+
+  bool playsFaults() const { return !m_planned || m_killsAll; }
 };
 
 /// Progress of the fault that kills all processes at once. The store is out
@@ -88,8 +96,11 @@
         m_reactor(http::Reactor::create()),
         m_storeAddress(fmt::format("127.0.0.1:{}", scenario::reservePort())),
         m_store(*m_reactor, m_storeAddress),
-        m_fleet(O.m_program, Folder, m_storeAddress),
-        m_workers(*m_reactor, m_history), m_tick(m_reactor->timer()) {
+        m_fleet(
+            O.m_program, Folder, m_storeAddress,
+            [this](const std::string &Text) { m_history.processFault(Text); }),
+        m_workers(*m_reactor, m_history), m_connections(m_history),
+        m_tick(m_reactor->timer()) {
     for (int I = 0; I < O.m_entries; ++I)
       m_fleet.addEntry(fmt::format("entry-{}", I));
     for (int I = 0; I < O.m_workers; ++I) {
@@ -104,6 +115,10 @@
       Entries.push_back(P.m_callerAddress);
     m_callers =
         std::make_unique<Callers>(*m_reactor, m_history, m_random, Entries);
+    m_operations = std::make_unique<Operations>(
+        Operations::Target{m_history, m_fleet, m_workers, *m_callers,
+                           m_connections, [this] { publishConfiguration(); }},
+        O.m_seed, O.m_killsAll);
   }
 
   bool run() {
@@ -158,6 +173,7 @@
     const std::size_t Kind =
         m_random() %
         (m_options.m_killsAll ? std::size(Names) : KindsWithoutKillAll);
+    m_history.unplanned();
     m_history.log(fmt::format("fault {}", Names[Kind]));
     switch (Kind) {
     case 0:
@@ -213,8 +229,12 @@
     constexpr std::pair<StoreFault, const char *> Outages[] = {
         {StoreFault::Silent, "silent"},
         {StoreFault::Refuses, "refuses"},
-        {StoreFault::SilentAppends, "silent to appends"}};
-    const auto &[Fault, Name] = Outages[m_killRandom() % std::size(Outages)];
+        {StoreFault::SilentAppends, "silent to appends"},
+        {StoreFault::LosesAnswers, "loses answers"}};
+    constexpr std::size_t OutagesWithoutPlanned = 3;
+    const auto &[Fault, Name] =
+        Outages[m_killRandom() % (m_options.m_planned ? std::size(Outages)
+                                                      : OutagesWithoutPlanned)];
     m_store.m_fault = Fault;
     m_storeFaultEnd = Now + 2 * MaxOutageMs;
     m_history.log(fmt::format("fault store {} before all are killed{}", Name,
@@ -226,19 +246,27 @@
     const Millis Common = randomBetween(m_killRandom, 100, 1500);
     // 0: no worker crashes, 1: every second one, 2: all.
     const auto Crashes = m_killRandom() % 3;
-    m_history.log(fmt::format("fault all killed, workers crash: {}",
+    const bool Stops = m_options.m_planned && m_killRandom() % 2 == 0;
+    const bool Replaces = m_options.m_planned && m_killRandom() % 2 == 0;
+    m_history.log(fmt::format("fault all {}, workers {}: {}",
+                              Stops ? "stopped" : "killed",
+                              Replaces ? "are replaced" : "crash",
                               Crashes == 0   ? "none"
                               : Crashes == 1 ? "some"
                                              : "all"));
     for (const auto &W : m_workers.all()) {
       if (Crashes == 2 || (Crashes == 1 && m_killRandom() % 2 == 0))
-        W->crash();
+        Replaces ? W->replace() : W->crash();
     }
     for (auto *Group : {&m_fleet.entries(), &m_fleet.agents()}) {
-      for (Process &P : *Group)
-        m_fleet.terminate(
-            P, SIGKILL,
-            Together ? Common : randomBetween(m_killRandom, 100, 1500), Now);
+      for (Process &P : *Group) {
+        const Millis RestartMs =
+            Together ? Common : randomBetween(m_killRandom, 100, 1500);
+        if (Stops)
+          m_operations->stop(P, RestartMs, Now);
+        else
+          m_fleet.terminate(P, SIGKILL, RestartMs, Now);
+      }
     }
   }
 
@@ -276,8 +304,25 @@
     K.m_outageAt = Now + randomBetween(m_killRandom, 1500, 3500);
   }
 
-  // Tells the history which agents and whether the store run freely.
+  // Opens connections to entries that have started, and closes those of entries
+  // that have ended.
+  void tendConnections(Millis Now) {
+    for (const Process &P : m_fleet.entries()) {
+      if (!P.m_child || P.m_startedAt == Now)
+        m_connections.close(P.m_callerAddress);
+      if (P.m_child && !P.m_ending)
+        m_connections.open(P.m_callerAddress);
+    }
+    m_connections.tick();
+  }
+
+  // Tells the history which agents and whether the store run freely, and
+  // whether anything but planned work goes on.
   void recordDisturbances(Millis Now) {
+    if (Now - m_tickedAt > TickMs + MaxTickDelayMs || m_killAll.m_active ||
+        m_fleet.anyFrozen())
+      m_history.unplanned();
+    m_tickedAt = Now;
     for (std::size_t I = 0; I < m_fleet.agents().size(); ++I) {
       const Process &P = m_fleet.agents()[I];
       const std::string Worker = workerName(I);
@@ -286,8 +331,10 @@
       if (P.m_disturbedAt == Now)
         m_history.agentDisturbed(Worker);
     }
-    if (m_store.m_fault != StoreFault::None)
-      m_history.storeDisturbed();
+    if (m_store.m_fault == StoreFault::None)
+      return;
+    m_history.storeDisturbed();
+    m_history.unplanned();
   }
 
   void clearFaults(Millis Now, bool All) {
@@ -306,17 +353,22 @@
     m_fleet.tick(Now);
     recordDisturbances(Now);
     m_workers.tick();
+    if (m_options.m_planned)
+      tendConnections(Now);
     m_callers->tick();
     clearFaults(Now, Now >= FaultsEnd);
     if (Now < FaultsEnd && Now >= m_startedAt + WarmUpMs) {
       if (Now >= m_nextJobAt) {
-        const Millis Usual =
-            m_options.m_killsAll ? JobIntervalBesideKillAllMs : JobIntervalMs;
+        const Millis Usual = m_options.m_killsAll || m_options.m_planned
+                                 ? QuietJobIntervalMs
+                                 : JobIntervalMs;
         m_nextJobAt = Now + std::max(Usual * UsualWorkers / m_options.m_workers,
                                      MinJobIntervalMs);
         m_callers->addJob();
       }
-      if (Now >= m_nextFaultAt) {
+      if (m_options.m_planned)
+        m_operations->tick(Now);
+      if (Now >= m_nextFaultAt && m_options.playsFaults()) {
         m_nextFaultAt = Now + FaultIntervalMs;
         if (!m_killAll.m_active || !m_killAll.m_alone)
           injectFault(Now);
@@ -359,10 +411,13 @@
   Store m_store;
   Fleet m_fleet;
   Workers m_workers;
+  Connections m_connections;
   std::unique_ptr<http::Timer> m_tick;
   std::unique_ptr<Callers> m_callers;
+  std::unique_ptr<Operations> m_operations;
   int m_configVersion = 0;
   Millis m_startedAt = 0;
+  Millis m_tickedAt = 0;
   Millis m_nextJobAt = 0;
   Millis m_nextFaultAt = 0;
   Millis m_storeFaultEnd = 0;
@@ -431,6 +486,9 @@
   App.add_option("--workers", O.m_workers, "Workers");
   App.add_flag("--kill-all", O.m_killsAll,
                "Interrupt the store and kill all processes at once, too");
+  App.add_flag("--planned", O.m_planned,
+               "Play planned work in series and overlapping; without "
+               "--kill-all, no other faults");
   App.add_flag(
       "--orders-outlive-crashes", O.m_ordersOutliveCrashes,
       "The next incarnation of a crashed worker carries out delayed orders");
--- a/tests/soak/worker.cc
+++ b/tests/soak/worker.cc
@@ -34,7 +34,8 @@
 
 Worker::Worker(Workers &Owner, http::Reactor &R, std::string Name,
                const std::string &Address, const std::string &AgentAddress)
-    : m_owner(Owner), m_name(std::move(Name)), m_address(Address), m_reactor(R),
+    : m_owner(Owner), m_firstName(std::move(Name)), m_name(m_firstName),
+      m_address(Address), m_reactor(R),
       m_agent(http::AsyncClient::create(R, AgentAddress)),
       m_startTime(base::wallNow()), m_clockStart(base::bootNow()) {
   auto Started = http::Server::start(
@@ -66,6 +67,11 @@
     m_owner.endGang(Task, R.m_number, "broken");
 }
 
+void Worker::replace() {
+  crash();
+  m_name = m_firstName + "." + std::to_string(++m_replacements);
+}
+
 void Worker::serve(const http::Request &R, const http::Responder &Answer) {
   const std::string Path = http::pathOf(R.m_target);
   if (Path == names::PollRuns)
--- a/tests/soak/worker.h
+++ b/tests/soak/worker.h
@@ -32,6 +32,8 @@
   /// Crashes and restarts at once with the same id, a new start time and no
   /// state.
   void crash();
+  /// Crashes for good. A worker with a new id takes its place.
+  void replace();
 
 private:
   friend class Workers;
@@ -73,7 +75,9 @@
   Millis clock() const;
 
   Workers &m_owner;
-  const std::string m_name;
+  const std::string m_firstName;
+  std::string m_name; ///< Its id.
+  int m_replacements = 0;
   const std::string m_address;
   http::Reactor &m_reactor;
   std::unique_ptr<http::Server> m_server;
