Stop an entry within the grace period of its current settings

Callers saw requests cut by an entry whose settings file had named a shorter graceS, with SIGHUP, before it was told to stop: the entry applied the new bounds but stopped by the grace period of its start, and was killed before it ended.

--- a/tests/soak/fleet.cc
+++ b/tests/soak/fleet.cc
@@ -1,7 +1,5 @@
 #include "soak/fleet.h"
 
-#include "base/json.h"
-
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -18,6 +16,11 @@
 }
 
 constexpr Millis GraceMs = 3000;
+constexpr Millis OtherGraceMs = 2000;
+
+void writeSettings(const Process &P) {
+  std::ofstream(P.m_settingsFile) << P.m_settings.dump();
+}
 
 const base::Json &bounds() {
   static const base::Json Out = {
@@ -35,12 +38,15 @@
       m_store(std::move(Store)), m_onFault(std::move(OnFault)) {}
 
 Process Fleet::makeProcess(const std::string &Name, const std::string &Role,
-                           const std::string &Settings) const {
-  const std::string File = m_folder + "/" + Name + ".json";
-  std::ofstream(File) << Settings;
+                           base::Json Settings) const {
   Process Out;
   Out.m_name = Name;
-  Out.m_command = {m_program, "platform", Role, "--settings", File};
+  Out.m_settings = std::move(Settings);
+  Out.m_settingsFile = m_folder + "/" + Name + ".json";
+  Out.m_graceMs = GraceMs;
+  writeSettings(Out);
+  Out.m_command = {m_program, "platform", Role, "--settings",
+                   Out.m_settingsFile};
   Out.m_logFile = m_folder + "/" + Name + ".log";
   return Out;
 }
@@ -54,7 +60,7 @@
                                {"callerListen", CallerAddress},
                                {"readyListen", freeAddress()},
                                {"bounds", bounds()}};
-  m_entries.push_back(makeProcess(Name, "entry", Settings.dump()));
+  m_entries.push_back(makeProcess(Name, "entry", Settings));
   m_entries.back().m_callerAddress = CallerAddress;
 }
 
@@ -67,7 +73,7 @@
                                {"workerListen", HeartbeatAddress},
                                {"endpoint", Endpoint},
                                {"bounds", bounds()}};
-  m_agents.push_back(makeProcess(Name, "agent", Settings.dump()));
+  m_agents.push_back(makeProcess(Name, "agent", Settings));
   m_agents.back().m_heartbeatAddress = HeartbeatAddress;
 }
 
@@ -112,7 +118,7 @@
     return;
   P.m_startAt = Now + RestartAfterMs;
   if (Signal == SIGTERM && !P.m_ending)
-    P.m_killAt = Now + GraceMs;
+    P.m_killAt = Now + P.m_graceMs;
   P.m_ending = true;
   P.m_child->signal(Signal);
   // A suspended process handles SIGTERM only after SIGCONT.
@@ -129,6 +135,13 @@
   P.m_killAt += P.m_killAt > 0 ? DurationMs : 0;
 }
 
+void Fleet::reload(Process &P) {
+  P.m_graceMs = P.m_graceMs == GraceMs ? OtherGraceMs : GraceMs;
+  P.m_settings["bounds"]["graceS"] = P.m_graceMs / 1000;
+  writeSettings(P);
+  P.m_child->signal(SIGHUP);
+}
+
 bool Fleet::anyFrozen() const {
   const auto IsFrozen = [](const Process &P) { return P.m_resumeAt > 0; };
   return std::any_of(m_entries.begin(), m_entries.end(), IsFrozen) ||
--- a/tests/soak/fleet.h
+++ b/tests/soak/fleet.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/clock.h"
+#include "base/json.h"
 #include "scenario/process.h"
 
 #include <functional>
@@ -16,12 +17,15 @@
 struct Process {
   std::string m_name;
   std::vector<std::string> m_command;
+  base::Json m_settings;
+  std::string m_settingsFile;
   std::string m_logFile;
   std::string m_callerAddress;    ///< Entries: where callers connect.
   std::string m_heartbeatAddress; ///< Agents: for the worker's heartbeats.
   Millis m_startAt = 0;           ///< Earliest time of the next start.
   Millis m_resumeAt = 0;          ///< End of a freeze, or 0 if not frozen.
   bool m_ending = false;          ///< Was told to end.
+  Millis m_graceMs = 0;           ///< From SIGTERM until it is killed.
   Millis m_killAt = 0;            ///< End of the grace period, or 0.
   Millis m_startedAt = 0;         ///< Time of the last start.
   Millis m_disturbedAt = 0;       ///< When it last did not run freely.
@@ -51,13 +55,15 @@
   /// Suspends the process (SIGSTOP) for \p DurationMs.
   void freeze(Process &P, Millis DurationMs, Millis Now);
 
+  /// Changes the grace period in the settings file and sends SIGHUP.
+  void reload(Process &P);
   bool anyFrozen() const;
   std::vector<Process> &entries() { return m_entries; }
   std::vector<Process> &agents() { return m_agents; }
 
 private:
   Process makeProcess(const std::string &Name, const std::string &Role,
-                      const std::string &Settings) const;
+                      base::Json Settings) const;
 
   std::string m_program;
   std::string m_folder;
--- a/tests/soak/operations.cc
+++ b/tests/soak/operations.cc
@@ -138,7 +138,7 @@
 
 void Operations::reload(Process &P, Millis Now) {
   if (P.m_child && Now - P.m_startedAt >= StartUpMs)
-    P.m_child->signal(SIGHUP);
+    m_target.m_fleet.reload(P);
 }
 
 } // namespace pomelokeel::soak
