Let all processes of a large fleet reach the soak's store

Four entries started anew had no configuration for 29 s and refused all calls. The fault is the soak's: its store accepted 256 connections, fewer than the reads of 149 processes that wait, and the others got in only when idle ones were closed after 30 s.

--- a/tests/soak/store.cc
+++ b/tests/soak/store.cc
@@ -17,6 +17,8 @@
 
 constexpr Millis TickMs = 50;
 constexpr Millis SlowDelayMs = 300;
+/// Each process has several reads that wait.
+constexpr std::size_t MaxConnections = 4096;
 constexpr std::size_t LengthBytes = 4;
 constexpr std::size_t OffsetBytes = 8;
 
@@ -54,8 +56,10 @@
 
 Store::Store(http::Reactor &R, const std::string &Address)
     : m_reactor(R), m_tick(R.timer()) {
+  http::ServerLimits Limits;
+  Limits.m_maxConnections = MaxConnections;
   auto Started = http::Server::start(
-      R, Address, {},
+      R, Address, Limits,
       [this](const http::Request &Request, const http::Responder &Answer) {
         serve(Request, Answer);
       });
