--- a/src/batch/leader_orders.cc
+++ b/src/batch/leader_orders.cc
@@ -114,6 +114,9 @@
 // the decision relied on.
 void Leader::recordAcknowledgements(AgentView &A, const AgentReply &R,
                                     Millis Now) {
+  // The agent ignores a reply of a leader that is not confirmed.
+  if (!R.m_leads)
+    return;
   for (const EndReport &E : R.m_acknowledged) {
     detail::ReportedEnd &End = A.m_ends.at({E.m_task, E.m_run, E.m_number});
     if (std::exchange(End.m_acknowledged, true))
