--- a/tests/batch/leader_test.cc
+++ b/tests/batch/leader_test.cc
@@ -514,6 +514,21 @@
   EXPECT_GT(m_agents["w"].m_fence, Third);
 }
 
+// Guards against a log that claims an acknowledgement which no agent has taken.
+TEST_F(LeaderTest, LogsAnAcknowledgementOnlyWhileConfirmed) {
+  const auto Acknowledged = [&] {
+    return std::count(m_events.begin(), m_events.end(), "endAcknowledged");
+  };
+  startTaskOn("w", 500);
+  end("w", "a.0.0.0", EndKind::Done);
+  m_now += Timing{}.m_confirmMs + 1;
+  report("w");
+  report("w");
+  EXPECT_EQ(Acknowledged(), 0);
+  pass(200);
+  EXPECT_EQ(Acknowledged(), 1);
+}
+
 // A leader that had never seen the earlier incarnation declared the run lost
 // and started it elsewhere (restart simulation, seeds 332 and 662).
 TEST_F(LeaderTest, ANewLeaderAdoptsARunOfTheNextWorkerIncarnation) {
