Read a list although one of its entries cannot be read

If an answer of the worker or the store cannot be parsed, each element of its lists is parsed by itself, and one that cannot be read counts as null: a malformed row, a member or record without a name, which are skipped and logged as before. The ends of the elements are found by brackets and quotes, without recursion.

--- a/src/base/json.cc
+++ b/src/base/json.cc
@@ -38,6 +38,55 @@
   int m_levels = 0;
 };
 
+// Replaces the elements of lists that cannot be read by null. It finds their
+// ends by brackets and quotes alone and does not recurse.
+std::string replaceUnreadable(std::string_view Text) {
+  std::string Out;
+  std::string Opened; // The two outermost brackets that are open.
+  std::size_t Level = 0;
+  std::size_t Copied = 0;
+  bool InString = false;
+  const auto InList = [&] {
+    return Level > 0 && Level == Opened.size() && Opened.back() == '[' &&
+           (Level == 1 || Opened.front() == '{');
+  };
+  for (std::size_t I = 0; I < Text.size(); ++I) {
+    const char C = Text[I];
+    if (InString && C == '\\')
+      ++I;
+    else if (C == '"')
+      InString = !InString;
+    if (InString || C == '"')
+      continue;
+    if ((C == ',' || C == ']') && InList()) {
+      const std::string_view Element = Text.substr(Copied, I - Copied);
+      const bool Blank =
+          Element.find_first_not_of(" \t\r\n") == std::string_view::npos;
+      Out += Blank || !parseJson(Element).is_discarded() ? Element : "null";
+      Copied = I;
+    }
+    const bool Closes = C == ']' || C == '}';
+    if (C == '[' || C == '{') {
+      if (++Level <= 2)
+        Opened += C;
+    } else if (Closes) {
+      if (Level == 0)
+        break;
+      if (--Level < Opened.size())
+        Opened.pop_back();
+    } else if (C != ',') {
+      continue;
+    }
+    // An element of a list is copied at its end only.
+    if (Closes ? Level < 2 && !InList() : InList()) {
+      Out += Text.substr(Copied, I + 1 - Copied);
+      Copied = I + 1;
+    }
+  }
+  Out += Text.substr(std::min(Copied, Text.size()));
+  return Out;
+}
+
 Json discarded() { return Json(Json::value_t::discarded); }
 
 } // namespace
@@ -56,6 +105,11 @@
   return TooDeep ? discarded() : J;
 }
 
+Json parseJsonLists(std::string_view Text) {
+  Json J = parseJson(Text);
+  return J.is_discarded() ? parseJson(replaceUnreadable(Text)) : J;
+}
+
 Json parseMsgpack(const std::uint8_t *Data, std::size_t Size) {
   NestingChecker Checker;
   if (!Json::sax_parse(Data, Data + Size, &Checker,
--- a/src/base/json.h
+++ b/src/base/json.h
@@ -29,6 +29,11 @@
 /// invalid or nested deeper than MaxNesting.
 Json parseJson(std::string_view Text);
 
+/// Like parseJson(), but an element of a list that cannot be read is null. The
+/// lists are the text itself or the members of the object that it is. For lists
+/// to which other programs add elements.
+Json parseJsonLists(std::string_view Text);
+
 /// Parses \p Size bytes of msgpack. Returns a discarded value (is_discarded())
 /// if they are invalid or nested deeper than MaxNesting.
 Json parseMsgpack(const std::uint8_t *Data, std::size_t Size);
--- a/tests/base/json_test.cc
+++ b/tests/base/json_test.cc
@@ -68,6 +68,37 @@
   EXPECT_EQ(integerIn(parseJson("-1"), 0, 100), std::nullopt);
 }
 
+// Guards against an element of a list that makes the whole list unreadable.
+TEST(Json, AnElementOfAListThatCannotBeReadIsNull) {
+  const std::string Deep = std::string(100000, '[') + std::string(100000, ']');
+  const std::string DeepMaps = [] {
+    std::string Out;
+    for (int I = 0; I < 100000; ++I)
+      Out += "{\"a\":";
+    return Out + "1" + std::string(100000, '}');
+  }();
+  for (const std::string &Odd :
+       {Deep, DeepMaps, std::string("[1e999]"), std::string("NaN"),
+        std::string("[-Infinity,\"]\"]"), std::string("\"\xff\xfe,[\""),
+        std::string("[\"\\ud800\"]"), std::string("\"\x01\""),
+        std::string("{7:1}"), std::string("odd"), std::string("\"\\x\\\"\"")}) {
+    const Json Wanted = {
+        {"n", 1}, {"l", {{"a", 1}, nullptr, "b,]"}}, {"m", {2}}};
+    EXPECT_EQ(parseJsonLists(R"({"n":1,"l":[ ["a",1] ,)" + Odd +
+                             R"(, "b,]"],"m":[2]})"),
+              Wanted)
+        << Odd.substr(0, 80);
+    EXPECT_EQ(parseJsonLists("[1," + Odd + "]"), (Json{1, nullptr}))
+        << Odd.substr(0, 80);
+  }
+  EXPECT_EQ(parseJsonLists("[]"), Json::array());
+  EXPECT_EQ(parseJsonLists(R"({"l":[]})"), (Json{{"l", Json::array()}}));
+  for (const char *Text : {"", "[", "]", "[1,]", "{\"a\":1e999}", "[1]]", "{]",
+                           "[\"", "[\"\\", "\xff", "[1}"})
+    EXPECT_TRUE(parseJsonLists(Text).is_discarded()) << Text;
+  EXPECT_TRUE(parseJsonLists(std::string(100000, '[')).is_discarded());
+}
+
 TEST(Json, ANumberBeyondTheRangeOfADoubleIsNotValid) {
   EXPECT_TRUE(parseJson("[1e999]").is_discarded());
 }
--- a/tests/platform/store_test.cc
+++ b/tests/platform/store_test.cc
@@ -154,6 +154,35 @@
   EXPECT_EQ(S->m_records[4].m_value, "value");
 }
 
+// Guards against a leader that cannot load its journal, and entries that follow
+// the store no longer: one entry that cannot be read made the whole page so.
+TEST_F(StoreTest, AnUnreadableItemDoesNotHideTheOthers) {
+  const std::string Deep = std::string(100000, '[') + std::string(100000, ']');
+  for (const std::string &Odd :
+       {Deep, "{\"key\":\"x\",\"value\":" + Deep + "}",
+        std::string("{\"key\":\"\xff\",\"value\":\"\"}"),
+        std::string(R"({"key":"x","offset":1e999})"),
+        std::string(R"({"key":"\ud800","value":""})")}) {
+    const auto S =
+        snapshot(R"({"items":[{"key":"a","value":"dmFsdWU="},)" + Odd +
+                 R"(,{"key":"c","value":"dmFsdWU="}],"end":9})");
+    ASSERT_TRUE(S.ok()) << Odd.substr(0, 80);
+    ASSERT_EQ(S->m_records.size(), 3u);
+    EXPECT_EQ(S->m_records[0].m_value, "value");
+    EXPECT_EQ(S->m_records[1].m_value, "");
+    EXPECT_EQ(S->m_records[2].m_key, "c");
+    for (const bool Named : {false, true}) {
+      const std::string Rows =
+          R"([["t",0,"a@h:1",0],)" + Odd + R"(,["t",1,"b@h:1",0]])";
+      m_answer.m_body = Named ? "{\"parts\":" + Rows + "}" : Rows;
+      const auto M = wait<base::Result<std::vector<std::string>>>(
+          [&](auto Done) { m_store->members(std::move(Done)); });
+      ASSERT_TRUE(M.ok()) << Odd.substr(0, 80);
+      EXPECT_EQ(*M, (std::vector<std::string>{"a@h:1", "b@h:1"}));
+    }
+  }
+}
+
 // Guards against a snapshot that is read only in part: a new leader would take
 // the jobs that are missing from it for unknown.
 TEST_F(StoreTest, ASnapshotWhoseNextPageIsUnknownIsAnError) {
