Test odd messages between processes in a table

Empty bodies, 100,000 levels, counts and lengths beyond the body, NaN and text in place of a message are refused by all message types.

--- a/tests/node/control_test.cc
+++ b/tests/node/control_test.cc
@@ -3,6 +3,7 @@
 #include "batch/messages.h"
 #include "model/mutate.h"
 #include "node/election.h"
+#include "node/peers.h"
 
 #include <gtest/gtest.h>
 
@@ -43,6 +44,30 @@
       unpackMessage<batch::AgentReport>(std::string(1000000, '\x91')).ok());
 }
 
+// Every message that cannot be read is refused, whatever it is read as.
+TEST(Control, OddMessagesAreRefused) {
+  const auto Repeat = [](const std::string &Part) {
+    std::string Out;
+    for (int I = 0; I < 100000; ++I)
+      Out += Part;
+    return Out;
+  };
+  using namespace std::string_literals;
+  for (const std::string &Body :
+       {""s, "\xc0"s, "\x07"s, "\xc1"s, "\xa1\xff"s, Repeat("\x91"),
+        Repeat("\x81\xa1x"), "\xdd\xff\xff\xff\xff"s, "\xdf\xff\xff\xff\xff"s,
+        "\xdb\xff\xff\xff\xff"s, "\xc6\xff\xff\xff\xff"s, "\x80"s,
+        "\xcb\x7f\xf8\0\0\0\0\0\0"s, "{}"s}) {
+    const std::string Name = Body.substr(0, 10);
+    EXPECT_FALSE(unpackMessage<batch::AgentReport>(Body).ok()) << Name;
+    EXPECT_FALSE(unpackMessage<batch::AgentReply>(Body).ok()) << Name;
+    EXPECT_FALSE(unpackMessage<batch::CallerRequest>(Body).ok()) << Name;
+    EXPECT_FALSE(unpackMessage<batch::CallerReply>(Body).ok()) << Name;
+    EXPECT_FALSE(unpackMessage<TakeoverRequest>(Body).ok()) << Name;
+    EXPECT_FALSE(unpackMessage<ConfigRecord>(Body).ok()) << Name;
+  }
+}
+
 TEST(ParseLeader, MutatedRecordsAreReadOrRefused) {
   const base::Json Valid = base::encode(LeaderRecord{"n#1@h:1", "n", "h:1", 3});
   const bool Passed = rc::check([&] {
