Let the fake agent of leader tests ignore an unconfirmed leader

The real agent ignores such a reply. LogsAnAcknowledgementOnlyWhileConfirmed failed with the check in place too, since the fake agent took the reply for an acknowledgement; now it passes, and fails without the check.

--- a/tests/batch/leader_fixture.h
+++ b/tests/batch/leader_fixture.h
@@ -186,7 +186,7 @@
 
   void applyReply(const std::string &Name, const AgentReply &R) {
     FakeAgent &B = m_agents[Name];
-    if (R.m_epoch < m_epoch)
+    if (!R.m_leads || R.m_epoch < m_epoch)
       return;
     if (!B.m_workerSilent)
       B.m_fence = std::max(B.m_fence, R.m_fence);
