--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -167,6 +167,10 @@
   };
   using Key = RunKey;
 
+  /// Consecutive failed polls after which the worker counts as unhealthy.
+  static constexpr int FailedPollsToUnhealthy = 2;
+
+  // agent.cc
   void applyReply(const AgentReply &R, const OpenReport &Report, Millis Now);
   void raiseFence(std::uint64_t Fence, Millis Now);
   void handleStartOrder(const StartOrder &O, Millis SentAt, Millis Now);
@@ -174,26 +178,29 @@
   void removeAcknowledgedEnds(const std::vector<EndReport> &Acknowledged);
   void sendStart(Run &R, Millis Now);
   void sendStop(Run &R, Millis Now);
+  void sendReport(bool LongPoll, Millis Now);
+  /// Notes that a lease granted at \p Now may be in force.
+  void recordLease(Millis Now);
+  /// Returns the end of a new lease on the worker's clock.
+  Millis extendLease(Millis Now);
+
+  // agent_worker.cc
   void sendPoll(Millis WaitMs, Millis Now);
   void sendProbe();
   void settleCandidate(std::uint64_t Serial);
-  /// Whether the worker may have restarted since it last answered.
-  bool inDoubt() const {
-    return m_candidate && m_candidate->m_id == m_worker->m_id;
-  }
-  void sendReport(bool LongPoll, Millis Now);
-  void addEnd(const EndReport &E);
-  void endUnreportedRun(const Key &K, EndKind Kind, const std::string &Detail);
   void resetForNewIncarnation(Millis Now);
   void keepEndsAsDone();
   void recordLateStart(const Key &K, Millis Now);
-  void expireLease(Millis Now);
   void reconcile(const PollResult &A);
+  void addEnd(const EndReport &E);
+  void endUnreportedRun(const Key &K, EndKind Kind, const std::string &Detail);
+  void expireLease(Millis Now);
   void setClock(Millis Clock, Millis Now);
-  /// Notes that a lease granted at \p Now may be in force.
-  void recordLease(Millis Now);
-  /// Returns the end of a new lease on the worker's clock.
-  Millis extendLease(Millis Now);
+
+  /// Whether the worker may have restarted since it last answered.
+  bool inDoubt() const {
+    return m_candidate && m_candidate->m_id == m_worker->m_id;
+  }
   bool inContact(Millis Now) const {
     return m_contactAt >= 0 && Now - m_contactAt < m_timing.m_autonomyMs;
   }
--- a/src/batch/leader.h
+++ b/src/batch/leader.h
@@ -251,7 +251,7 @@
   std::set<std::string> m_unreadable; ///< Jobs with an unreadable record.
   std::vector<std::string> m_dropped; ///< Jobs to delete from the journal.
   std::map<std::string, JobPhase> m_flushedPhases; ///< Of the current batch.
-  bool m_journalStalled = false; ///< The current batch has been reported so.
+  bool m_journalStalled = false; ///< Was logged for the current batch.
   std::map<std::string, AgentView> m_agents;
   std::vector<detail::WaitingCaller> m_waitingCallers;
   bool m_ordersDue = true;
--- a/src/batch/messages.h
+++ b/src/batch/messages.h
@@ -163,7 +163,8 @@
 
 /// Returns the fence number of generation \p Generation in an epoch. A worker
 /// ignores calls with a lower number than the highest that it has seen, so a
-/// call with a new number makes all unanswered calls before it void.
+/// call with a new number makes all unanswered calls before it void. Beyond
+/// 2^20 generations the number stays, which costs that guarantee, but no calls.
 constexpr std::uint64_t fenceOf(std::uint64_t Epoch, std::uint64_t Generation) {
   constexpr int GenerationBits = 20;
   constexpr std::uint64_t MaxGeneration = (1ULL << GenerationBits) - 1;
