--- a/tests/platform/decode_test.cc
+++ b/tests/platform/decode_test.cc
@@ -239,10 +239,10 @@
 // because one row of its lists cannot be read.
 TEST(DecodePollAnswer, AnUnreadableRowDoesNotHideTheOthers) {
   for (const std::string &Row : unreadableRows()) {
-    const auto A = decodePollAnswer(
-        "i", R"({"clockMs":5,"born":9,"running":[["t",1,"s",5],)" + Row +
-                 R"(,["u",2,"s",6]],"ended":[[1,"v",1,"done",""],)" + Row +
-                 R"(,[3,"w",1,"done",""]]})");
+    std::string Body = R"({"clockMs":5,"born":9,"running":[["t",1,"s",5],)";
+    Body += Row + R"(,["u",2,"s",6]],"ended":[[1,"v",1,"done",""],)";
+    Body += Row + R"(,[3,"w",1,"done",""]]})";
+    const auto A = decodePollAnswer("i", Body);
     ASSERT_TRUE(A.m_answered) << Row.substr(0, 80);
     EXPECT_EQ(A.m_clock, 5);
     EXPECT_EQ(A.m_malformed.m_count, 2) << Row.substr(0, 80);
