Count the silence of agents only while the leader can listen

Callers saw tasks that ran twice (TWICE) on the large deployment, and fleets whose work was started again while it ran.

The agent sent one every 2 s, none was answered in time. The leader counted this as the silence of the agent, declared its runs lost after the length of a lease and placed them again; five of them had ended as done seconds before.

Change: AttentionClock measures the time in which the loop of the leader ran in time. The loss of runs and the check for isolation use it, so a late or paused leader waits for the reports that are in its queue. A late loop is logged (leaderLate) and counted (leader_late_ms).

The tests fail if a late step counts in full: ARunIsNotLostWhileReportsWaitForTheLeader, ARunIsNotLostAfterAPauseOfTheLeader, AgentsAreInContactWhileTheirReportsWait.

--- a/src/batch/leader.cc
+++ b/src/batch/leader.cc
@@ -16,6 +16,12 @@
 /// this one is for what changes with time only (quarantines, silent agents).
 constexpr Millis ScheduleEveryMs = 250;
 
+/// advance() is called every 100 ms. A call that comes later than this means
+/// that messages are waiting to be read.
+constexpr Millis MaxStepMs = 150;
+/// Delay of a call of advance() from which it is logged.
+constexpr Millis LateStepLogMs = 500;
+
 template <typename T> std::string pack(const T &Value) {
   return base::dumpJson(base::encodeCompact(Value));
 }
@@ -44,7 +50,7 @@
 Leader::Leader(const Timing &T, LeaderPorts &Ports, base::Counters &Counters,
                std::uint64_t Epoch, Millis Now, Millis WallNow)
     : m_timing(T), m_ports(Ports), m_counters(Counters), m_epoch(Epoch),
-      m_startedAt(Now), m_confirmedAt(Now),
+      m_startedAt(Now), m_confirmedAt(Now), m_attention(Now, MaxStepMs),
       m_journal(Epoch, [this](const JournalBatch &B) { m_ports.append(B); }) {
   m_ports.event("leadershipTaken", "",
                 fmt::format("epoch={} wall={}", Epoch, WallNow));
@@ -207,9 +213,11 @@
     A.m_sequence = R.m_sequence;
     const bool AcceptedWork = acceptsWork(A, Now);
     A.m_lastContactAt = Now;
+    A.m_contactAttention = m_attention.now();
     A.m_unhealthy = R.m_unhealthy;
     if (R.m_worker) {
       A.m_workerReportedAt = Now;
+      A.m_workerAttention = m_attention.now();
       const bool WasDraining = A.m_worker.m_draining;
       A.m_worker = *R.m_worker;
       adoptRuns(R);
@@ -267,6 +275,10 @@
 }
 
 void Leader::advance(Millis Now, Millis WallNow) {
+  const Millis LateMs = m_attention.step(Now);
+  m_counters.observe("leader_late_ms", LateMs);
+  if (LateMs >= LateStepLogMs)
+    m_ports.event("leaderLate", "", fmt::format("byMs={}", LateMs));
   addOccurrences(WallNow);
   loseUnreachableRuns(Now, WallNow);
   checkRuns(Now);
@@ -312,10 +324,11 @@
       fmt::format("agent={} fence={} reason={}", A.m_name, A.m_fence, Reason));
 }
 
-std::pair<std::size_t, std::size_t> Leader::agentsInContact(Millis Now) const {
+std::pair<std::size_t, std::size_t> Leader::agentsInContact() const {
+  const Millis Since = m_attention.now() - m_timing.m_silentMs;
   std::size_t InContact = 0;
   for (const auto &[Name, A] : m_agents)
-    InContact += Now - A.m_lastContactAt < m_timing.m_silentMs ? 1 : 0;
+    InContact += A.m_contactAttention > Since ? 1 : 0;
   return {InContact, m_agents.size()};
 }
 
--- a/src/batch/leader.h
+++ b/src/batch/leader.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/counters.h"
+#include "batch/attention_clock.h"
 #include "batch/config.h"
 #include "batch/job.h"
 #include "batch/journal.h"
@@ -89,6 +90,9 @@
   /// Last report that described the worker. Only an agent that knows its
   /// worker's runs carries out orders and renews leases.
   Millis m_workerReportedAt = 0;
+  /// The same moments on the leader's AttentionClock.
+  Millis m_contactAttention = 0;
+  Millis m_workerAttention = 0;
   std::vector<RunReport> m_runs;
   /// Reported ends, by task, run and number.
   std::map<std::tuple<std::string, int, std::int64_t>, ReportedEnd> m_ends;
@@ -156,8 +160,9 @@
   bool fenced() const { return m_journal.fenced(); }
   std::uint64_t epoch() const { return m_epoch; }
 
-  /// Number of agents with a recent contact, and of all known agents.
-  std::pair<std::size_t, std::size_t> agentsInContact(Millis Now) const;
+  /// Number of agents with a recent contact, and of all known agents. Time in
+  /// which the leader itself was late does not count.
+  std::pair<std::size_t, std::size_t> agentsInContact() const;
 
   /// Gives up leadership. Answers waiting callers with Verdict::Unknown and
   /// waiting agents with an empty reply.
@@ -242,6 +247,7 @@
   const std::uint64_t m_epoch;
   const Millis m_startedAt;
   Millis m_confirmedAt;
+  AttentionClock m_attention;
   JournalWriter m_journal;
   Guarantees m_guarantees;
   std::vector<std::string> m_entries;
--- a/src/batch/leader_runs.cc
+++ b/src/batch/leader_runs.cc
@@ -333,9 +333,11 @@
   // that one was not confirmed any more.
   const auto LeaseMs = static_cast<Millis>(
       static_cast<double>(m_timing.m_leaseMs) * ClockSlowness);
-  const Millis ReportedAt = Known ? It->second.m_workerReportedAt
-                                  : m_startedAt + m_timing.m_confirmMs;
-  return Now - ReportedAt > m_timing.m_autonomyMs + LeaseMs + LeaseMarginMs
+  // Reports that this process was too late to read are no silence of the agent.
+  const Millis ReportedAt =
+      Known ? It->second.m_workerAttention : m_timing.m_confirmMs;
+  return m_attention.now() - ReportedAt >
+                 m_timing.m_autonomyMs + LeaseMs + LeaseMarginMs
              ? "leaseExpired"
              : nullptr;
 }
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -302,7 +302,7 @@
 }
 
 void EntryNode::checkIsolation(Millis Now) {
-  const auto [InContact, Known] = m_leader->agentsInContact(Now);
+  const auto [InContact, Known] = m_leader->agentsInContact();
   m_counters.get("agents_heard") = static_cast<std::int64_t>(InContact);
   m_counters.get("agents_known") = static_cast<std::int64_t>(Known);
   const bool Isolated = Known >= IsolationMinAgents && InContact * 2 < Known &&
