Use the result of a run that counted as lost

Cause: the end as done of a run that had counted as lost was acknowledged and ignored, even if its task had not started again. The task then ran once more (TWICE).

Change: such an end is taken as the end of the task, or of the gang, as long as no start order of a later run was sent.

Tests that failed before: TheResultOfALostRunCountsUnlessTheTaskHasStartedAgain, TheResultOfALostGangCountsUnlessTheGangHasStartedAgain.

--- a/src/batch/leader.h
+++ b/src/batch/leader.h
@@ -200,6 +200,7 @@
   void loseRuns(const std::string &Agent, const std::string &Incarnation,
                 const char *Reason, Millis Now, Millis WallNow);
   const char *reasonForLoss(const Task &T, Millis Now) const;
+  bool isUnusedResult(const EndReport &E, const TaskName &Name) const;
   void loseUnreachableRuns(Millis Now, Millis WallNow);
   void resetTask(Task &T);
   void stopRun(Task &T, const TaskName &Name, StopReason Reason);
--- a/src/batch/leader_runs.cc
+++ b/src/batch/leader_runs.cc
@@ -158,6 +158,22 @@
   });
 }
 
+// True for the end as done of a run that counted as lost, if the task has not
+// started again since. The work is done and must not be repeated.
+bool Leader::isUnusedResult(const EndReport &E, const TaskName &Name) const {
+  const batch::Task *T = findTask(Name);
+  if (E.m_kind != EndKind::Done || T == nullptr ||
+      T->m_phase == TaskPhase::Done)
+    return false;
+  const JobState &J = m_jobs.at(Name.m_job);
+  const Step &Kind = J.m_spec.m_steps[static_cast<std::size_t>(Name.m_step)];
+  if (isEnded(J.m_progress.m_phase) || Kind.m_longRunning)
+    return false;
+  if (T->m_phase == TaskPhase::Waiting)
+    return T->m_run == E.m_run;
+  return !Kind.m_gang && T->m_startSentAt < 0 && T->m_run > E.m_run;
+}
+
 void Leader::handleEndReport(AgentView &A, const EndReport &E, Millis Now,
                              Millis WallNow) {
   const std::tuple Key(E.m_task, E.m_run, E.m_number);
@@ -165,7 +181,8 @@
     return;
   A.m_endingGangRuns.erase({E.m_task, E.m_run});
   const TaskName Name = parseTaskName(E.m_task).value_or(TaskName{});
-  const bool Current = isCurrent(A, E.m_task, E.m_run);
+  const bool Current =
+      isCurrent(A, E.m_task, E.m_run) || isUnusedResult(E, Name);
   // An end that changes nothing relies on earlier changes of its job, which may
   // not be stored yet.
   const std::uint64_t Batch =
--- a/tests/batch/leader_late_test.cc
+++ b/tests/batch/leader_late_test.cc
@@ -73,5 +73,44 @@
             std::pair(std::size_t(0), std::size_t(2)));
 }
 
+// Guards against work that is done twice: a run that counted as lost had ended
+// as done, its agent reported that before the task had started again, and the
+// task ran once more.
+TEST_F(LateLeaderTest, TheResultOfALostRunCountsUnlessTheTaskHasStartedAgain) {
+  startTaskOn("w", 500);
+  end("w", "a.0.0.0", EndKind::Done);
+  m_alive.clear();
+  pass(13000);
+  ASSERT_TRUE(logged("runLost"));
+  m_alive = {"w"};
+  pass(500);
+  EXPECT_EQ(m_starts["a.0.0.0"], 1);
+  EXPECT_EQ(phaseOf("a"), JobPhase::Done);
+  EXPECT_EQ(m_agents["w"].m_acknowledged.size(), 1u);
+}
+
+TEST_F(LateLeaderTest, TheResultOfALostGangCountsUnlessTheGangHasStartedAgain) {
+  startGang(500);
+  end("v", "a.0.0.0", EndKind::Done);
+  m_alive.clear();
+  pass(13000);
+  ASSERT_TRUE(logged("runLost"));
+  m_alive = {"v"};
+  pass(500);
+  EXPECT_EQ(phaseOf("a"), JobPhase::Done);
+}
+
+TEST_F(LateLeaderTest, TheResultOfALostRunIsIgnoredOnceTheTaskHasStartedAgain) {
+  startTaskOn("w", 500);
+  end("w", "a.0.0.0", EndKind::Done);
+  addAgent("v");
+  m_alive = {"v"};
+  pass(13000);
+  ASSERT_EQ(m_starts["a.0.0.0"], 2);
+  m_alive = {"v", "w"};
+  pass(500);
+  EXPECT_EQ(phaseOf("a"), JobPhase::Running);
+}
+
 } // namespace
 } // namespace pomelokeel::batch::tests
