Bound the leader's work for reports and scheduling

Two thirds of the processor time went into makeCandidateWorkers(), plan() and collectOrders(). JSON, messages and sockets hardly show.

Change: decisions are made in rounds, at most one every 10 ms, and scheduling passes at most every 25 ms; an idle leader still decides at once. Passes, scans and checks visit open jobs only. Names of reported runs are parsed once, workers are found by agent without copies of strings, units that avoid workers no longer copy the fleet, replies are built only when they are sent.

--- a/src/batch/leader.cc
+++ b/src/batch/leader.cc
@@ -112,6 +112,7 @@
     });
     stopBrokenGangs(J);
   }
+  m_openJobs = openJobs(m_jobs);
   m_ports.event(
       "journalLoaded", "",
       fmt::format("records={} jobs={}", Records.size(), m_jobs.size()));
@@ -229,7 +230,9 @@
                       fmt::format("agent={} remainingMs={}", A.m_name,
                                   A.m_worker.m_remainingMs));
     }
-    A.m_runs = R.m_runs;
+    A.m_runs.clear();
+    for (const RunReport &Run : R.m_runs)
+      A.m_runs.push_back({Run, parseTaskName(Run.m_task)});
     if (std::exchange(A.m_hasPendingOrders, false))
       m_ordersDue = true;
     updateRuns(A, Now);
@@ -268,6 +271,7 @@
       }
     }
     m_flushedPhases.clear();
+    answerWaitingCallers(Now);
   } else if (m_journal.withdrawable()) {
     withdrawSubmissions(true);
   }
@@ -282,6 +286,7 @@
   addOccurrences(WallNow);
   loseUnreachableRuns(Now, WallNow);
   checkRuns(Now);
+  removeClosedJobs();
   purge(WallNow);
   m_journal.advance(Now);
   handleStall(Now);
@@ -362,8 +367,30 @@
 }
 
 void Leader::processChanges(Millis Now) {
-  if (m_scheduleDue && confirmed(Now))
-    schedule(Now);
+  const Millis DueMs = m_roundAt + m_timing.m_roundPauseMs - Now;
+  if (DueMs > 0)
+    return requestRound(DueMs, Now);
+  runRound(Now);
+}
+
+void Leader::requestRound(Millis InMs, Millis Now) {
+  if (m_nextRoundAt && *m_nextRoundAt <= Now + InMs)
+    return;
+  m_nextRoundAt = Now + InMs;
+  m_ports.wakeAfter(InMs);
+}
+
+void Leader::runRound(Millis Now) {
+  m_nextRoundAt.reset();
+  m_roundAt = Now;
+  m_counters.get("leader_rounds")++;
+  if (m_scheduleDue && confirmed(Now)) {
+    const Millis DueMs = m_scheduledAt + m_timing.m_passPauseMs - Now;
+    if (DueMs > 0)
+      requestRound(std::max(DueMs, m_timing.m_roundPauseMs), Now);
+    else
+      schedule(Now);
+  }
   flush(Now);
   answerWaitingCallers(Now);
   answerAgents(Now);
@@ -395,6 +422,11 @@
     m_journal.write(std::move(Records), Now);
 }
 
+void Leader::removeClosedJobs() {
+  std::erase_if(m_openJobs,
+                [](const auto &Entry) { return !isOpen(*Entry.second); });
+}
+
 void Leader::purge(Millis WallNow) {
   for (auto It = m_jobs.begin(); It != m_jobs.end();) {
     const Job &J = It->second;
@@ -406,6 +438,7 @@
     }
     m_dropped.push_back(It->first);
     m_flushedPhases.erase(It->first);
+    m_openJobs.erase(It->first);
     It = m_jobs.erase(It);
   }
 }
--- a/src/batch/leader.h
+++ b/src/batch/leader.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <tuple>
@@ -35,6 +36,11 @@
   Millis m_silentMs = 2500;
   Millis m_retentionMs = 180000; ///< How long ended jobs are kept.
   Millis m_longPollMs = 1000;    ///< Longest time that a report is held.
+  /// Shortest time between two rounds of decisions. What arrives in between is
+  /// handled in the next round.
+  Millis m_roundPauseMs = 0;
+  /// Shortest time between two scheduling passes.
+  Millis m_passPauseMs = 0;
 };
 
 /// Services that the process provides to its leader.
@@ -43,6 +49,9 @@
   virtual ~LeaderPorts() = default;
   /// Appends to the journal; the outcome goes to Leader::appended().
   virtual void append(const JournalBatch &Batch) = 0;
+  /// Calls Leader::runRound() after \p Ms, which replaces the time of an
+  /// earlier call.
+  virtual void wakeAfter(Millis Ms) = 0;
   /// Writes one line to the event log.
   virtual void event(const std::string &Name, const std::string &Job,
                      const std::string &Detail) = 0;
@@ -70,6 +79,12 @@
   bool m_acknowledged = false; ///< An acknowledgement was sent.
 };
 
+/// A run that an agent has reported, with the parsed name of its task.
+struct KnownRun {
+  RunReport m_report;
+  std::optional<TaskName> m_name;
+};
+
 /// The last report of an agent, and what is still to be sent to it.
 struct AgentView {
   std::string m_name;
@@ -93,7 +108,7 @@
   /// The same moments on the leader's AttentionClock.
   Millis m_contactAttention = 0;
   Millis m_workerAttention = 0;
-  std::vector<RunReport> m_runs;
+  std::vector<KnownRun> m_runs;
   /// Reported ends, by task, run and number.
   std::map<std::tuple<std::string, int, std::int64_t>, ReportedEnd> m_ends;
   /// Runs of a done gang whose own end is not reported yet, by task and run:
@@ -156,6 +171,10 @@
   void appended(AppendOutcome Outcome, Millis Now);
   void advance(Millis Now, Millis WallNow);
 
+  /// Acts on all changes since the last round: schedules, writes the journal,
+  /// answers callers and agents.
+  void runRound(Millis Now);
+
   /// True once another leader writes the journal.
   bool fenced() const { return m_journal.fenced(); }
   std::uint64_t epoch() const { return m_epoch; }
@@ -218,15 +237,19 @@
   const Task *findTask(const TaskName &Name) const;
   Task *findTask(const TaskName &Name);
   bool acceptsWork(const AgentView &A, Millis Now) const;
-  bool isCurrent(const AgentView &A, const std::string &Task, int Run) const;
+  bool isCurrent(const AgentView &A, const std::optional<TaskName> &Name,
+                 int Run) const;
 
   // leader_orders.cc
   void answerAgents(Millis Now);
   void recordAcknowledgements(AgentView &A, const AgentReply &R, Millis Now);
-  std::map<std::string, AgentReply> collectOrders(Millis Now);
+  /// Orders for agents with held reports, by agent.
+  using Orders = std::map<std::string, AgentReply>;
+  Orders collectOrders(Millis Now);
   void addOrder(const Job &J, int K, int S, int I, Task &T, Millis Now,
-                std::map<std::string, AgentReply> &Out);
-  void addStopsOfUnwantedRuns(AgentView &A, AgentReply &Out) const;
+                Orders &Out);
+  void addStopsOfUnwantedRuns(const AgentView &A, Orders &Out) const;
+  void completeReply(const AgentView &A, Millis Now, AgentReply &Out) const;
 
   // leader_schedule.cc
   void schedule(Millis Now);
@@ -239,6 +262,8 @@
   /// present state of \p Job.
   std::uint64_t batchOfState(const std::string &Job) const;
   void processChanges(Millis Now);
+  void requestRound(Millis InMs, Millis Now);
+  void removeClosedJobs();
   void flush(Millis Now);
   void purge(Millis WallNow);
 
@@ -254,6 +279,7 @@
   std::vector<std::string> m_entries;
   std::uint64_t m_entriesVersion = 0;
   JobTable m_jobs;
+  OpenJobs m_openJobs;
   std::set<std::string> m_dirty;      ///< Jobs to write with the next batch.
   std::set<std::string> m_unreadable; ///< Jobs with an unreadable record.
   std::vector<std::string> m_dropped; ///< Jobs to delete from the journal.
@@ -265,6 +291,8 @@
   Millis m_ordersAt = 0;
   bool m_scheduleDue = true;
   Millis m_scheduledAt = 0;
+  Millis m_roundAt = 0;                ///< Time of the last round.
+  std::optional<Millis> m_nextRoundAt; ///< Requested from the process.
 };
 
 } // namespace pomelokeel::batch
--- a/src/batch/leader_callers.cc
+++ b/src/batch/leader_callers.cc
@@ -102,6 +102,7 @@
     if (J.m_spec.m_occurrenceCount == 0)
       J.m_progress.m_occurrences.push_back(makeOccurrence(J.m_spec));
     It = m_jobs.emplace(R.m_id, std::move(J)).first;
+    m_openJobs[R.m_id] = &It->second;
     markChanged(It->second);
     addOccurrences(WallNow);
     m_ports.event("jobSubmitted", R.m_id, describe(It->second.m_spec));
@@ -143,9 +144,9 @@
                           const CallerAnswer &Answer) const {
   CallerReply Out;
   Out.m_verdict = Verdict::Ok;
-  for (const auto &[Id, J] : m_jobs) {
-    if (J.m_progress.m_phase == JobPhase::Queued &&
-        J.m_spec.m_queue.m_name == R.m_queue.m_name)
+  for (const auto &[Id, J] : m_openJobs) {
+    if (J->m_progress.m_phase == JobPhase::Queued &&
+        J->m_spec.m_queue.m_name == R.m_queue.m_name)
       ++Out.m_pending;
   }
   Answer(std::move(Out));
@@ -210,6 +211,7 @@
   for (const std::string &Id : Withdrawn) {
     m_ports.event("jobRefused", Id, "reason=journalRefused");
     m_counters.get("jobs_refused{reason=\"journal\"}")++;
+    m_openJobs.erase(Id);
     m_jobs.erase(Id);
     m_dirty.erase(Id);
     m_flushedPhases.erase(Id);
--- a/src/batch/leader_runs.cc
+++ b/src/batch/leader_runs.cc
@@ -115,9 +115,8 @@
                             WallNow - J.m_spec.m_acceptedMs));
 }
 
-bool Leader::isCurrent(const AgentView &A, const std::string &Task,
+bool Leader::isCurrent(const AgentView &A, const std::optional<TaskName> &Name,
                        int Run) const {
-  const auto Name = parseTaskName(Task);
   const batch::Task *T = Name ? findTask(*Name) : nullptr;
   return T != nullptr && T->m_phase == TaskPhase::Placed && T->m_run == Run &&
          T->m_agent == A.m_name &&
@@ -125,12 +124,11 @@
 }
 
 void Leader::updateRuns(AgentView &A, Millis Now) {
-  for (const RunReport &R : A.m_runs) {
-    if (!isCurrent(A, R.m_task, R.m_run)) {
+  for (const auto &[R, Name] : A.m_runs) {
+    if (!isCurrent(A, Name, R.m_run)) {
       m_ordersDue = true;
       continue;
     }
-    const auto Name = parseTaskName(R.m_task);
     Task &T = *findTask(*Name);
     if (!T.m_reported || R.m_percent != T.m_percent)
       T.m_progressAt = Now;
@@ -180,9 +178,9 @@
   if (A.m_ends.contains(Key))
     return;
   A.m_endingGangRuns.erase({E.m_task, E.m_run});
-  const TaskName Name = parseTaskName(E.m_task).value_or(TaskName{});
-  const bool Current =
-      isCurrent(A, E.m_task, E.m_run) || isUnusedResult(E, Name);
+  const auto Parsed = parseTaskName(E.m_task);
+  const TaskName Name = Parsed.value_or(TaskName{});
+  const bool Current = isCurrent(A, Parsed, E.m_run) || isUnusedResult(E, Name);
   // An end that changes nothing relies on earlier changes of its job, which may
   // not be stored yet.
   const std::uint64_t Batch =
@@ -309,9 +307,9 @@
 void Leader::loseRuns(const std::string &Agent, const std::string &Incarnation,
                       const char *Reason, Millis Now, Millis WallNow) {
   std::vector<TaskName> Lost;
-  for (auto &[Id, J] : m_jobs) {
+  for (const auto &[Id, J] : m_openJobs) {
     const std::string &Job = Id;
-    forEachTask(J.m_progress, [&](int K, int S, int I, const Task &T) {
+    forEachTask(J->m_progress, [&](int K, int S, int I, const Task &T) {
       if (T.m_phase == TaskPhase::Placed && T.m_agent == Agent &&
           T.m_workerIncarnation == Incarnation)
         Lost.push_back({Job, K, S, I});
@@ -361,8 +359,8 @@
 
 void Leader::loseUnreachableRuns(Millis Now, Millis WallNow) {
   std::map<std::pair<std::string, std::string>, const char *> Reasons;
-  for (const auto &[Id, J] : m_jobs) {
-    forEachTask(J.m_progress, [&](int, int, int, const Task &T) {
+  for (const auto &[Id, J] : m_openJobs) {
+    forEachTask(J->m_progress, [&](int, int, int, const Task &T) {
       if (T.m_phase != TaskPhase::Placed)
         return;
       if (const char *Reason = reasonForLoss(T, Now))
@@ -374,7 +372,8 @@
 }
 
 void Leader::addOccurrences(Millis WallNow) {
-  for (auto &[Id, J] : m_jobs) {
+  for (const auto &Entry : m_openJobs) {
+    Job &J = *Entry.second;
     if (isEnded(J.m_progress.m_phase))
       continue;
     auto &Occurrences = J.m_progress.m_occurrences;
@@ -438,9 +437,9 @@
 }
 
 void Leader::checkRuns(Millis Now) {
-  for (auto &Entry : m_jobs) {
+  for (const auto &Entry : m_openJobs) {
     const std::string &Id = Entry.first;
-    Job &J = Entry.second;
+    Job &J = *Entry.second;
     std::set<std::pair<int, int>> BrokenGangs;
     forEachTask(J.m_progress, [&](int K, int S, int I, Task &T) {
       if (T.m_phase != TaskPhase::Placed || T.m_stop != StopReason::None)
--- a/src/batch/leader_schedule.cc
+++ b/src/batch/leader_schedule.cc
@@ -3,7 +3,8 @@
 #include <fmt/format.h>
 
 #include <algorithm>
-#include <map>
+#include <string_view>
+#include <unordered_map>
 #include <utility>
 
 namespace pomelokeel::batch {
@@ -17,7 +18,7 @@
 
 std::vector<CandidateWorker> Leader::makeCandidateWorkers(Millis Now) const {
   std::vector<CandidateWorker> Out;
-  std::map<std::string, std::size_t> ByAgent;
+  std::unordered_map<std::string_view, std::size_t> ByAgent;
   for (const auto &[Name, A] : m_agents) {
     if (A.m_worker.m_workerIncarnation.empty())
       continue;
@@ -36,9 +37,8 @@
       W.m_freeSoon = W.m_freeSoon - Reserved.first;
     }
     // Runs that are no task's current run still occupy the worker.
-    for (const RunReport &R : A.m_runs) {
-      const auto Task = parseTaskName(R.m_task);
-      if (!Task || isCurrent(A, R.m_task, R.m_run) ||
+    for (const auto &[R, Task] : A.m_runs) {
+      if (!Task || isCurrent(A, Task, R.m_run) ||
           A.m_endingGangRuns.contains({R.m_task, R.m_run}))
         continue;
       const auto J = m_jobs.find(Task->m_job);
@@ -51,8 +51,8 @@
     ByAgent[Name] = Out.size();
     Out.push_back(std::move(W));
   }
-  for (const auto &Entry : m_jobs) {
-    const Job &J = Entry.second;
+  for (const auto &Entry : m_openJobs) {
+    const Job &J = *Entry.second;
     forEachTask(J.m_progress, [&](int, int Step, int, const Task &T) {
       if (T.m_phase != TaskPhase::Placed)
         return;
@@ -119,8 +119,10 @@
 void Leader::schedule(Millis Now) {
   m_scheduleDue = false;
   m_scheduledAt = Now;
+  m_counters.get("scheduling_passes")++;
   const std::vector<CandidateWorker> Workers = makeCandidateWorkers(Now);
-  const Plan P = plan(m_jobs, Workers, m_guarantees, m_timing.m_reclaimMs, Now);
+  const Plan P =
+      plan(m_openJobs, Workers, m_guarantees, m_timing.m_reclaimMs, Now);
   for (const TaskName &Name : P.m_preempted)
     stopRun(*findTask(Name), Name, StopReason::Preempted);
   m_counters.get("preemptions") +=
--- a/src/batch/placement.cc
+++ b/src/batch/placement.cc
@@ -17,9 +17,13 @@
   return Label.empty() || contains(W.m_labels, Label);
 }
 
-bool mayRun(const Unit &U, const CandidateWorker &W) {
+/// Whether a unit may be placed on workers where it failed before.
+enum class Avoided { Allowed, Excluded };
+
+bool mayRun(const Unit &U, const CandidateWorker &W, Avoided A) {
   return W.m_usable && W.m_service == U.m_spec->m_queue.m_service &&
-         hasLabel(W, U.m_step->m_label);
+         hasLabel(W, U.m_step->m_label) &&
+         (A == Avoided::Allowed || !contains(U.m_avoid, W.m_agent));
 }
 
 // How many tasks fit into the free resources.
@@ -51,7 +55,7 @@
 
 // What does not depend on the free resources while a unit is being placed.
 struct FitContext {
-  FitContext(const Unit &U, const Fleet &F);
+  FitContext(const Unit &U, const Fleet &F, Avoided A = Avoided::Allowed);
 
   const Unit &m_unit;
   const Fleet &m_fleet;
@@ -111,12 +115,12 @@
   return Out.empty() ? std::vector<const Scope *>{&F.m_all} : Out;
 }
 
-FitContext::FitContext(const Unit &U, const Fleet &F)
+FitContext::FitContext(const Unit &U, const Fleet &F, Avoided A)
     : m_unit(U), m_fleet(F), m_each(allocationOf(*U.m_step)),
       m_needed(static_cast<std::int64_t>(U.m_indices.size())),
       m_mayRun(F.m_workers.size()) {
   for (std::size_t I = 0; I < F.m_workers.size(); ++I)
-    m_mayRun[I] = mayRun(U, F.m_workers[I]);
+    m_mayRun[I] = mayRun(U, F.m_workers[I], A);
   m_scopes = scopesOf(*this);
 }
 
@@ -140,6 +144,8 @@
   const std::size_t Needed = U.m_indices.size();
   if (total(Counts, Order) < static_cast<std::int64_t>(Needed))
     return std::nullopt;
+  // On a busy fleet most workers have no room.
+  std::erase_if(Order, [&](std::size_t I) { return Counts[I] == 0; });
   std::stable_sort(Order.begin(), Order.end(),
                    [&](std::size_t A, std::size_t B) {
                      return preferenceOf(U, Workers[A], When) <
@@ -223,24 +229,17 @@
       [&](const auto &Freed) { return X.m_mayRun[Freed.first]; });
 }
 
-Fleet withoutAgents(const Fleet &F, const std::vector<std::string> &Agents) {
-  Fleet Out = F;
-  for (CandidateWorker &W : Out.m_workers)
-    W.m_usable = W.m_usable && !contains(Agents, W.m_agent);
-  return Out;
+bool fitsWhenIdle(const FitContext &X) {
+  return std::any_of(X.m_scopes.begin(), X.m_scopes.end(), [&](const Scope *S) {
+    return tasksWhenIdle(X, *S) >= X.m_needed;
+  });
 }
 
-// The unit and the fleet without the agents where it failed. Returns nothing if
-// no other workers could hold the unit.
-std::optional<std::pair<Unit, Fleet>> withoutAvoidedAgents(const Unit &U,
-                                                           const Fleet &F) {
-  if (U.m_avoid.empty())
-    return std::nullopt;
-  std::pair Out(U, withoutAgents(F, U.m_avoid));
-  Out.first.m_avoid.clear();
-  if (!canEverFit(Out.first, Out.second))
-    return std::nullopt;
-  return Out;
+// Excludes the workers where the unit failed, unless no others could hold it.
+Avoided avoidanceOf(const Unit &U, const Fleet &F) {
+  return !U.m_avoid.empty() && fitsWhenIdle(FitContext(U, F, Avoided::Excluded))
+             ? Avoided::Excluded
+             : Avoided::Allowed;
 }
 
 } // namespace
@@ -263,9 +262,7 @@
 }
 
 std::optional<Assignment> place(const Unit &U, const Fleet &F, Horizon When) {
-  if (const auto Elsewhere = withoutAvoidedAgents(U, F))
-    return place(Elsewhere->first, Elsewhere->second, When);
-  const FitContext X(U, F);
+  const FitContext X(U, F, avoidanceOf(U, F));
   TaskCounts Counts(F.m_workers.size(), 0);
   for (std::size_t I = 0; I < Counts.size(); ++I)
     Counts[I] = tasksThatFit(X, I, freeResources(F.m_workers[I], When));
@@ -286,9 +283,7 @@
 
 std::optional<Assignment> placeEarliest(const Unit &U, const Fleet &F,
                                         const Releases &R) {
-  if (const auto Elsewhere = withoutAvoidedAgents(U, F))
-    return placeEarliest(Elsewhere->first, Elsewhere->second, R);
-  const FitContext X(U, F);
+  const FitContext X(U, F, avoidanceOf(U, F));
   std::optional<Assignment> Best;
   Millis BestMs = std::numeric_limits<Millis>::max();
   for (const Scope *S : X.m_scopes) {
@@ -333,13 +328,6 @@
   return Best;
 }
 
-bool canEverFit(const Unit &U, const Fleet &F) {
-  const FitContext X(U, F);
-  return std::any_of(X.m_scopes.begin(), X.m_scopes.end(), [&](const Scope *S) {
-    return tasksWhenIdle(X, *S) >= X.m_needed;
-  });
-}
-
 void allocate(const Unit &U, const Assignment &A, Horizon When, Fleet &F) {
   const Resources Each = allocationOf(*U.m_step);
   for (const std::size_t I : A) {
--- a/src/batch/placement.h
+++ b/src/batch/placement.h
@@ -32,7 +32,8 @@
   std::vector<int> m_indices;
   const JobSpec *m_spec = nullptr;
   const Step *m_step = nullptr;
-  /// Tasks of the same step and occurrence that each worker already runs.
+  /// Tasks of the same step and occurrence that each worker already runs. Empty
+  /// if the step has no limit per worker.
   std::vector<int> m_running;
   std::vector<std::string> m_avoid; ///< Agents where it failed before.
   bool m_anyRack = false; ///< May span racks even if it runs much slower.
@@ -79,9 +80,6 @@
 std::optional<Assignment> placeEarliest(const Unit &U, const Fleet &F,
                                         const Releases &R);
 
-/// True if the unit fits on \p F when all workers are idle.
-bool canEverFit(const Unit &U, const Fleet &F);
-
 /// Subtracts the resources of \p A from the free resources of its workers. With
 /// Horizon::Soon and Later they stay reserved until the runs that hold them
 /// have ended.
--- a/src/batch/schedule.cc
+++ b/src/batch/schedule.cc
@@ -4,7 +4,9 @@
 #include <compare>
 #include <optional>
 #include <set>
+#include <string_view>
 #include <tuple>
+#include <unordered_map>
 #include <utility>
 
 namespace pomelokeel::batch {
@@ -55,12 +57,12 @@
 }
 
 // Jobs of priority 0 that are within their account's guarantee, oldest first.
-std::set<std::string> guaranteedJobs(const JobTable &Jobs,
+std::set<std::string> guaranteedJobs(const OpenJobs &Jobs,
                                      const Guarantees &AccountGuarantees) {
   std::vector<const JobState *> Urgent;
   for (const auto &[Id, J] : Jobs) {
-    if (!isEnded(J.m_progress.m_phase) && J.m_spec.m_queue.m_priority == 0)
-      Urgent.push_back(&J);
+    if (!isEnded(J->m_progress.m_phase) && J->m_spec.m_queue.m_priority == 0)
+      Urgent.push_back(J);
   }
   std::sort(Urgent.begin(), Urgent.end(), [](const auto *A, const auto *B) {
     return std::tie(A->m_spec.m_acceptedMs, A->m_spec.m_id) <
@@ -109,13 +111,48 @@
                                      : UrgentClass + S.m_queue.m_priority;
 }
 
-// Index of each worker by its agent and incarnation.
-using WorkerIndex = std::map<std::pair<std::string, std::string>, std::size_t>;
+// Finds workers by their agent. The workers must outlive it.
+class WorkerIndex {
+public:
+  explicit WorkerIndex(const std::vector<CandidateWorker> &Workers)
+      : m_workers(Workers) {
+    for (std::size_t I = 0; I < Workers.size(); ++I)
+      m_byAgent[Workers[I].m_agent] = I;
+  }
+
+  /// The present worker of an agent.
+  std::optional<std::size_t> find(const std::string &Agent) const {
+    const auto It = m_byAgent.find(Agent);
+    return It == m_byAgent.end() ? std::nullopt : std::optional(It->second);
+  }
+
+  /// The worker of a placed task, unless it is an earlier incarnation.
+  std::optional<std::size_t> workerOf(const Task &T) const {
+    const auto At = find(T.m_agent);
+    return At && m_workers[*At].m_workerIncarnation == T.m_workerIncarnation
+               ? At
+               : std::nullopt;
+  }
+
+  std::size_t size() const { return m_workers.size(); }
 
-WorkerIndex indexOf(const std::vector<CandidateWorker> &Workers) {
-  WorkerIndex Out;
-  for (std::size_t I = 0; I < Workers.size(); ++I)
-    Out[{Workers[I].m_agent, Workers[I].m_workerIncarnation}] = I;
+private:
+  const std::vector<CandidateWorker> &m_workers;
+  std::unordered_map<std::string_view, std::size_t> m_byAgent;
+};
+
+// Tasks of a step that each worker runs.
+std::vector<int> runningByWorker(const std::vector<Task> &Tasks,
+                                 const WorkerIndex &Index) {
+  std::vector<int> Out(Index.size(), 0);
+  for (const Task &T : Tasks) {
+    if (T.m_phase != TaskPhase::Placed)
+      continue;
+    // A run of an earlier incarnation may still be started in the present one
+    // by a late order.
+    if (const auto At = Index.find(T.m_agent))
+      ++Out[*At];
+  }
   return Out;
 }
 
@@ -127,24 +164,17 @@
       const Step &Kind = J.m_spec.m_steps[S];
       const auto &Tasks = Occurrences[K][S];
       std::vector<int> Waiting;
-      Unit U;
-      U.m_running.assign(Index.size(), 0);
       for (std::size_t I = 0; I < Tasks.size(); ++I) {
-        if (Tasks[I].m_phase == TaskPhase::Waiting) {
+        if (Tasks[I].m_phase == TaskPhase::Waiting)
           Waiting.push_back(static_cast<int>(I));
-          U.m_avoid = Tasks[I].m_avoid;
-        }
-        if (Tasks[I].m_phase != TaskPhase::Placed)
-          continue;
-        // A run of an earlier incarnation may still be started in the present
-        // one by a late order.
-        const auto At = Index.lower_bound({Tasks[I].m_agent, ""});
-        if (At != Index.end() && At->first.first == Tasks[I].m_agent)
-          ++U.m_running[At->second];
       }
       if (Waiting.empty() || (Kind.m_gang && Waiting.size() < Tasks.size()) ||
           !isReady(J.m_spec, Occurrences[K], static_cast<int>(S)))
         continue;
+      Unit U;
+      U.m_avoid = Tasks[static_cast<std::size_t>(Waiting.back())].m_avoid;
+      if (Kind.m_perWorker > 0)
+        U.m_running = runningByWorker(Tasks, Index);
       U.m_name = {J.m_spec.m_id, static_cast<int>(K), static_cast<int>(S),
                   Waiting.front()};
       U.m_indices = std::move(Waiting);
@@ -186,13 +216,15 @@
       std::optional<Stoppable> Gang;
       for (std::size_t I = 0; I < Occurrences[K][S].size(); ++I) {
         const Task &T = Occurrences[K][S][I];
-        const auto At = Index.find({T.m_agent, T.m_workerIncarnation});
         if (T.m_phase != TaskPhase::Placed || T.m_stop != StopReason::None ||
-            At == Index.end() || endsSoon(T, Now))
+            endsSoon(T, Now))
+          continue;
+        const auto At = Index.workerOf(T);
+        if (!At)
           continue;
         Stoppable One;
         One.m_class = classOf(J.m_spec, Guaranteed);
-        One.m_victim.m_freed = {{At->second, allocationOf(Kind)}};
+        One.m_victim.m_freed = {{*At, allocationOf(Kind)}};
         One.m_victim.m_cost = costOf(Kind, T, Now);
         One.m_tasks = {{J.m_spec.m_id, static_cast<int>(K), static_cast<int>(S),
                         static_cast<int>(I)}};
@@ -270,11 +302,11 @@
 // One scheduling pass over all waiting units, most urgent first.
 class SchedulingPass {
 public:
-  SchedulingPass(const JobTable &Jobs, std::vector<CandidateWorker> Workers,
+  SchedulingPass(const OpenJobs &Jobs, std::vector<CandidateWorker> Workers,
                  const Guarantees &AccountGuarantees, Millis ReclaimMs,
                  Millis Now)
       : m_jobs(Jobs), m_fleet(makeFleet(std::move(Workers))),
-        m_index(indexOf(m_fleet.m_workers)),
+        m_index(m_fleet.m_workers),
         m_guaranteed(guaranteedJobs(Jobs, AccountGuarantees)),
         m_reclaimMs(ReclaimMs), m_now(Now) {
     double All = 0;
@@ -287,8 +319,8 @@
   Plan run() {
     std::vector<Candidate> Units;
     for (const auto &[Id, J] : m_jobs) {
-      if (!isEnded(J.m_progress.m_phase))
-        addUnits(J, m_guaranteed, m_index, Units);
+      if (!isEnded(J->m_progress.m_phase))
+        addUnits(*J, m_guaranteed, m_index, Units);
     }
     std::stable_sort(Units.begin(), Units.end(),
                      [](const Candidate &A, const Candidate &B) {
@@ -303,7 +335,8 @@
         const auto At = tryUnit(singleTaskUnit(C.m_unit, I), C.m_rank);
         if (!At)
           break;
-        ++C.m_unit.m_running[At->front()];
+        if (!C.m_unit.m_running.empty())
+          ++C.m_unit.m_running[At->front()];
       }
     }
     return std::move(m_plan);
@@ -349,7 +382,7 @@
 
   // True for a guaranteed rack-local gang whose reclaim bound is near.
   bool shouldSpanRacks(const Unit &U, const Rank &R) const {
-    const JobState &J = m_jobs.at(U.m_name.m_job);
+    const JobState &J = *m_jobs.at(U.m_name.m_job);
     return R.m_class == GuaranteedClass && !U.m_anyRack && U.m_step->m_gang &&
            U.m_step->m_rackLocal &&
            static_cast<double>(m_now - J.m_acceptedAt) >
@@ -388,8 +421,8 @@
     It->second.resize(m_fleet.m_workers.size());
     for (const auto &[Id, J] : m_jobs) {
       const bool Stoppable =
-          Stops && classOf(J.m_spec, m_guaranteed) > R.m_class;
-      addReleases(J, Stoppable, It->second);
+          Stops && classOf(J->m_spec, m_guaranteed) > R.m_class;
+      addReleases(*J, Stoppable, It->second);
     }
     for (auto &OfWorker : It->second)
       std::stable_sort(OfWorker.begin(), OfWorker.end(),
@@ -404,11 +437,11 @@
       if (T.m_phase != TaskPhase::Placed || T.m_stop != StopReason::None ||
           endsSoon(T, m_now))
         return;
-      const auto At = m_index.find({T.m_agent, T.m_workerIncarnation});
-      if (At == m_index.end())
+      const auto At = m_index.workerOf(T);
+      if (!At)
         return;
       const Step &Kind = J.m_spec.m_steps[static_cast<std::size_t>(S)];
-      Out[At->second].push_back(
+      Out[*At].push_back(
           {Stoppable ? 0 : expectedMs(Kind, T), allocationOf(Kind)});
     });
   }
@@ -424,7 +457,7 @@
     if (!m_stoppables) {
       m_stoppables.emplace();
       for (const auto &[Id, J] : m_jobs)
-        addStoppable(J, m_guaranteed, m_index, m_now, *m_stoppables);
+        addStoppable(*J, m_guaranteed, m_index, m_now, *m_stoppables);
       std::stable_sort(m_stoppables->begin(), m_stoppables->end(),
                        [](const Stoppable &A, const Stoppable &B) {
                          return A.m_victim.m_cost < B.m_victim.m_cost;
@@ -472,7 +505,7 @@
     return Out;
   }
 
-  const JobTable &m_jobs;
+  const OpenJobs &m_jobs;
   Fleet m_fleet;
   WorkerIndex m_index;
   std::set<std::string> m_guaranteed;
@@ -512,7 +545,26 @@
   return Left > 0 && Left <= EndsSoonMs;
 }
 
-Plan plan(const JobTable &Jobs, const std::vector<CandidateWorker> &Workers,
+bool isOpen(const JobState &J) {
+  bool Open = !isEnded(J.m_progress.m_phase);
+  if (Open)
+    return true;
+  forEachTask(J.m_progress, [&](int, int, int, const Task &T) {
+    Open = Open || T.m_phase == TaskPhase::Placed;
+  });
+  return Open;
+}
+
+OpenJobs openJobs(JobTable &Jobs) {
+  OpenJobs Out;
+  for (auto &[Id, J] : Jobs) {
+    if (isOpen(J))
+      Out.emplace(Id, &J);
+  }
+  return Out;
+}
+
+Plan plan(const OpenJobs &Jobs, const std::vector<CandidateWorker> &Workers,
           const Guarantees &AccountGuarantees, Millis ReclaimMs, Millis Now) {
   return SchedulingPass(Jobs, Workers, AccountGuarantees, ReclaimMs, Now).run();
 }
--- a/src/batch/schedule.h
+++ b/src/batch/schedule.h
@@ -25,6 +25,14 @@
 
 using JobTable = std::map<std::string, JobState>;
 
+/// The jobs of a table that planning has to consider, by id.
+using OpenJobs = std::map<std::string, JobState *>;
+
+/// True if the job has not ended, or one of its tasks is still placed.
+bool isOpen(const JobState &J);
+
+OpenJobs openJobs(JobTable &Jobs);
+
 /// Guaranteed accelerators by account.
 using Guarantees = std::map<std::string, std::int64_t>;
 
@@ -57,7 +65,7 @@
 /// A gang that does not fit even after preemption reserves the workers where
 /// it will fit soonest. A gang within its guarantee may span racks early enough
 /// to begin within \p ReclaimMs of its acceptance.
-Plan plan(const JobTable &Jobs, const std::vector<CandidateWorker> &Workers,
+Plan plan(const OpenJobs &Jobs, const std::vector<CandidateWorker> &Workers,
           const Guarantees &AccountGuarantees, Millis ReclaimMs, Millis Now);
 
 } // namespace pomelokeel::batch
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -68,6 +68,12 @@
 constexpr std::size_t IsolationMinAgents = 3;
 constexpr Millis IsolationCooldownMs = 10000;
 
+/// Pauses of the leader between rounds of decisions and between scheduling
+/// passes. On a busy fleet they bound what the leader spends on them, whatever
+/// the rate of messages; callers wait for hundreds of milliseconds anyway.
+constexpr Millis RoundPauseMs = 10;
+constexpr Millis PassPauseMs = 25;
+
 batch::Timing leaderTiming(const Bounds &B) {
   constexpr double MsPerSecond = 1000;
   /// Added to the time for which callers may query an ended job.
@@ -77,6 +83,8 @@
   T.m_stopGraceMs = B.m_stopGraceMs;
   T.m_gangTimeoutMs = B.m_gangTimeoutMs;
   T.m_reclaimMs = B.m_reclaimMs;
+  T.m_roundPauseMs = RoundPauseMs;
+  T.m_passPauseMs = PassPauseMs;
   T.m_retentionMs =
       static_cast<Millis>(B.m_statusS * MsPerSecond) + RetentionMarginMs;
   return T;
@@ -110,7 +118,7 @@
     : m_reactor(R), m_settings(S), m_store(SharedStore),
       m_readConfig(std::move(ReadConfig)), m_events(Events),
       m_counters(Counters), m_tick(R.timer()), m_loadTimer(R.timer()),
-      m_clients(R) {
+      m_roundTimer(R.timer()), m_clients(R) {
   ElectionSettings E;
   E.m_name = S.m_name;
   E.m_address = S.m_controlListen;
@@ -259,6 +267,13 @@
   });
 }
 
+void EntryNode::wakeAfter(Millis Ms) {
+  m_roundTimer->start(Ms, [this] {
+    if (m_leader)
+      m_leader->runRound(base::bootNow());
+  });
+}
+
 // If no other entry has claimed leadership, only a new epoch can write the
 // journal again. If one has, the record of the resignation is not stored.
 void EntryNode::leaveFencedJournal() {
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -53,6 +53,7 @@
 
 private:
   void append(const batch::JournalBatch &Batch) override;
+  void wakeAfter(Millis Ms) override;
   void event(const std::string &Name, const std::string &Job,
              const std::string &Detail) override;
 
@@ -90,6 +91,7 @@
   std::unique_ptr<Follower> m_operatorFollower;
   std::unique_ptr<http::Timer> m_tick;
   std::unique_ptr<http::Timer> m_loadTimer;
+  std::unique_ptr<http::Timer> m_roundTimer;
   std::shared_ptr<batch::Leader> m_leader;
   std::int64_t m_takeoverEpoch = 0; ///< Epoch of a takeover in progress, or 0.
   Clients m_clients;
--- a/tests/batch/leader_fixture.h
+++ b/tests/batch/leader_fixture.h
@@ -24,7 +24,7 @@
 
   /// Makes a leader from the stored records.
   base::Status load() {
-    m_leader = std::make_unique<Leader>(Timing{}, *this, m_counters, ++m_epoch,
+    m_leader = std::make_unique<Leader>(m_timing, *this, m_counters, ++m_epoch,
                                         m_now, wallNow());
     std::vector<KeyedRecord> Records;
     for (const auto &[Key, Value] : m_stored)
@@ -236,15 +236,18 @@
   }
 
   void append(const JournalBatch &B) override { m_appends.push_back(B); }
+  void wakeAfter(Millis Ms) override { m_wakeUps.push_back(m_now + Ms); }
   void event(const std::string &Name, const std::string &,
              const std::string &) override {
     m_events.push_back(Name);
   }
 
+  Timing m_timing;
   Millis m_now = 1000;
   std::uint64_t m_epoch = 0;
   std::optional<AppendOutcome> m_outcome = AppendOutcome::Done;
   std::vector<JournalBatch> m_appends;
+  std::vector<Millis> m_wakeUps; ///< Times at which a round was requested.
   std::map<std::string, std::string> m_stored;
   std::map<std::string, FakeAgent> m_agents;
   std::vector<std::string> m_alive; ///< Agents that send reports.
--- a/tests/batch/load_test.cc
+++ b/tests/batch/load_test.cc
@@ -65,7 +65,8 @@
     m_now += TickMs;
     for (auto &Entry : m_jobs)
       advance(Entry.second);
-    const Plan P = plan(m_jobs, workers(), m_guarantees, ReclaimMs, m_now);
+    const Plan P =
+        plan(openJobs(m_jobs), workers(), m_guarantees, ReclaimMs, m_now);
     for (const TaskName &Name : P.m_preempted) {
       Task &T = taskOf(Name);
       T.m_stop = StopReason::Preempted;
--- a/tests/batch/restart_simulation.h
+++ b/tests/batch/restart_simulation.h
@@ -23,7 +23,8 @@
 /// seed. What workers and callers see is checked against the promises to them.
 class RestartSimulation {
 public:
-  explicit RestartSimulation(std::uint64_t Seed);
+  /// The leaders pause for \p PauseMs between rounds and scheduling passes.
+  explicit RestartSimulation(std::uint64_t Seed, Millis PauseMs = 0);
   ~RestartSimulation();
 
   /// Plays the faults and then a calm period in which every job must end.
@@ -168,6 +169,7 @@
   void log(const std::string &JobId, const std::string &Text);
 
   const std::uint64_t m_seed;
+  const Millis m_pauseMs;
   std::mt19937_64 m_random;
   Millis m_now = 1000;
   bool m_calm = false;
--- a/tests/batch/restart_simulation_processes.cc
+++ b/tests/batch/restart_simulation_processes.cc
@@ -17,6 +17,7 @@
     : m_simulation(S), m_epoch(Epoch) {
   Timing T;
   T.m_gangTimeoutMs = GangTimeoutMs;
+  T.m_roundPauseMs = T.m_passPauseMs = S.m_pauseMs;
   m_leader = std::make_unique<Leader>(T, *this, S.m_counters, Epoch, S.m_now,
                                       S.wallNow());
 }
@@ -33,6 +34,15 @@
       });
 }
 
+void RestartSimulation::LeaderProcess::wakeAfter(Millis Ms) {
+  m_wakeAt = m_simulation.m_now + Ms;
+  m_simulation.after(
+      Ms, [this, At = m_wakeAt, Alive = std::weak_ptr<int>(m_alive)] {
+        if (!Alive.expired() && At == m_wakeAt)
+          m_leader->runRound(m_simulation.m_now);
+      });
+}
+
 void RestartSimulation::LeaderProcess::event(const std::string &Name,
                                              const std::string &Job,
                                              const std::string &Detail) {
--- a/tests/batch/restart_simulation_processes.h
+++ b/tests/batch/restart_simulation_processes.h
@@ -29,12 +29,14 @@
   LeaderProcess(RestartSimulation &S, std::uint64_t Epoch);
 
   void append(const JournalBatch &B) override;
+  void wakeAfter(Millis Ms) override;
   void event(const std::string &Name, const std::string &Job,
              const std::string &Detail) override;
 
   RestartSimulation &m_simulation;
   const std::uint64_t m_epoch;
   std::unique_ptr<Leader> m_leader;
+  Millis m_wakeAt = 0;
   std::shared_ptr<int> m_alive = std::make_shared<int>(0);
 };
 
--- a/tests/batch/restart_test.cc
+++ b/tests/batch/restart_test.cc
@@ -25,10 +25,11 @@
   return {First, *End == '-' ? std::strtoull(End + 1, nullptr, 10) : First};
 }
 
-int countViolations(const std::vector<std::uint64_t> &Seeds) {
+int countViolations(const std::vector<std::uint64_t> &Seeds,
+                    Millis PauseMs = 0) {
   int Failed = 0;
   for (const std::uint64_t Seed : Seeds) {
-    const std::string Violation = RestartSimulation(Seed).run();
+    const std::string Violation = RestartSimulation(Seed, PauseMs).run();
     if (Violation.empty())
       continue;
     if (Failed++ == 0)
@@ -49,6 +50,18 @@
       << "of seeds " << First << " to " << Last;
 }
 
+// Guards against promises that do not hold while changes wait for the next
+// round of decisions.
+TEST(RestartTest, PromisesOutliveRestartsOfLeadersThatPause) {
+  const auto [First, Last] = seedRange();
+  std::vector<std::uint64_t> Seeds;
+  for (std::uint64_t Seed = First; Seed <= Last; ++Seed)
+    Seeds.push_back(Seed);
+  constexpr Millis PauseMs = 25;
+  EXPECT_EQ(countViolations(Seeds, PauseMs), 0)
+      << "of seeds " << First << " to " << Last;
+}
+
 // What a seed plays changes with the code, and a list may come to guard
 // nothing. Its newer seeds were found with the code that they guard taken out.
 
--- a/tests/batch/schedule_test.cc
+++ b/tests/batch/schedule_test.cc
@@ -79,7 +79,7 @@
   }
 
   Plan planNow() {
-    return plan(m_jobs, m_workers, m_guarantees, ReclaimMs, Now);
+    return plan(openJobs(m_jobs), m_workers, m_guarantees, ReclaimMs, Now);
   }
 
   static std::set<std::string> started(const Plan &P) {
