Start a leader once in each epoch

Callers saw accepted jobs that nobody knew (LOST) and tasks that ran again after an end as done had been acknowledged (TWICE).

Cause: the record of a claim and the answer to it each elected the entry. The store takes up to five such batches for repeats, answers that they are stored and stores nothing.

Ruled out: a leader that is replaced and acts on (the store fences its epoch); a batch stored by the old leader and not read by the new one (the same process led, and journalLoaded has all batches before); an acknowledgement by an entry for a leader that is gone.

Change: the answer to a claim whose record was read is ignored, and an entry starts no leader in an epoch that it has led. AClaimWhoseRecordIsReadBeforeItsAnswerElectsOnce failed before.

--- a/src/node/election.cc
+++ b/src/node/election.cc
@@ -257,6 +257,10 @@
           return;
         if (A.m_outcome == AppendOutcome::Done && !m_leaving) {
           m_claiming = false;
+          // The record may have been read before this answer came. A second
+          // leader in the same epoch would reuse the numbers of its batches.
+          if (m_leader.m_epoch >= R.m_epoch)
+            return;
           setLeader(R);
           m_streamEnd = A.m_offset + 1;
           m_handlers.m_elected(R.m_epoch);
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -193,6 +193,11 @@
 }
 
 void EntryNode::handleElected(std::int64_t Epoch) {
+  // The store takes a batch for a repeated one if its epoch and number were
+  // used before, so no epoch is used twice.
+  if (Epoch <= m_electedEpoch)
+    return;
+  m_electedEpoch = Epoch;
   m_leader.reset();
   m_takeoverEpoch = Epoch;
   fence(Epoch);
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -94,6 +94,7 @@
   std::unique_ptr<http::Timer> m_roundTimer;
   std::shared_ptr<batch::Leader> m_leader;
   std::int64_t m_takeoverEpoch = 0; ///< Epoch of a takeover in progress, or 0.
+  std::int64_t m_electedEpoch = 0;  ///< Newest epoch that this entry has led.
   Clients m_clients;
   std::unique_ptr<Peers> m_peers;
   Millis m_peersQueriedAt = 0; ///< Time of the last query.
--- a/tests/node/election_test.cc
+++ b/tests/node/election_test.cc
@@ -128,6 +128,18 @@
   EXPECT_TRUE(until([&] { return !A.m_epochs.empty(); }));
 }
 
+// Guards against a leader that starts twice in one epoch: the answer to its
+// claim came after it had read the record of the claim. The second start
+// numbered its journal batches from 1 again. The store took them for repeated
+// ones and answered that they were stored, so accepted jobs and ends were lost.
+TEST_F(ElectionTest, AClaimWhoseRecordIsReadBeforeItsAnswerElectsOnce) {
+  Candidate A(*m_reactor, m_shared, "a");
+  A.m_store.m_claimAnswerMs = 200;
+  ASSERT_TRUE(until([&] { return !A.m_epochs.empty(); }));
+  EXPECT_FALSE(until([&] { return A.m_epochs.size() > 1; }, 500));
+  EXPECT_TRUE(A.m_election->leads());
+}
+
 TEST_F(ElectionTest, ALeaderThatLeavesIsReplacedWithoutWaiting) {
   Candidate A(*m_reactor, m_shared, "a");
   ASSERT_TRUE(until([&] { return A.m_election->leads(); }));
--- a/tests/node/fake_store.h
+++ b/tests/node/fake_store.h
@@ -32,6 +32,7 @@
   bool m_unreachable = false;       ///< All calls time out.
   bool m_dropsWriteAnswers = false; ///< Writes succeed but time out.
   bool m_dropsWakeUps = false;      ///< Long polls run to their timeout.
+  Millis m_claimAnswerMs = 1;       ///< Until a conditional append is answered.
   Millis m_timeoutMs = 100;
   int m_followCalls = 0;
 
@@ -69,7 +70,7 @@
       add(S, {R});
     if (m_dropsWriteAnswers)
       return after(m_timeoutMs, [Done] { Done({}); });
-    after(1, [Done, Out] { Done(Out); });
+    after(m_claimAnswerMs, [Done, Out] { Done(Out); });
   }
 
   void snapshot(Stream S, Done<Snapshot> Answer) override {
