Replace a leader only on evidence that it does not lead

Cause: all 55 entries joined the group, which lists members with a partition only (32). A leader without one was never listed and counted as gone after 2.5 s, for ever. A leader that heard few agents resigned after 3 s, and so did the next one, so that runs on machines that were gone were never counted as lost. A join confirmed the leader, although it does not show whether another entry has claimed.

Change: a few candidates join the group and the other entries stand by; before a claim the leader is asked whether it leads; a leader that hears few agents hands over only if more agents ask other entries for the leader, and stays otherwise; the leader is confirmed by reads of its own record.

Tests that failed before, or could not be written: ALeaderThatIsNeverListedStaysWhileItAnswers, ALeaderWhoseMembershipLapsedStaysWhileItAnswers, JoinsDoNotConfirmALeaderThatWasReplaced, ALeaderThatHearsFewAgentsStaysIfNoOtherHearsMore, EntriesStandByUntilTooFewCandidatesAreLeft.

Changed checks: the cooldown of a resignation is gone with the resignation of isolated leaders, so AResignationThatFailedIsRepeated became ALeaderFollowsAResignationThatFailed: somebody leads in a later epoch. Three tests wait until the entries know each other, since joins are spread out in time now.

--- a/src/node/agent_node.cc
+++ b/src/node/agent_node.cc
@@ -7,6 +7,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace pomelokeel::node {
@@ -36,7 +37,8 @@
                      WorkerLink &Worker, base::EventLog &Events,
                      base::Counters &Counters)
     : m_reactor(R), m_settings(S), m_worker(Worker), m_events(Events),
-      m_counters(Counters), m_tick(R.timer()) {
+      m_counters(Counters), m_tick(R.timer()),
+      m_nextEntry(std::hash<std::string>{}(S.m_name)) {
   m_timing.m_leaseMs = leaseOf(S.m_bounds);
   m_agent = std::make_unique<batch::Agent>(S.m_name, base::wallNow(), m_timing,
                                            *this, Counters);
@@ -47,7 +49,7 @@
     else
       event("recordIgnored", "", "key=" + Record.m_key);
   };
-  F.m_caughtUp = [](std::int64_t) {};
+  F.m_caughtUp = [](std::int64_t, Millis) {};
   F.m_reachabilityChanged = [this](bool Reachable) {
     event(Reachable ? "storeRegained" : "storeLost", "", "by=leaderStream");
   };
@@ -162,13 +164,15 @@
 }
 
 // While this process cannot reach the store, another entry may know the leader.
+// An entry that answers is asked again, so that it can count the agents that
+// would reach it if it led.
 void AgentNode::queryEntries() {
   if (m_queryClient || m_entryAddresses.empty())
     return;
   m_queryClient = http::AsyncClient::create(
-      m_reactor, m_entryAddresses[m_nextEntry++ % m_entryAddresses.size()]);
+      m_reactor, m_entryAddresses[m_nextEntry % m_entryAddresses.size()]);
   http::Request R;
-  R.m_target = LeaderPath;
+  R.m_target = leaderQuery(m_settings.m_name);
   m_queryClient->call(
       R, EntryQueryMs,
       [this,
@@ -177,8 +181,10 @@
           return;
         m_queryClient = nullptr;
         const auto *Got = std::get_if<http::Response>(&Result);
-        if (Got == nullptr || Got->m_status != 200)
+        if (Got == nullptr || Got->m_status != 200) {
+          ++m_nextEntry;
           return;
+        }
         if (const auto S = base::parse<EntryStatus>(Got->m_body))
           updateLeader(S->m_leader);
       });
--- a/src/node/control.h
+++ b/src/node/control.h
@@ -19,6 +19,12 @@
 constexpr const char *TakeoverPath = "/v1/batch/takeover";
 constexpr const char *LeaderPath = "/v1/batch/leader";
 
+/// Returns the target of an agent's request for the leader. It names the agent.
+std::string leaderQuery(const std::string &Agent);
+
+/// Returns the agent that a request for the leader names, or "".
+std::string agentOf(const std::string &Target);
+
 /// Answers a request for the latest events (`/v1/events`) or the counters
 /// (`/metrics`). Returns std::nullopt for other paths.
 std::optional<http::Response> answerDiagnostics(const std::string &Path,
--- a/src/node/election.cc
+++ b/src/node/election.cc
@@ -6,6 +6,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <functional>
 #include <utility>
 
 namespace pomelokeel::node {
@@ -16,11 +17,26 @@
 /// takes effect.
 constexpr Millis ClaimDelayPerRoundTripMs = 25;
 constexpr Millis MaxClaimDelayMs = 800;
-/// Time until a new leader that was never listed as a member counts as gone.
-/// The store lists only members that own a partition of the group, and the
-/// partitions of crashed entries become free only when their memberships
-/// expire.
+/// Time until a new leader that was never listed as a member counts as gone
+/// unless it answers. The store lists only members that own a partition of the
+/// group, and the partitions of crashed entries become free only when their
+/// memberships expire. The same time passes between questions to a leader that
+/// answers without being listed.
 constexpr Millis UnlistedLeaderTimeoutMs = 2500;
+
+/// An entry that starts joins a group with fewer members than this; later it
+/// joins a group with fewer than MinCandidates. More members cost calls without
+/// making a leader more certain, and the group lists no more members than it
+/// has partitions.
+constexpr std::size_t MaxCandidates = 8;
+constexpr std::size_t MinCandidates = 3;
+/// Interval between reads of the group by an entry that has not joined it.
+constexpr Millis CheckGroupMs = 1500;
+/// A candidate that is not listed for this long leaves the group: it has more
+/// members than partitions.
+constexpr Millis MaxUnlistedMs = 4000;
+/// Long-poll timeout of the reads that confirm the leader.
+constexpr Millis ConfirmWaitMs = 400;
 /// Minimum interval between the reads that refresh() starts.
 constexpr Millis MinRefreshIntervalMs = 500;
 /// Delay between a claim that failed or has an unknown outcome and the next
@@ -64,15 +80,17 @@
 Election::Election(http::Reactor &R, Store &S, ElectionSettings Settings,
                    Handlers H)
     : m_store(S), m_settings(std::move(Settings)), m_handlers(std::move(H)),
-      m_joinTimer(R.timer()), m_claimTimer(R.timer()),
-      m_resignTimer(R.timer()) {
+      m_joinTimer(R.timer()), m_claimTimer(R.timer()), m_resignTimer(R.timer()),
+      m_wantedMembers(MaxCandidates) {
   Follower::Handlers F;
   F.m_record = [this](const KeyedRecord &Record) {
     handleLeaderRecord(Record);
   };
-  F.m_caughtUp = [this](std::int64_t End) {
+  F.m_caughtUp = [this](std::int64_t End, Millis SentAt) {
     m_streamEnd = End;
     m_leaderKnown = true;
+    if (leads())
+      m_handlers.m_leadershipConfirmed(SentAt);
     scheduleClaim();
   };
   F.m_reachabilityChanged = [this](bool Reachable) {
@@ -81,7 +99,7 @@
   };
   m_follower =
       std::make_unique<Follower>(R, S, Stream::Leaders, FollowWaitMs, F);
-  join();
+  checkGroup(false);
 }
 
 Election::~Election() = default;
@@ -106,17 +124,62 @@
     m_handlers.m_leaderChanged(m_leader);
 }
 
+void Election::recordRoundTrip(Millis SentAt) {
+  const Millis TookMs = base::bootNow() - SentAt;
+  m_minRoundTripMs =
+      m_minRoundTripMs == 0 ? TookMs : std::min(m_minRoundTripMs, TookMs);
+}
+
+// Reads the group and joins it if it has too few members. Joins are spread out
+// in time, those near the store first, so that later ones see earlier ones.
+void Election::checkGroup(bool Delayed) {
+  if (m_leaving || m_candidate)
+    return;
+  m_store.members([this, Delayed, SentAt = base::bootNow(),
+                   Alive = std::weak_ptr<int>(m_alive)](
+                      const base::Result<std::vector<std::string>> &R) {
+    if (Alive.expired() || m_leaving || m_candidate)
+      return;
+    if (!R) {
+      ++m_joinFailures;
+      m_joinTimer->start(m_settings.m_joinMs,
+                         [this, Delayed] { checkGroup(Delayed); });
+      return;
+    }
+    m_joinFailures = 0;
+    recordRoundTrip(SentAt);
+    setMembers(*R, m_generation);
+    // Names of other writers are no candidates.
+    if (addresses().size() >= m_wantedMembers) {
+      m_wantedMembers = MinCandidates;
+      m_joinTimer->start(CheckGroupMs, [this] { checkGroup(false); });
+      return;
+    }
+    if (Delayed)
+      return join();
+    const auto Spread =
+        static_cast<Millis>(std::hash<std::string>{}(m_settings.m_member) %
+                            static_cast<std::size_t>(m_settings.m_joinMs));
+    m_joinTimer->start(
+        std::min(m_minRoundTripMs * ClaimDelayPerRoundTripMs, MaxClaimDelayMs) +
+            Spread + m_settings.m_joinDelayMs,
+        [this] { checkGroup(true); });
+  });
+}
+
 void Election::join() {
   if (m_leaving)
     return;
+  m_candidate = true;
   const Millis SentAt = base::bootNow();
   m_store.join(m_settings.m_member, m_settings.m_ttlMs, m_generation,
                [this, SentAt, Alive = std::weak_ptr<int>(m_alive)](
                    const base::Result<Membership> &M) {
-                 if (Alive.expired() || m_leaving)
+                 if (Alive.expired() || m_leaving || !m_candidate)
                    return;
                  handleJoinResult(M, SentAt);
-                 m_joinTimer->start(m_settings.m_joinMs, [this] { join(); });
+                 if (m_candidate)
+                   m_joinTimer->start(m_settings.m_joinMs, [this] { join(); });
                });
 }
 
@@ -127,19 +190,35 @@
     return;
   }
   m_joinFailures = 0;
-  const Millis RoundTripMs = base::bootNow() - SentAt;
-  m_minRoundTripMs = m_minRoundTripMs == 0
-                         ? RoundTripMs
-                         : std::min(m_minRoundTripMs, RoundTripMs);
+  recordRoundTrip(SentAt);
   m_generation = M->m_generation;
   if (m_membersGeneration != m_generation ||
       (m_leaderAbsentSince >= 0 && !m_leaderWasMember))
     return readMembers();
-  if (leads())
-    m_handlers.m_leadershipConfirmed(SentAt);
+  leaveIfUnlisted();
   scheduleClaim();
 }
 
+// Leaving the group lets it converge to as many members as it can list.
+void Election::leaveIfUnlisted() {
+  if (leads() || m_claiming || m_members.contains(m_settings.m_member)) {
+    m_unlistedSince = -1;
+    return;
+  }
+  const Millis Now = base::bootNow();
+  if (m_unlistedSince < 0)
+    m_unlistedSince = Now;
+  if (Now - m_unlistedSince < MaxUnlistedMs ||
+      addresses().size() < MinCandidates)
+    return;
+  m_unlistedSince = -1;
+  m_candidate = false;
+  m_handlers.m_event("candidacyEnded", fmt::format("reason=unlisted members={}",
+                                                   m_members.size()));
+  m_store.leave(m_settings.m_member, [] {});
+  m_joinTimer->start(CheckGroupMs, [this] { checkGroup(false); });
+}
+
 void Election::readMembers() {
   m_store.members(
       [this, Generation = m_generation, Alive = std::weak_ptr<int>(m_alive)](
@@ -147,26 +226,36 @@
         if (Alive.expired() || !R)
           return;
         const bool Changed = m_membersGeneration != Generation;
-        m_members = {R->begin(), R->end()};
-        m_membersGeneration = Generation;
+        setMembers(*R, Generation);
         updateLeaderPresence();
-        if (!Changed)
-          return scheduleClaim();
-        m_handlers.m_event("membersChanged",
-                           fmt::format("generation={} members={} addresses={}",
-                                       Generation, m_members.size(),
-                                       addresses().size()));
-        m_handlers.m_membersChanged();
         // Another process may have claimed leadership while this one was not a
         // member. Only a new read of the leader's record can show that.
-        if (leads())
+        if (Changed && leads())
           m_follower->restart();
         scheduleClaim();
       });
 }
 
+void Election::setMembers(const std::vector<std::string> &Members,
+                          std::int64_t Generation) {
+  m_membersGeneration = Generation;
+  std::set<std::string> Now(Members.begin(), Members.end());
+  if (Now == m_members)
+    return;
+  m_members = std::move(Now);
+  m_handlers.m_event("membersChanged",
+                     fmt::format("generation={} members={} addresses={}",
+                                 Generation, m_members.size(),
+                                 addresses().size()));
+  m_handlers.m_membersChanged();
+}
+
 void Election::setLeader(const LeaderRecord &R) {
   m_leader = R;
+  m_follower->setWait(leads() ? ConfirmWaitMs : FollowWaitMs);
+  // The leader's earlier process cannot be replaced sooner than by itself.
+  if (!m_candidate && m_leader.m_name == m_settings.m_name)
+    join();
   m_leaderWasMember = false;
   m_leaderAbsentSince = -1;
   updateLeaderPresence();
@@ -204,10 +293,14 @@
   if (leads() || Epoch != m_leader.m_epoch || !storeReachable())
     return;
   m_yieldingEpoch = Epoch;
+  if (!m_candidate)
+    join();
   scheduleClaim();
 }
 
 bool Election::mayClaim() const {
+  if (!m_candidate)
+    return false;
   if (m_leader.m_member.empty() || m_yieldingEpoch == m_leader.m_epoch)
     return true;
   if (m_leader.m_name == m_settings.m_name)
@@ -222,9 +315,6 @@
   if (!m_leaderKnown || m_membersGeneration < 0 || m_claiming || m_leaving ||
       !mayClaim())
     return;
-  const Millis Now = base::bootNow();
-  if (Now < m_claimNotBefore && m_members.size() > 1)
-    return;
   m_claiming = true;
   const bool OnRequest = m_yieldingEpoch == m_leader.m_epoch;
   const Millis Delay =
@@ -232,7 +322,40 @@
                 : std::min(m_minRoundTripMs * ClaimDelayPerRoundTripMs,
                            MaxClaimDelayMs) +
                       m_settings.m_claimDelayMs;
-  m_claimTimer->start(Delay, [this] { claim(); });
+  m_claimDelayed = true;
+  m_claimTimer->start(Delay, [this] {
+    m_claimDelayed = false;
+    continueClaim();
+  });
+  if (!OnRequest && !m_leader.m_member.empty() &&
+      m_leader.m_name != m_settings.m_name && m_handlers.m_askLeader)
+    askLeader();
+}
+
+// A leader that is not listed as a member may lead all the same. It is asked
+// while the claim is delayed.
+void Election::askLeader() {
+  m_claimAsking = true;
+  m_handlers.m_askLeader(
+      m_leader, [this, Epoch = m_leader.m_epoch,
+                 Alive = std::weak_ptr<int>(m_alive)](bool Leads) {
+        if (Alive.expired())
+          return;
+        m_claimAsking = false;
+        if (!Leads || Epoch != m_leader.m_epoch)
+          return continueClaim();
+        m_handlers.m_event("claimWithheld",
+                           fmt::format("epoch={} reason=leaderAnswers", Epoch));
+        m_leaderWasMember = false;
+        m_leaderAbsentSince = base::bootNow();
+        m_claimTimer->cancel();
+        m_claimDelayed = m_claiming = false;
+      });
+}
+
+void Election::continueClaim() {
+  if (m_claiming && !m_claimDelayed && !m_claimAsking)
+    claim();
 }
 
 void Election::claim() {
@@ -245,6 +368,7 @@
   R.m_name = m_settings.m_name;
   R.m_address = m_settings.m_address;
   R.m_epoch = m_streamEnd + 1;
+  m_claimSentAt = base::bootNow();
   m_handlers.m_event(
       "leadershipClaimed",
       fmt::format("epoch={} before={}", R.m_epoch, m_leader.m_member));
@@ -263,8 +387,10 @@
             return;
           setLeader(R);
           m_streamEnd = A.m_offset + 1;
+          m_handlers.m_leadershipConfirmed(m_claimSentAt);
           m_handlers.m_elected(R.m_epoch);
-          return;
+          // The read in progress waits too long to confirm the leadership.
+          return m_follower->restart();
         }
         m_handlers.m_event("claimFailed",
                            fmt::format("epoch={} outcome={} moved={}",
@@ -277,10 +403,9 @@
       });
 }
 
-void Election::resign(Millis CooldownMs) {
+void Election::resign() {
   if (!leads())
     return;
-  m_claimNotBefore = base::bootNow() + CooldownMs;
   LeaderRecord R;
   R.m_epoch = m_streamEnd + 1;
   m_handlers.m_event("leadershipResigned",
@@ -313,7 +438,7 @@
 }
 
 void Election::leave(std::function<void()> Done) {
-  resign(0);
+  resign();
   m_leaving = true;
   m_store.leave(m_settings.m_member, std::move(Done));
 }
--- a/src/node/election.h
+++ b/src/node/election.h
@@ -49,14 +49,19 @@
   std::string m_member;      ///< Made by memberOf().
   std::string m_address;     ///< `host:port` for other processes.
   Millis m_joinMs = 400;     ///< Interval between joins.
+  Millis m_joinDelayMs = 0;  ///< Added before the first join.
   Millis m_claimDelayMs = 0; ///< Added before unsolicited claims.
   Millis m_ttlMs = 1600;     ///< Membership ends after this without a join.
 };
 
-/// Leader election among the entries. All entries join a group in the store. An
-/// entry claims the next epoch by a conditional append to Stream::Leaders when
-/// the leader is no longer a member, has resigned, has asked to be replaced, or
-/// is an earlier incarnation of the same entry.
+/// Leader election among the entries. A few of them, the candidates, join a
+/// group in the store; the others join when too few are left. A candidate
+/// claims the next epoch by a conditional append to Stream::Leaders when the
+/// leader has resigned, has asked to be replaced, is an earlier incarnation of
+/// the same entry, or is no longer a member and does not answer that it leads.
+///
+/// The leader is confirmed by reads of its own record, which show that there is
+/// no later one.
 class Election {
 public:
   struct Handlers {
@@ -66,7 +71,11 @@
     std::function<void(const LeaderRecord &)> m_leaderChanged;
     /// This process still led at the given time, as confirmed by the store.
     std::function<void(Millis)> m_leadershipConfirmed;
-    /// Entries have joined or left the group.
+    /// Asks the given leader whether it leads and the store has confirmed that
+    /// lately. Calls the function once; false also if there is no answer.
+    std::function<void(const LeaderRecord &, std::function<void(bool)>)>
+        m_askLeader;
+    /// Candidates have joined or left the group.
     std::function<void()> m_membersChanged;
     std::function<void(const std::string &Name, const std::string &Detail)>
         m_event;
@@ -86,7 +95,10 @@
   /// left out.
   std::vector<std::string> addresses() const;
 
-  /// True unless the last join failed.
+  /// True if this entry has joined the group.
+  bool isCandidate() const { return m_candidate; }
+
+  /// True unless the last join, or the last read of the group, failed.
   bool storeReachable() const { return m_joinFailures == 0; }
 
   /// Reads the leader's record again. Called when the known leader does not
@@ -100,24 +112,30 @@
   /// if that leader is no longer the current one.
   void claimOnRequest(std::int64_t Epoch);
 
-  /// Gives up leadership. While there are other members, does not claim it
-  /// again for \p CooldownMs.
-  void resign(Millis CooldownMs);
+  /// Gives up leadership.
+  void resign();
 
   /// Resigns and leaves the group. Calls \p Done when the store has answered or
   /// the call has failed.
   void leave(std::function<void()> Done);
 
 private:
+  void checkGroup(bool Delayed);
+  void leaveIfUnlisted();
+  void recordRoundTrip(Millis SentAt);
   void join();
   void handleJoinResult(const base::Result<Membership> &M, Millis SentAt);
   void readMembers();
   void handleLeaderRecord(const KeyedRecord &R);
   void scheduleClaim();
+  void askLeader();
+  void continueClaim();
   void claim();
   void storeResignation(const LeaderRecord &R);
   void setLeader(const LeaderRecord &R);
   void updateLeaderPresence();
+  void setMembers(const std::vector<std::string> &Members,
+                  std::int64_t Generation);
   bool mayClaim() const;
 
   Store &m_store;
@@ -137,10 +155,18 @@
   Millis m_leaderAbsentSince = -1;   ///< Time it was first missing, or -1.
   std::int64_t m_yieldingEpoch = -1; ///< Its leader asked to be replaced.
   int m_joinFailures = 0;            ///< Since the last successful join.
+  bool m_candidate = false;
+  /// Joins only if the group has fewer members than this.
+  std::size_t m_wantedMembers;
+  /// Since when this candidate is missing in the list of members, or -1.
+  Millis m_unlistedSince = -1;
   bool m_claiming = false;
+  /// What a claim waits for: its delay, and the leader's answer.
+  bool m_claimDelayed = false;
+  bool m_claimAsking = false;
+  Millis m_claimSentAt = 0;
   bool m_leaving = false;
   Millis m_refreshedAt = 0;
-  Millis m_claimNotBefore = 0;
   Millis m_minRoundTripMs = 0; ///< Shortest duration of a join.
   /// Callbacks hold it weakly and do nothing after this object is destroyed.
   std::shared_ptr<int> m_alive = std::make_shared<int>();
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -62,11 +62,21 @@
 /// Delay before a failed step of a takeover is retried.
 constexpr Millis TakeoverRetryMs = 200;
 
-/// A leader resigns after less than half of its agents have been in contact for
-/// this long. It is probably cut off from them while another entry is not.
+/// A leader with less than half of its agents in contact for this long asks
+/// other entries whether they hear more of them. If most machines are gone,
+/// none does, and another leader would do no better.
 constexpr Millis IsolationMs = 3000;
 constexpr std::size_t IsolationMinAgents = 3;
-constexpr Millis IsolationCooldownMs = 10000;
+
+/// Agents that have asked for the leader count for this long. They ask about
+/// every two seconds, as often as their reports time out.
+constexpr Millis AskingMs = 4000;
+/// Limit for the agents that are remembered, far above any fleet.
+constexpr std::size_t MaxAgentsAsking = 10000;
+
+/// Timeout of the question whether the leader leads, asked before a claim. A
+/// claim is delayed by about as much.
+constexpr Millis AskLeaderMs = 300;
 
 /// Pauses of the leader between rounds of decisions and between scheduling
 /// passes. On a busy fleet they bound what the leader spends on them, whatever
@@ -123,6 +133,7 @@
   E.m_name = S.m_name;
   E.m_address = S.m_controlListen;
   E.m_claimDelayMs = claimDelayOf(S.m_cores);
+  E.m_joinDelayMs = E.m_claimDelayMs / 2;
   E.m_joinMs = JoinIntervalMs;
   E.m_ttlMs = MembershipTtlMs;
   E.m_member = memberOf(S.m_name, base::randomId().substr(0, 8), E.m_address);
@@ -132,9 +143,19 @@
     stepDown("anotherLeads");
   };
   H.m_leadershipConfirmed = [this](Millis At) {
+    m_confirmedAt = At;
     if (m_leader)
       m_leader->confirm(At);
   };
+  H.m_askLeader = [this](const LeaderRecord &L,
+                         std::function<void(bool)> Done) {
+    m_peers->queryStatus(
+        L.m_address, AskLeaderMs,
+        [Epoch = L.m_epoch,
+         Done = std::move(Done)](const std::optional<EntryStatus> &S) {
+          Done(S && S->m_leads && S->m_leader.m_epoch == Epoch);
+        });
+  };
   m_peers = std::make_unique<Peers>(
       m_clients, E.m_address,
       [this](const std::string &Address, const EntryStatus &Status) {
@@ -142,6 +163,8 @@
       });
   H.m_membersChanged = [this] {
     m_peers->setAddresses(m_election->addresses());
+    m_counters.get("candidates") =
+        static_cast<std::int64_t>(m_election->addresses().size());
     if (m_leader)
       m_leader->setEntries(m_election->addresses());
   };
@@ -153,7 +176,7 @@
   F.m_record = [this](const KeyedRecord &Record) {
     applyOperatorRecord(Record);
   };
-  F.m_caughtUp = [](std::int64_t) {};
+  F.m_caughtUp = [](std::int64_t, Millis) {};
   F.m_reachabilityChanged = [this](bool Reachable) {
     event(Reachable ? "storeRegained" : "storeLost", "", "by=operatorStream");
   };
@@ -240,6 +263,8 @@
   m_leader = std::make_shared<batch::Leader>(
       leaderTiming(m_settings.m_bounds), *this, m_counters,
       static_cast<std::uint64_t>(Epoch), Now, base::wallNow());
+  // Loading the journal may have taken longer than the confirmation lasts.
+  m_leader->confirm(m_confirmedAt);
   if (auto Loaded = m_leader->load(S.m_records); !Loaded)
     event("recordIgnored", "", Loaded.error().m_message);
   m_leader->setEntries(m_election->addresses());
@@ -282,7 +307,7 @@
 // If no other entry has claimed leadership, only a new epoch can write the
 // journal again. If one has, the record of the resignation is not stored.
 void EntryNode::leaveFencedJournal() {
-  m_election->resign(0);
+  m_election->resign();
   stepDown("fenced");
 }
 
@@ -297,7 +322,9 @@
 }
 
 void EntryNode::queryPeers(Millis Now) {
-  if (m_election->storeReachable() ||
+  const bool Isolated =
+      m_isolatedSince >= 0 && Now - m_isolatedSince >= IsolationMs;
+  if ((m_election->storeReachable() && !Isolated) ||
       Now - m_peersQueriedAt < PeerQueryIntervalMs)
     return;
   m_peersQueriedAt = Now;
@@ -312,6 +339,7 @@
   if (!m_config || S.m_configVersion > m_config->m_version)
     m_peers->fetchConfig(
         Address, [this](const KeyedRecord &R) { applyOperatorRecord(R); });
+  handOverIfIsolated(Address, S);
   const LeaderRecord &Known = m_election->leader();
   if (m_election->storeReachable() || !m_election->leads() ||
       !S.m_storeReachable || S.m_leader.m_epoch != Known.m_epoch)
@@ -329,17 +357,50 @@
                         m_election->members() > 1;
   if (!Isolated) {
     m_isolatedSince = -1;
+    m_agentsAtPeers.clear();
+  } else if (m_isolatedSince < 0) {
+    m_isolatedSince = Now;
+  }
+}
+
+// Hands over only if the agents that ask other entries for the leader are more
+// than this leader hears. Each agent asks one entry.
+void EntryNode::handOverIfIsolated(const std::string &Address,
+                                   const EntryStatus &S) {
+  if (!m_leader || m_isolatedSince < 0 ||
+      base::bootNow() - m_isolatedSince < IsolationMs)
     return;
+  m_agentsAtPeers[Address] = S.m_agentsAsking;
+  std::int64_t Asking = 0;
+  auto Best = m_agentsAtPeers.begin();
+  for (auto It = m_agentsAtPeers.begin(); It != m_agentsAtPeers.end(); ++It) {
+    Asking += It->second;
+    if (It->second > Best->second)
+      Best = It;
   }
-  if (m_isolatedSince < 0)
-    m_isolatedSince = Now;
-  if (Now - m_isolatedSince < IsolationMs)
+  const auto [InContact, Known] = m_leader->agentsInContact();
+  if (Asking <= static_cast<std::int64_t>(InContact))
     return;
-  m_isolatedSince = -1;
   event("leaderIsolated", "",
-        fmt::format("heard={} known={}", InContact, Known));
-  m_election->resign(IsolationCooldownMs);
-  stepDown("isolated");
+        fmt::format("heard={} known={} asking={} to={}", InContact, Known,
+                    Asking, Best->first));
+  m_peers->requestTakeover(Best->first, m_election->leader().m_epoch);
+  m_isolatedSince = -1;
+  m_agentsAtPeers.clear();
+}
+
+EntryStatus EntryNode::status() {
+  const Millis Now = base::bootNow();
+  std::erase_if(m_agentsAsking, [&](const auto &Entry) {
+    return Now - Entry.second > AskingMs;
+  });
+  EntryStatus Out;
+  Out.m_leader = m_election->leader();
+  Out.m_storeReachable = m_election->storeReachable();
+  Out.m_configVersion = m_config ? m_config->m_version : -1;
+  Out.m_leads = m_election->leads() && Now - m_confirmedAt < MembershipTtlMs;
+  Out.m_agentsAsking = static_cast<std::int64_t>(m_agentsAsking.size());
+  return Out;
 }
 
 void EntryNode::answer(CallerCall Call, batch::CallerAnswer Answer) {
@@ -487,13 +548,13 @@
 
 void EntryNode::control(const http::Request &R, const http::Responder &Answer) {
   const std::string Path = http::pathOf(R.m_target);
-  if (Path == LeaderPath)
-    return Answer({200,
-                   base::dumpJson(base::encode(EntryStatus{
-                       m_election->leader(), m_election->storeReachable(),
-                       m_config ? m_config->m_version : -1})),
-                   "application/json",
-                   {}});
+  if (Path == LeaderPath) {
+    if (const std::string Agent = agentOf(R.m_target);
+        !Agent.empty() && m_agentsAsking.size() < MaxAgentsAsking)
+      m_agentsAsking[Agent] = base::bootNow();
+    return Answer(
+        {200, base::dumpJson(base::encode(status())), "application/json", {}});
+  }
   if (Path == ConfigPath && m_config)
     return Answer(
         toResponse(ConfigRecord{m_configRecord.m_key, m_configRecord.m_value}));
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -13,6 +13,7 @@
 
 #include <functional>
 #include <limits>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -67,6 +68,8 @@
   void leaveFencedJournal();
   void tick();
   void checkIsolation(Millis Now);
+  void handOverIfIsolated(const std::string &Address, const EntryStatus &S);
+  EntryStatus status();
   void dispatch(batch::CallerRequest R, Millis Deadline,
                 batch::CallerAnswer Answer);
   void forward(batch::CallerRequest R, Millis Deadline,
@@ -103,6 +106,12 @@
   Millis m_unavailableSince = -1;
   std::size_t m_inFlight = 0;
   Millis m_isolatedSince = -1;
+  /// While this leader is isolated: agents that other entries hear, by address.
+  std::map<std::string, std::int64_t> m_agentsAtPeers;
+  /// When agents last asked this entry for the leader, by agent.
+  std::map<std::string, Millis> m_agentsAsking;
+  /// When the store last confirmed that this entry leads, or -1.
+  Millis m_confirmedAt = -1;
   bool m_stopping = false;
   /// All calls are answered by this time; set by beginStop().
   Millis m_answerBy = std::numeric_limits<Millis>::max();
--- a/src/node/follower.cc
+++ b/src/node/follower.cc
@@ -1,5 +1,7 @@
 #include "node/follower.h"
 
+#include "base/clock.h"
+
 #include <utility>
 
 namespace pomelokeel::node {
@@ -26,7 +28,8 @@
 }
 
 void Follower::readSnapshot() {
-  m_store.snapshot(m_stream, [this, Token = std::weak_ptr<int>(m_callToken)](
+  m_store.snapshot(m_stream, [this, SentAt = base::bootNow(),
+                              Token = std::weak_ptr<int>(m_callToken)](
                                  base::Result<Snapshot> R) {
     if (Token.expired())
       return;
@@ -36,8 +39,9 @@
     m_nextOffset = R->m_end;
     for (const KeyedRecord &Record : R->m_records)
       m_handlers.m_record(Record);
-    m_handlers.m_caughtUp(m_nextOffset);
-    readNext();
+    m_handlers.m_caughtUp(m_nextOffset, SentAt);
+    if (!Token.expired())
+      readNext();
   });
 }
 
@@ -47,7 +51,8 @@
   const Millis WaitMs = m_reachable ? m_waitMs : 0;
   m_store.follow(
       m_stream, m_nextOffset, WaitMs,
-      [this, Token = std::weak_ptr<int>(m_callToken)](base::Result<Page> R) {
+      [this, SentAt = base::bootNow(),
+       Token = std::weak_ptr<int>(m_callToken)](base::Result<Page> R) {
         if (Token.expired())
           return;
         setReachable(R.ok());
@@ -58,8 +63,10 @@
         m_nextOffset = R->m_next;
         for (const KeyedRecord &Record : R->m_records)
           m_handlers.m_record(Record);
-        m_handlers.m_caughtUp(m_nextOffset);
-        readNext();
+        m_handlers.m_caughtUp(m_nextOffset, SentAt);
+        // A handler may have restarted the reads.
+        if (!Token.expired())
+          readNext();
       });
 }
 
--- a/src/node/follower.h
+++ b/src/node/follower.h
@@ -17,7 +17,8 @@
     /// Called for each record; the records of a key come in order.
     std::function<void(const KeyedRecord &)> m_record;
     /// All records before the given end offset of the stream were delivered.
-    std::function<void(std::int64_t)> m_caughtUp;
+    /// The read that showed this was sent at the given time.
+    std::function<void(std::int64_t, Millis)> m_caughtUp;
     /// The store has become reachable (true) or unreachable (false).
     std::function<void(bool)> m_reachabilityChanged;
   };
@@ -29,6 +30,9 @@
   /// Abandons the current call and reads a snapshot again.
   void restart();
 
+  /// Sets the long-poll timeout of all later reads.
+  void setWait(Millis WaitMs) { m_waitMs = WaitMs; }
+
   /// End of the stream when it was last read.
   std::int64_t end() const { return m_nextOffset; }
 
--- a/src/node/peers.cc
+++ b/src/node/peers.cc
@@ -39,21 +39,33 @@
   const std::size_t Count = std::min(PeersPerQuery, m_addresses.size());
   for (std::size_t I = 0; I < Count; ++I) {
     const std::string Address = m_addresses[m_nextPeer++ % m_addresses.size()];
-    http::Request R;
-    R.m_target = LeaderPath;
-    m_clients.at(Address).call(
-        std::move(R), PeerCallMs,
-        [this, Address,
-         Alive = std::weak_ptr<int>(m_alive)](const http::CallResult &C) {
-          const auto *Got = std::get_if<http::Response>(&C);
-          if (Alive.expired() || Got == nullptr)
-            return;
-          if (const auto Status = base::parse<EntryStatus>(Got->m_body))
-            m_onStatus(Address, *Status);
-        });
+    queryStatus(Address, PeerCallMs,
+                [this, Address](const std::optional<EntryStatus> &Status) {
+                  if (Status)
+                    m_onStatus(Address, *Status);
+                });
   }
 }
 
+void Peers::queryStatus(
+    const std::string &Address, Millis TimeoutMs,
+    std::function<void(const std::optional<EntryStatus> &)> Done) {
+  http::Request R;
+  R.m_target = LeaderPath;
+  m_clients.at(Address).call(
+      std::move(R), TimeoutMs,
+      [Done = std::move(Done),
+       Alive = std::weak_ptr<int>(m_alive)](const http::CallResult &C) {
+        if (Alive.expired())
+          return;
+        const auto *Got = std::get_if<http::Response>(&C);
+        const auto Status = Got == nullptr
+                                ? base::Result<EntryStatus>(base::Error{})
+                                : base::parse<EntryStatus>(Got->m_body);
+        Done(Status ? std::optional(*Status) : std::nullopt);
+      });
+}
+
 void Peers::fetchConfig(const std::string &Address,
                         std::function<void(const KeyedRecord &)> Done) {
   http::Request R;
--- a/src/node/peers.h
+++ b/src/node/peers.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -18,12 +19,18 @@
   LeaderRecord m_leader; ///< The leader that this entry knows.
   bool m_storeReachable = false;
   std::int64_t m_configVersion = -1; ///< -1: none yet.
+  /// This entry leads, and the store has confirmed that lately.
+  bool m_leads = false;
+  /// Agents that do not reach the leader and have asked this entry lately.
+  std::int64_t m_agentsAsking = 0;
 
   static constexpr auto fields() {
     return std::tuple{
         base::required("leader", &EntryStatus::m_leader),
         base::required("storeReachable", &EntryStatus::m_storeReachable),
-        base::optional("configVersion", &EntryStatus::m_configVersion)};
+        base::optional("configVersion", &EntryStatus::m_configVersion),
+        base::optional("leads", &EntryStatus::m_leads),
+        base::optional("agentsAsking", &EntryStatus::m_agentsAsking)};
   }
 };
 
@@ -74,6 +81,12 @@
   /// Requests the status of a few other entries, in round-robin order.
   void queryStatus();
 
+  /// Requests the status of the entry at \p Address. Calls \p Done once; there
+  /// is no status if no answer comes within \p TimeoutMs.
+  void
+  queryStatus(const std::string &Address, Millis TimeoutMs,
+              std::function<void(const std::optional<EntryStatus> &)> Done);
+
   /// Fetches the configuration record from the entry at \p Address.
   void fetchConfig(const std::string &Address,
                    std::function<void(const KeyedRecord &)> Done);
--- a/tests/node/election_test.cc
+++ b/tests/node/election_test.cc
@@ -5,6 +5,9 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
 
 namespace pomelokeel::node::tests {
 namespace {
@@ -23,6 +26,10 @@
     H.m_elected = [this](std::int64_t Epoch) { m_epochs.push_back(Epoch); };
     H.m_leaderChanged = [this](const LeaderRecord &) { ++m_leaderChanges; };
     H.m_leadershipConfirmed = [this](Millis) { ++m_confirmations; };
+    H.m_askLeader = [this](const LeaderRecord &,
+                           const std::function<void(bool)> &Done) {
+      m_store.after(1, [this, Done] { Done(m_leaderAnswers); });
+    };
     H.m_membersChanged = [] {};
     H.m_event = [](const std::string &, const std::string &) {};
     m_election = std::make_unique<Election>(R, m_store, S, H);
@@ -33,6 +40,7 @@
   std::vector<std::int64_t> m_epochs;
   int m_leaderChanges = 0;
   int m_confirmations = 0;
+  bool m_leaderAnswers = false; ///< When asked, the leader says that it leads.
   std::unique_ptr<Election> m_election;
 };
 
@@ -42,6 +50,16 @@
     return runUntil(*m_reactor, std::move(Ready), LimitMs);
   }
 
+  /// Starts \p Count entries whose names begin with \p Prefix.
+  std::vector<std::unique_ptr<Candidate>> candidates(const std::string &Prefix,
+                                                     std::size_t Count) {
+    std::vector<std::unique_ptr<Candidate>> Out(Count);
+    for (std::size_t I = 0; I < Count; ++I)
+      Out[I] = std::make_unique<Candidate>(*m_reactor, m_shared,
+                                           Prefix + std::to_string(I));
+    return Out;
+  }
+
   std::size_t claims() const {
     return m_shared->m_records[Stream::Leaders].size();
   }
@@ -97,7 +115,7 @@
                           "x#1@h:1e9", "x#1@:5"})
     m_shared->m_members.insert(Odd);
   Candidate A(*m_reactor, m_shared, "a");
-  ASSERT_TRUE(until([&] { return A.m_election->members() > 0; }));
+  ASSERT_TRUE(until([&] { return A.m_election->members() > 8; }));
   EXPECT_EQ(A.m_election->addresses(), std::vector<std::string>{"h:1"});
 }
 
@@ -113,6 +131,82 @@
   EXPECT_FALSE(until([&] { return claims() > 1; }, 800));
 }
 
+// Guards against leaders that are replaced for ever although they work: on a
+// fleet with more entries than partitions a leader that owned none was never
+// listed as a member, and another one claimed every 2.7 s.
+TEST_F(ElectionTest, ALeaderThatIsNeverListedStaysWhileItAnswers) {
+  Candidate A(*m_reactor, m_shared, "a");
+  m_shared->m_membersWithoutPartition.insert(A.m_member);
+  ASSERT_TRUE(until([&] { return A.m_election->leads(); }));
+  Candidate B(*m_reactor, m_shared, "b");
+  B.m_leaderAnswers = true;
+  EXPECT_FALSE(until([&] { return claims() > 1; }, 6000));
+  B.m_leaderAnswers = false;
+  EXPECT_TRUE(until([&] { return B.m_election->leads(); }));
+}
+
+// A leader whose membership has lapsed, for instance because it was short of
+// processor time, is not replaced if it answers that it leads.
+TEST_F(ElectionTest, ALeaderWhoseMembershipLapsedStaysWhileItAnswers) {
+  Candidate A(*m_reactor, m_shared, "a");
+  ASSERT_TRUE(until([&] { return A.m_election->leads(); }));
+  Candidate B(*m_reactor, m_shared, "b");
+  B.m_leaderAnswers = true;
+  ASSERT_TRUE(until([&] { return B.m_election->members() == 2; }));
+  m_shared->m_membersWithoutPartition.insert(A.m_member);
+  B.m_store.drop(A.m_member);
+  EXPECT_FALSE(until([&] { return claims() > 1; }, 1000));
+}
+
+// Only a few entries join the group, whatever their number; others take their
+// place when too few are left.
+TEST_F(ElectionTest, EntriesStandByUntilTooFewCandidatesAreLeft) {
+  auto First = candidates("a", 8);
+  ASSERT_TRUE(until([&] { return m_shared->m_members.size() == 8; }));
+  const auto Others = candidates("b", 6);
+  EXPECT_FALSE(until([&] { return m_shared->m_members.size() > 8; }, 500));
+  for (int I = 0; I < 7; ++I) {
+    const std::string Gone = First.back()->m_member;
+    First.pop_back();
+    Others.front()->m_store.drop(Gone);
+  }
+  EXPECT_TRUE(until([&] { return m_shared->m_members.size() >= 3; }));
+  EXPECT_TRUE(until([&] {
+    return std::any_of(Others.begin(), Others.end(),
+                       [&](const auto &C) { return C->m_election->leads(); }) ||
+           First.front()->m_election->leads();
+  }));
+}
+
+// Guards against two leaders at once: each successful join confirmed a leader,
+// also while it could not read that another one had claimed.
+TEST_F(ElectionTest, JoinsDoNotConfirmALeaderThatWasReplaced) {
+  Candidate A(*m_reactor, m_shared, "a");
+  ASSERT_TRUE(until([&] { return A.m_confirmations > 0; }));
+  Candidate B(*m_reactor, m_shared, "b");
+  ASSERT_TRUE(until([&] {
+    return B.m_election->isCandidate() &&
+           B.m_election->leader().m_member == A.m_member;
+  }));
+  A.m_store.m_dropsWakeUps = true;
+  B.m_election->claimOnRequest(A.m_election->leader().m_epoch);
+  ASSERT_TRUE(until([&] { return B.m_election->leads(); }));
+  const int Before = A.m_confirmations;
+  EXPECT_TRUE(until([&] { return !A.m_election->leads(); }, 1000));
+  EXPECT_EQ(A.m_confirmations, Before);
+}
+
+// A group with more members than partitions does not list all of them.
+TEST_F(ElectionTest, ACandidateThatIsNotListedLeavesTheGroup) {
+  const auto Listed = candidates("a", 3);
+  ASSERT_TRUE(until([&] { return m_shared->m_members.size() == 3; }));
+  Candidate B(*m_reactor, m_shared, "b");
+  m_shared->m_membersWithoutPartition.insert(B.m_member);
+  ASSERT_TRUE(until([&] { return B.m_election->isCandidate(); }));
+  EXPECT_TRUE(until([&] { return !B.m_election->isCandidate(); }, 6000));
+  EXPECT_EQ(m_shared->m_members.size(), 3u);
+}
+
 TEST_F(ElectionTest, AnEarlierIncarnationOfTheSameEntryIsReplacedAtOnce) {
   {
     Candidate A(*m_reactor, m_shared, "a", "1");
@@ -151,9 +245,9 @@
 
 // The store may be unreachable for the leader only. Waiting until its
 // membership expired left callers without service for two seconds.
-// A leader whose resignation the store did not take had resigned in its own
-// memory only. Nobody led until its cooldown was over.
-TEST_F(ElectionTest, AResignationThatFailedIsRepeated) {
+// Guards against a leader whose resignation the store did not take: it had
+// resigned in its own memory only, and nobody led.
+TEST_F(ElectionTest, ALeaderFollowsAResignationThatFailed) {
   Candidate A(*m_reactor, m_shared, "a");
   ASSERT_TRUE(until([&] { return A.m_election->leads(); }));
   Candidate B(*m_reactor, m_shared, "b");
@@ -162,10 +256,15 @@
            B.m_election->leader().m_member == A.m_member;
   }));
   A.m_store.m_unreachable = true;
-  A.m_election->resign(10000);
-  EXPECT_FALSE(until([&] { return B.m_election->leads(); }, 150));
+  const std::int64_t Resigned = A.m_election->leader().m_epoch;
+  A.m_election->resign();
+  EXPECT_FALSE(until([&] { return claims() > 1; }, 150));
   A.m_store.m_unreachable = false;
-  EXPECT_TRUE(until([&] { return B.m_election->leads(); }));
+  EXPECT_TRUE(until([&] {
+    const LeaderRecord &Next = B.m_election->leader();
+    return Next.m_epoch > Resigned && !Next.m_member.empty();
+  }));
+  EXPECT_NE(A.m_election->leads(), B.m_election->leads());
 }
 
 // A leader resigned when another entry had just claimed. Both records had the
@@ -182,7 +281,7 @@
   B.m_election->claimOnRequest(A.m_election->leader().m_epoch);
   ASSERT_TRUE(until([&] { return B.m_election->leads(); }));
   ASSERT_TRUE(A.m_election->leads());
-  A.m_election->resign(0);
+  A.m_election->resign();
   EXPECT_TRUE(until(
       [&] { return A.m_election->leader().m_member == B.m_member; }, 1000));
   EXPECT_FALSE(until([&] { return !B.m_election->leads(); }, 500));
--- a/tests/node/entry_node_test.cc
+++ b/tests/node/entry_node_test.cc
@@ -3,6 +3,7 @@
 #include "base/line_log.h"
 #include "fake_store.h"
 #include "http/http.h"
+#include "node/control.h"
 
 #include <gtest/gtest.h>
 
@@ -100,6 +101,17 @@
            0;
   }
 
+  /// Sends one report of each of \p Count agents to the leader \p E.
+  static void reportTo(Entry &E, int Count) {
+    for (int I = 0; I < Count; ++I) {
+      batch::AgentReport R;
+      R.m_agent = "agent-" + std::to_string(I);
+      R.m_incarnation = R.m_sequence = 1;
+      E.m_node->control(toRequest(ReportPath, R),
+                        [](const http::Response &) {});
+    }
+  }
+
   Entry &leader() const {
     return m_a->m_counters.get("leader_epoch") > 0 ? *m_a : *m_b;
   }
@@ -140,6 +152,7 @@
 // rejected callers with new keys.
 TEST_F(EntryNodeTest, FetchesTheConfigurationFromPeersWithoutTheStore) {
   ASSERT_TRUE(until([&] { return hasLeader() && other().m_node->ready(); }));
+  ASSERT_TRUE(until([&] { return other().m_counters.get("candidates") == 2; }));
   Entry &Disconnected = other();
   Disconnected.m_store.m_unreachable = true;
   leader().m_store.add(Stream::Operator, {{"config", "2"}});
@@ -157,7 +170,8 @@
 // callers to the new leader.
 TEST_F(EntryNodeTest, AnotherLeadsWhenOnlyTheLeaderCannotReachTheStore) {
   ASSERT_TRUE(until([&] { return hasLeader() && other().m_node->ready(); }));
-  ASSERT_TRUE(until([&] { return m_shared->m_members.size() == 2; }));
+  ASSERT_TRUE(
+      until([&] { return leader().m_counters.get("candidates") == 2; }));
   Entry &Disconnected = leader();
   Entry &Next = other();
   Disconnected.m_store.m_unreachable = true;
@@ -168,6 +182,38 @@
   EXPECT_EQ(*Submitted, Verdict::Ok);
 }
 
+// Guards against leaders that resign one after the other while most machines
+// are gone for good: no other entry hears more of them, and no leader stayed
+// long enough to count their runs as lost.
+TEST_F(EntryNodeTest, ALeaderThatHearsFewAgentsStaysIfNoOtherHearsMore) {
+  ASSERT_TRUE(until([&] { return hasLeader(); }));
+  ASSERT_TRUE(
+      until([&] { return leader().m_counters.get("candidates") == 2; }));
+  Entry &Leader = leader();
+  reportTo(Leader, 5);
+  EXPECT_FALSE(
+      until([&] { return Leader.m_counters.get("leader_epoch") != 1; }, 8000));
+}
+
+TEST_F(EntryNodeTest, ALeaderThatHearsFewAgentsHandsOverToAnEntryThatMoreAsk) {
+  ASSERT_TRUE(until([&] { return hasLeader(); }));
+  ASSERT_TRUE(
+      until([&] { return leader().m_counters.get("candidates") == 2; }));
+  Entry &Isolated = leader();
+  Entry &Next = other();
+  reportTo(Isolated, 5);
+  EXPECT_TRUE(until(
+      [&] {
+        for (int I = 0; I < 3; ++I) {
+          http::Request R;
+          R.m_target = leaderQuery("agent-" + std::to_string(I));
+          Next.m_node->control(R, [](const http::Response &) {});
+        }
+        return Next.m_counters.get("leader_epoch") > 0;
+      },
+      9000));
+}
+
 TEST_F(EntryNodeTest, HandsOverLeadershipWhenItStops) {
   ASSERT_TRUE(until([&] { return hasLeader() && other().m_node->ready(); }));
   Entry &Stopping = leader();
--- a/tests/node/follower_test.cc
+++ b/tests/node/follower_test.cc
@@ -14,7 +14,7 @@
   FollowerTest() {
     Follower::Handlers H;
     H.m_record = [this](const KeyedRecord &R) { m_seen.push_back(R.m_value); };
-    H.m_caughtUp = [](std::int64_t) {};
+    H.m_caughtUp = [](std::int64_t, Millis) {};
     H.m_reachabilityChanged = [this](bool Reachable) {
       m_reachable = Reachable;
     };
