Hold back the end of an earlier run until the later one has ended

Tasks ran again although an end as done had been acknowledged.

Cause: the end as done of a run after which the task was placed again, as a late start in the next incarnation of a worker brings about, was acknowledged and ignored. If the later run was lost or failed, the task started once more.

Change: such an end is not acknowledged while the later run is placed. If that run does not end as done, the earlier result ends the task; a job does not fail over a task whose result is known.

--- a/src/batch/leader.cc
+++ b/src/batch/leader.cc
@@ -286,6 +286,7 @@
   addOccurrences(WallNow);
   loseUnreachableRuns(Now, WallNow);
   checkRuns(Now);
+  useEarlierResults(Now, WallNow);
   removeClosedJobs();
   purge(WallNow);
   m_journal.advance(Now);
--- a/src/batch/leader.h
+++ b/src/batch/leader.h
@@ -70,6 +70,17 @@
   AgentAnswer m_answer;
 };
 
+/// Identifies a reported end: task, run and number.
+using EndKey = std::tuple<std::string, int, std::int64_t>;
+
+/// The end as done of a run after which the task was placed again. It counts
+/// once the later run has ended, and is not acknowledged before.
+struct EarlierResult {
+  TaskName m_task;
+  std::string m_agent;
+  EndKey m_end;
+};
+
 /// An end that an agent reports until it is acknowledged.
 struct ReportedEnd {
   /// Number of the journal batch that must be stored before the end is
@@ -109,8 +120,7 @@
   Millis m_contactAttention = 0;
   Millis m_workerAttention = 0;
   std::vector<KnownRun> m_runs;
-  /// Reported ends, by task, run and number.
-  std::map<std::tuple<std::string, int, std::int64_t>, ReportedEnd> m_ends;
+  std::map<EndKey, ReportedEnd> m_ends; ///< Reported ends.
   /// Runs of a done gang whose own end is not reported yet, by task and run:
   /// their resources, and when the gang was done.
   std::map<std::pair<std::string, int>, std::pair<Resources, Millis>>
@@ -220,6 +230,10 @@
                 const char *Reason, Millis Now, Millis WallNow);
   const char *reasonForLoss(const Task &T, Millis Now) const;
   bool isUnusedResult(const EndReport &E, const TaskName &Name) const;
+  bool isEarlierResult(const EndReport &E, const TaskName &Name) const;
+  bool useEarlierResult(const detail::EarlierResult &R, Millis Now,
+                        Millis WallNow);
+  void useEarlierResults(Millis Now, Millis WallNow);
   void loseUnreachableRuns(Millis Now, Millis WallNow);
   void resetTask(Task &T);
   void stopRun(Task &T, const TaskName &Name, StopReason Reason);
@@ -286,6 +300,7 @@
   std::map<std::string, JobPhase> m_flushedPhases; ///< Of the current batch.
   bool m_journalStalled = false; ///< Was logged for the current batch.
   std::map<std::string, AgentView> m_agents;
+  std::vector<detail::EarlierResult> m_earlierResults;
   std::vector<detail::WaitingCaller> m_waitingCallers;
   bool m_ordersDue = true;
   Millis m_ordersAt = 0;
--- a/src/batch/leader_runs.cc
+++ b/src/batch/leader_runs.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <limits>
 #include <optional>
 #include <utility>
 
@@ -172,9 +173,63 @@
   return !Kind.m_gang && T->m_startSentAt < 0 && T->m_run > E.m_run;
 }
 
+// True for the end as done of a run after which the task was placed again. The
+// later run may be at work, so the task cannot be done yet.
+bool Leader::isEarlierResult(const EndReport &E, const TaskName &Name) const {
+  const batch::Task *T = findTask(Name);
+  if (E.m_kind != EndKind::Done || T == nullptr ||
+      T->m_phase != TaskPhase::Placed || E.m_run >= T->m_run)
+    return false;
+  const JobState &J = m_jobs.at(Name.m_job);
+  return !isEnded(J.m_progress.m_phase) &&
+         !J.m_spec.m_steps[static_cast<std::size_t>(Name.m_step)].m_longRunning;
+}
+
+// Takes an earlier result as the end of its task or gang once that waits again.
+bool Leader::useEarlierResult(const detail::EarlierResult &R, Millis Now,
+                              Millis WallNow) {
+  const Task *T = findTask(R.m_task);
+  if (T == nullptr || T->m_phase == TaskPhase::Done)
+    return true;
+  Job &J = m_jobs.at(R.m_task.m_job);
+  if (isEnded(J.m_progress.m_phase))
+    return true;
+  const auto Step = static_cast<std::size_t>(R.m_task.m_step);
+  const auto &Members =
+      J.m_progress
+          .m_occurrences[static_cast<std::size_t>(R.m_task.m_occurrence)][Step];
+  const auto Waits = [](const Task &Each) {
+    return Each.m_phase == TaskPhase::Waiting;
+  };
+  if (J.m_spec.m_steps[Step].m_gang
+          ? !std::all_of(Members.begin(), Members.end(), Waits)
+          : !Waits(*T))
+    return false;
+  m_ports.event("earlierResultUsed", R.m_task.m_job,
+                fmt::format("task={} run={} agent={}", std::get<0>(R.m_end),
+                            std::get<1>(R.m_end), R.m_agent));
+  endRun(J, R.m_task, EndKind::Done, "", Now, WallNow);
+  return true;
+}
+
+void Leader::useEarlierResults(Millis Now, Millis WallNow) {
+  // Ending a run calls this function again.
+  std::vector<detail::EarlierResult> Known;
+  Known.swap(m_earlierResults);
+  for (detail::EarlierResult &R : Known) {
+    if (!useEarlierResult(R, Now, WallNow)) {
+      m_earlierResults.push_back(std::move(R));
+      continue;
+    }
+    auto &Ends = m_agents[R.m_agent].m_ends;
+    if (const auto It = Ends.find(R.m_end); It != Ends.end())
+      It->second.m_batch = batchOfState(R.m_task.m_job);
+  }
+}
+
 void Leader::handleEndReport(AgentView &A, const EndReport &E, Millis Now,
                              Millis WallNow) {
-  const std::tuple Key(E.m_task, E.m_run, E.m_number);
+  const detail::EndKey Key(E.m_task, E.m_run, E.m_number);
   if (A.m_ends.contains(Key))
     return;
   A.m_endingGangRuns.erase({E.m_task, E.m_run});
@@ -183,8 +238,11 @@
   const bool Current = isCurrent(A, Parsed, E.m_run) || isUnusedResult(E, Name);
   // An end that changes nothing relies on earlier changes of its job, which may
   // not be stored yet.
-  const std::uint64_t Batch =
-      Current ? m_journal.nextBatch() : batchOfState(Name.m_job);
+  const bool Earlier = !Current && isEarlierResult(E, Name);
+  const std::uint64_t Batch = Current ? m_journal.nextBatch()
+                              : Earlier
+                                  ? std::numeric_limits<std::uint64_t>::max()
+                                  : batchOfState(Name.m_job);
   m_ports.event(
       "runEnded", Name.m_job,
       fmt::format("task={} run={} agent={} kind={} number={} current={} "
@@ -200,6 +258,8 @@
     endRun(J, Name, E.m_kind, E.m_checkpoint, Now, WallNow);
   }
   A.m_ends[Key] = {Batch, Now, false};
+  if (Earlier)
+    m_earlierResults.push_back({Name, A.m_name, Key});
 }
 
 void Leader::endRun(Job &J, const TaskName &Name, EndKind Kind,
@@ -219,11 +279,12 @@
       ++T.m_failures;
     resetTask(T);
   }
+  useEarlierResults(Now, WallNow);
   if (isEnded(J.m_progress.m_phase))
     return;
-  const bool Exhausted =
-      !S.m_longRunning && Kind == EndKind::Failed &&
-      findTask(Name)->m_failures >= J.m_spec.m_queue.m_attempts;
+  const bool Exhausted = !S.m_longRunning && Kind == EndKind::Failed &&
+                         T.m_phase != TaskPhase::Done &&
+                         T.m_failures >= J.m_spec.m_queue.m_attempts;
   if (Exhausted) {
     finishJob(J, JobPhase::Failed, WallNow);
     return stopAllRuns(J, StopReason::Cancelled);
--- a/tests/batch/leader_late_test.cc
+++ b/tests/batch/leader_late_test.cc
@@ -112,5 +112,75 @@
   EXPECT_EQ(phaseOf("a"), JobPhase::Running);
 }
 
+// Guards against work that is done again after its end was acknowledged: an
+// earlier run ended as done while a later one was placed, and the later one was
+// lost (restart simulation with pauses, seed 1272).
+TEST_F(LateLeaderTest, AnEarlierResultIsUsedOnceTheLaterRunIsLost) {
+  startTaskOn("w", 500);
+  addAgent("v");
+  m_alive = {"v"};
+  end("w", "a.0.0.0", EndKind::Done);
+  pass(13000);
+  ASSERT_EQ(m_starts["a.0.0.0"], 2);
+  m_alive = {"w"};
+  pass(500);
+  EXPECT_TRUE(m_agents["w"].m_acknowledged.empty());
+  EXPECT_EQ(phaseOf("a"), JobPhase::Running);
+  pass(13000);
+  EXPECT_EQ(m_starts["a.0.0.0"], 2);
+  EXPECT_EQ(phaseOf("a"), JobPhase::Done);
+  EXPECT_EQ(m_agents["w"].m_acknowledged.size(), 1u);
+}
+
+TEST_F(LateLeaderTest, AnEarlierResultIsAcknowledgedOnceTheLaterRunIsDone) {
+  startTaskOn("w", 500);
+  addAgent("v");
+  m_alive = {"v"};
+  end("w", "a.0.0.0", EndKind::Done);
+  pass(13000);
+  ASSERT_EQ(m_starts["a.0.0.0"], 2);
+  m_alive = {"v", "w"};
+  pass(500);
+  EXPECT_TRUE(m_agents["w"].m_acknowledged.empty());
+  end("v", "a.0.0.0", EndKind::Done);
+  pass(500);
+  EXPECT_EQ(phaseOf("a"), JobPhase::Done);
+  EXPECT_EQ(m_agents["w"].m_acknowledged.size(), 1u);
+}
+
+// An earlier result is known, so the failure of the later run fails no job.
+TEST_F(LateLeaderTest, AJobWithAnEarlierResultDoesNotFail) {
+  CallerRequest R = request(CallerRequestKind::Submit, "a");
+  R.m_queue.m_attempts = 1;
+  R.m_spec = jobOf({step(1, 1)});
+  addAgent("w");
+  ask(R);
+  pass(500);
+  addAgent("v");
+  m_alive = {"v"};
+  end("w", "a.0.0.0", EndKind::Done);
+  pass(13000);
+  ASSERT_EQ(m_starts["a.0.0.0"], 2);
+  m_alive = {"v", "w"};
+  pass(500);
+  end("v", "a.0.0.0", EndKind::Failed);
+  pass(500);
+  EXPECT_EQ(phaseOf("a"), JobPhase::Done);
+}
+
+TEST_F(LateLeaderTest, AnEarlierResultOfACancelledJobIsAcknowledged) {
+  startTaskOn("w", 500);
+  addAgent("v");
+  m_alive = {"v"};
+  end("w", "a.0.0.0", EndKind::Done);
+  pass(13000);
+  m_alive = {"v", "w"};
+  pass(500);
+  ask(request(CallerRequestKind::Cancel, "a"));
+  pass(1000);
+  EXPECT_EQ(phaseOf("a"), JobPhase::Cancelled);
+  EXPECT_FALSE(m_agents["w"].m_acknowledged.empty());
+}
+
 } // namespace
 } // namespace pomelokeel::batch::tests
