--- a/tests/batch/restart_test.cc
+++ b/tests/batch/restart_test.cc
@@ -65,8 +65,8 @@
 // What a seed plays changes with the code, and a list may come to guard
 // nothing. Its newer seeds were found with the code that they guard taken out.
 
-// Guards against a task that runs again although an earlier run had ended as done
-// while a later one, which was lost, was placed.
+// Guards against a task that runs again although an earlier run had ended as
+// done while a later one, which was lost, was placed.
 TEST(RestartTest, EarlierResultsAreUsed) {
   constexpr Millis PauseMs = 25;
   EXPECT_EQ(countViolations({1272}, PauseMs), 0);
