Use an earlier result that arrives after the later run was lost

Cause: the end as done of run 1 counted for a task that waits again only if the newest run of the task was run 1. If run 2 had been placed and lost meanwhile, the end was acknowledged and ignored, and the task ran a third time.

Change: any earlier run counts for a task that waits. Members of a gang still need the same run, since others of the gang may be placed.

--- a/src/batch/leader_runs.cc
+++ b/src/batch/leader_runs.cc
@@ -169,7 +169,7 @@
   if (isEnded(J.m_progress.m_phase) || Kind.m_longRunning)
     return false;
   if (T->m_phase == TaskPhase::Waiting)
-    return T->m_run == E.m_run;
+    return Kind.m_gang ? T->m_run == E.m_run : T->m_run >= E.m_run;
   return !Kind.m_gang && T->m_startSentAt < 0 && T->m_run > E.m_run;
 }
 
--- a/tests/batch/leader_late_test.cc
+++ b/tests/batch/leader_late_test.cc
@@ -132,6 +132,22 @@
   EXPECT_EQ(m_agents["w"].m_acknowledged.size(), 1u);
 }
 
+TEST_F(LateLeaderTest,
+       AnEarlierResultThatArrivesAfterTheLaterRunWasLostCounts) {
+  startTaskOn("w", 500);
+  addAgent("v");
+  m_alive = {"v"};
+  end("w", "a.0.0.0", EndKind::Done);
+  pass(13000);
+  ASSERT_EQ(m_starts["a.0.0.0"], 2);
+  m_alive.clear();
+  pass(13000);
+  m_alive = {"w"};
+  pass(500);
+  EXPECT_EQ(m_starts["a.0.0.0"], 2);
+  EXPECT_EQ(phaseOf("a"), JobPhase::Done);
+}
+
 TEST_F(LateLeaderTest, AnEarlierResultIsAcknowledgedOnceTheLaterRunIsDone) {
   startTaskOn("w", 500);
   addAgent("v");
