--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -231,6 +231,9 @@
                    for w in self.workers)
 
     def stop(self):
+        for w in getattr(self, "workers", []):
+            for t in getattr(w, "tasks", []):
+                t.cancel()
         for p in self.processes.values():
             if p.poll() is None:
                 p.send_signal(signal.SIGCONT)
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -1,9 +1,11 @@
 """Stand-in of a worker, by "Running tasks" of PROTOCOL.md.
 
 The spec of a task is a JSON text: runMs (how long the task works) and fails
-(each run of the task ends "failed" through its own fault)."""
+(each run of the task ends "failed" through its own fault); or, for a task that
+lasts, failsMs: the shortest and the longest time after which a run fails."""
 import asyncio
 import json
+import random
 import time
 
 from . import http
@@ -11,6 +13,7 @@
 MAX_LEASE_MS = 10000  # holdMaxMs
 STOP_MS = 300         # a stop takes at most stopGraceMs, 900
 BEAT_S = 1.5          # heartbeatMs
+STARTUP_MS = 300      # of a task that lasts
 
 
 class Run:
@@ -19,8 +22,13 @@
         self.spec = json.loads(spec)
         self.started = now
         self.stop_at = None
+        self.fails_at = None
+        if "failsMs" in self.spec:
+            self.fails_at = now + random.uniform(*self.spec["failsMs"])
 
     def percent(self, now):
+        if self.fails_at is not None:  # at work after a short startup
+            return 100 if now - self.started >= STARTUP_MS else 0
         return min(99, int(100 * (now - self.started) / self.spec["runMs"]))
 
 
@@ -84,6 +92,9 @@
                     self.end(task, "lapsed")
                 elif run.stop_at is not None and now >= run.stop_at:
                     self.end(task, "stopped")
+                elif run.fails_at is not None:
+                    if now >= run.fails_at:
+                        self.end(task, "failed")
                 elif now - run.started >= run.spec["runMs"]:
                     self.end(task, "failed" if run.spec.get("fails")
                              else "done")
