Tell faults of workers from faults of jobs

Callers saw: one job whose tasks fail on every worker took all workers out of use for 24 s.

Cause: updateWorkerHealth() counted failed tasks since a worker's last success without asking whether the job fails elsewhere too, and failures that were reported together doubled the quarantine each time. The log of the run has four workerQuarantined lines within a millisecond for each of the six workers, all for the same job: 3, 6, 12 and 24 s. A single run without progress quarantined its worker in the same way, and a quarantine outlived the worker's incarnation.

Change: FaultLog compares a fault with the other runs of its task, step and job. What fails on one worker only speaks against the worker, what fails on several against the job; work that goes on elsewhere proves it. Only a run that was placed after a quarantine can lengthen the next one. A worker is reinstated as soon as its failures turn out to be those of the jobs, and failures without proof quarantine at most a third of a service. A step avoids a worker on which two of its tasks have failed.

Red before, on: WorkerHealthTest.AHopelessJobLeavesTheFleetInUse, HopelessJobsOfAnySizeDelayNoSoundJob, AJobThatStandsStillLeavesTheFleetInUse, OnlyAFailedProbationLengthensAQuarantine, ARestartedWorkerIsInUseAtOnce. Green before and now, as workers at fault must still be found: the other six tests of the file.

--- /dev/null
+++ b/src/batch/fault_log.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "batch/job.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace pomelokeel::batch {
+
+/// A run that failed or made no progress. Its worker or its job may be the
+/// cause.
+struct RunFault {
+  TaskName m_task;
+  Millis m_at = 0;
+  Millis m_placedAt = 0;
+  bool m_stuck = false; ///< It made no progress. False: it failed.
+  /// The worker has completed other work since.
+  bool m_refuted = false;
+
+  Millis ranMs() const { return m_at - m_placedAt; }
+};
+
+/// True if a run of this age shows that a failure as early as \p F is not
+/// usual.
+bool outlives(Millis AgeMs, const RunFault &F);
+
+/// What works on other workers: nothing of the step of a fault, other tasks of
+/// the step, or the task itself.
+enum class WorksElsewhere { Nothing, Step, Task };
+
+/// Compares a fault on \p Agent with the other runs of its step.
+using CompareRuns =
+    std::function<WorksElsewhere(const RunFault &F, const std::string &Agent)>;
+
+/// How much speaks for the worker, rather than the jobs, as the cause.
+struct WorkerEvidence {
+  /// Tasks that failed although their job works on other workers.
+  int m_proven = 0;
+  /// Jobs that work nowhere so far, weighted by how likely they are sound.
+  int m_unproven = 0;
+
+  int total() const { return m_proven + m_unproven; }
+};
+
+/// The recent faults of all workers, by agent. Tells faults of workers from
+/// faults of jobs: what fails on one worker only speaks against the worker,
+/// what fails on several against the job.
+class FaultLog {
+public:
+  void add(const std::string &Agent, RunFault F);
+
+  /// Records that the worker completed a run that was placed at \p PlacedAt.
+  /// Faults of earlier runs do not count against it any more.
+  void refute(const std::string &Agent, Millis PlacedAt);
+
+  /// The same for a run that is at work, for failures that it has outlived.
+  void refuteOutlived(const std::string &Agent, Millis PlacedAt, Millis AgeMs);
+
+  /// Forgets the faults of a worker that was replaced.
+  void forget(const std::string &Agent) { m_faults.erase(Agent); }
+
+  /// Forgets faults that are too old to count.
+  void prune(Millis Now);
+
+  const std::vector<RunFault> &faultsOf(const std::string &Agent) const;
+
+  /// Number of tasks of the same step as \p OfStep with a fault on the worker.
+  std::size_t faultyTasks(const std::string &Agent,
+                          const TaskName &OfStep) const;
+
+  /// Counts the faults of runs that were placed at \p PlacedSince or later.
+  WorkerEvidence evidenceAgainst(const std::string &Agent, Millis PlacedSince,
+                                 const CompareRuns &Compare) const;
+
+private:
+  /// The likely cause of a fault. ProbablyJob: it also fails on other workers,
+  /// which have completed nothing since.
+  enum class Cause { Worker, Unknown, ProbablyJob, Job };
+
+  Cause causeOf(const RunFault &F, const std::string &Agent,
+                WorksElsewhere Works) const;
+
+  std::map<std::string, std::vector<RunFault>> m_faults;
+};
+
+} // namespace pomelokeel::batch
--- a/src/batch/leader.cc
+++ b/src/batch/leader.cc
@@ -206,8 +206,10 @@
     A.m_name = R.m_agent;
     const bool NewWorker = R.m_worker && R.m_worker->m_workerIncarnation !=
                                              A.m_worker.m_workerIncarnation;
-    if (NewWorker)
+    if (NewWorker) {
       A.m_workerSeenAt = Now;
+      resetWorkerHealth(A);
+    }
     if (NewProcess || NewWorker)
       renewFence(A, NewWorker ? "newWorker" : "newAgent");
     A.m_incarnation = R.m_incarnation;
@@ -286,6 +288,7 @@
   addOccurrences(WallNow);
   loseUnreachableRuns(Now, WallNow);
   checkRuns(Now);
+  reviewWorkerHealth(Now);
   useEarlierResults(Now, WallNow);
   removeClosedJobs();
   purge(WallNow);
--- a/src/batch/leader.h
+++ b/src/batch/leader.h
@@ -3,6 +3,7 @@
 #include "base/counters.h"
 #include "batch/attention_clock.h"
 #include "batch/config.h"
+#include "batch/fault_log.h"
 #include "batch/job.h"
 #include "batch/journal.h"
 #include "batch/messages.h"
@@ -128,13 +129,17 @@
   std::vector<HeldReport> m_heldReports;
   bool m_hasPendingOrders = false;        ///< To be sent with its next report.
   std::uint64_t m_entriesVersionSent = 0; ///< Last version of m_entries sent.
-  /// Failed tasks since the last success, with the time of the failure. They
-  /// count towards a quarantine.
-  std::vector<std::pair<Millis, std::string>> m_failures;
   Millis m_quarantinedUntil = 0;
+  /// Length of the last quarantine; 0 once the worker has completed a run
+  /// since.
   Millis m_quarantineMs = 0;
-  /// When a run there was last found to make no progress, or -1.
-  Millis m_noProgressAt = -1;
+  /// Faults of runs that were placed before do not count: the end of the last
+  /// quarantine, or of the one before while the worker is quarantined.
+  Millis m_faultsSince = 0;
+  int m_evidence = 0; ///< That the worker fails sound work.
+  /// Evidence without which the quarantine ends; 0 if the worker refused
+  /// orders.
+  int m_evidenceNeeded = 0;
   double m_slowness = 1;
 };
 
@@ -239,21 +244,36 @@
   void stopRun(Task &T, const TaskName &Name, StopReason Reason);
   void stopAllRuns(Job &J, StopReason Reason);
   void finishJob(Job &J, JobPhase Phase, Millis WallNow);
-  void updateWorkerHealth(AgentView &A, const TaskName &Name,
-                          const EndReport &E, Millis Now);
   void updateRuns(AgentView &A, Millis Now);
   void checkRuns(Millis Now);
-  StopReason reasonToStop(const Step &Kind, Task &T, const std::string &Job,
+  StopReason reasonToStop(const Step &Kind, Task &T, const TaskName &Name,
                           Millis Now);
-  void quarantine(AgentView &A, const std::string &Job, const char *Reason,
-                  Millis Now);
   void addOccurrences(Millis WallNow);
   const Task *findTask(const TaskName &Name) const;
   Task *findTask(const TaskName &Name);
-  bool acceptsWork(const AgentView &A, Millis Now) const;
   bool isCurrent(const AgentView &A, const std::optional<TaskName> &Name,
                  int Run) const;
 
+  // leader_health.cc
+  void updateWorkerHealth(AgentView &A, const TaskName &Name,
+                          const EndReport &E, Millis Now);
+  void recordFault(AgentView &A, const TaskName &Name, bool Stuck, Millis Now);
+  WorkerEvidence evidenceAgainst(const AgentView &A, Millis Now) const;
+  void judgeWorker(AgentView &A, const std::string &Job, const char *Reason,
+                   Millis Now);
+  WorksElsewhere compareRuns(const RunFault &F, const std::string &Agent,
+                             Millis Now) const;
+  void avoidForStep(const TaskName &OfStep, const std::string &Agent);
+  bool mayQuarantine(const AgentView &A, const WorkerEvidence &E,
+                     Millis Now) const;
+  void quarantine(AgentView &A, const std::string &Job, const char *Reason,
+                  const WorkerEvidence &E, Millis Now);
+  void reviewWorkerHealth(Millis Now);
+  void reinstate(AgentView &A, Millis Now);
+  void resetWorkerHealth(AgentView &A);
+  bool isReachable(const AgentView &A, Millis Now) const;
+  bool acceptsWork(const AgentView &A, Millis Now) const;
+
   // leader_orders.cc
   void answerAgents(Millis Now);
   void recordAcknowledgements(AgentView &A, const AgentReply &R, Millis Now);
@@ -300,6 +320,7 @@
   std::map<std::string, JobPhase> m_flushedPhases; ///< Of the current batch.
   bool m_journalStalled = false; ///< Was logged for the current batch.
   std::map<std::string, AgentView> m_agents;
+  FaultLog m_faults;
   std::vector<detail::EarlierResult> m_earlierResults;
   std::vector<detail::WaitingCaller> m_waitingCallers;
   bool m_ordersDue = true;
--- /dev/null
+++ b/src/batch/leader_health.cc
@@ -0,0 +1,218 @@
+#include "batch/leader.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace pomelokeel::batch {
+namespace {
+
+constexpr Millis QuarantineMs = 3000; ///< Doubles each time.
+constexpr Millis MaxQuarantineMs = 30000;
+
+/// Evidence that quarantines a worker, and one on probation, which has not
+/// completed a run since its last quarantine.
+constexpr int EvidenceToQuarantine = 2;
+constexpr int EvidenceOnProbation = 1;
+
+/// Share of a service's workers that may be quarantined for failures of jobs
+/// that have worked nowhere else. If more of them fail alike, the jobs are the
+/// likelier cause.
+constexpr std::size_t UnprovenPerService = 3;
+
+/// Once so many tasks of a step have failed on a worker, and it has completed
+/// nothing since, the others avoid it.
+constexpr std::size_t FaultyTasksToAvoid = 2;
+
+/// A run of another worker that has made no progress for this long does not
+/// show that a stuck one is unusual.
+constexpr Millis RecentProgressMs = 4000;
+
+std::size_t divideUp(std::size_t Number, std::size_t By) {
+  return (Number + By - 1) / By;
+}
+
+} // namespace
+
+// True if the worker can receive orders, whether it is quarantined or not.
+bool Leader::isReachable(const AgentView &A, Millis Now) const {
+  return !A.m_worker.m_workerIncarnation.empty() &&
+         Now - A.m_workerReportedAt < m_timing.m_silentMs &&
+         !A.m_worker.m_draining && !A.m_unhealthy;
+}
+
+bool Leader::acceptsWork(const AgentView &A, Millis Now) const {
+  return isReachable(A, Now) && Now >= A.m_quarantinedUntil;
+}
+
+// Compares a fault with the other tasks of its step, which are identical.
+WorksElsewhere Leader::compareRuns(const RunFault &F, const std::string &Agent,
+                                   Millis Now) const {
+  const Task *Faulty = findTask(F.m_task);
+  if (Faulty == nullptr)
+    return WorksElsewhere::Nothing;
+  const auto Works = [&](const Task &T) {
+    if (T.m_agent == Agent)
+      return false;
+    if (T.m_phase == TaskPhase::Done)
+      return true;
+    if (T.m_phase != TaskPhase::Placed || !T.m_running ||
+        T.m_stop != StopReason::None)
+      return false;
+    const auto At = m_agents.find(T.m_agent);
+    if (At == m_agents.end() || !isReachable(At->second, Now))
+      return false;
+    return F.m_stuck ? Now - T.m_progressAt < RecentProgressMs
+                     : outlives(Now - T.m_placedAt, F);
+  };
+  if (Works(*Faulty))
+    return WorksElsewhere::Task;
+  const auto &Occurrences = m_jobs.at(F.m_task.m_job).m_progress.m_occurrences;
+  const auto Step = static_cast<std::size_t>(F.m_task.m_step);
+  const bool Any = std::any_of(
+      Occurrences.begin(), Occurrences.end(), [&](const Occurrence &O) {
+        return std::any_of(O[Step].begin(), O[Step].end(), Works);
+      });
+  return Any ? WorksElsewhere::Step : WorksElsewhere::Nothing;
+}
+
+WorkerEvidence Leader::evidenceAgainst(const AgentView &A, Millis Now) const {
+  return m_faults.evidenceAgainst(
+      A.m_name, A.m_faultsSince, [&](const RunFault &F, const std::string &Of) {
+        return compareRuns(F, Of, Now);
+      });
+}
+
+void Leader::updateWorkerHealth(AgentView &A, const TaskName &Name,
+                                const EndReport &E, Millis Now) {
+  const Millis PlacedAt = findTask(Name)->m_placedAt;
+  // An unhealthy worker would refuse the next order too.
+  if (E.m_kind == EndKind::NeverStarted && E.m_detail == UnhealthyReason &&
+      Now >= A.m_quarantinedUntil) {
+    A.m_evidenceNeeded = 0;
+    return quarantine(A, Name.m_job, "refuses", {}, Now);
+  }
+  if (E.m_kind == EndKind::Done) {
+    m_faults.refute(A.m_name, PlacedAt);
+    if (PlacedAt >= A.m_quarantinedUntil)
+      A.m_quarantineMs = 0;
+  }
+  if (E.m_kind == EndKind::Failed)
+    recordFault(A, Name, false, Now);
+}
+
+void Leader::recordFault(AgentView &A, const TaskName &Name, bool Stuck,
+                         Millis Now) {
+  const Task &T = *findTask(Name);
+  const Step &Kind = m_jobs.at(Name.m_job)
+                         .m_spec.m_steps[static_cast<std::size_t>(Name.m_step)];
+  // Long-running tasks may fail at any time once they are at work.
+  constexpr int AtWorkPercent = 100;
+  const bool Expected = Kind.m_longRunning && T.m_percent >= AtWorkPercent;
+  m_faults.add(A.m_name, {Name, Now, T.m_placedAt, Stuck, Expected});
+  if (m_faults.faultyTasks(A.m_name, Name) >= FaultyTasksToAvoid)
+    avoidForStep(Name, A.m_name);
+  judgeWorker(A, Name.m_job, Stuck ? "noProgress" : "failures", Now);
+}
+
+// Runs that were placed before the last quarantine ended do not count, so only
+// a failed probation makes the next one longer.
+void Leader::judgeWorker(AgentView &A, const std::string &Job,
+                         const char *Reason, Millis Now) {
+  if (Now < A.m_quarantinedUntil)
+    return;
+  A.m_faultsSince = A.m_quarantinedUntil;
+  A.m_evidenceNeeded =
+      A.m_quarantineMs > 0 ? EvidenceOnProbation : EvidenceToQuarantine;
+  const WorkerEvidence E = evidenceAgainst(A, Now);
+  A.m_evidence = E.total();
+  if (A.m_evidence >= A.m_evidenceNeeded && mayQuarantine(A, E, Now))
+    quarantine(A, Job, Reason, E, Now);
+}
+
+// A worker that fails what it starts is the first to be free again, and would
+// get all tasks of the step.
+void Leader::avoidForStep(const TaskName &OfStep, const std::string &Agent) {
+  Occurrence &O =
+      m_jobs.at(OfStep.m_job)
+          .m_progress
+          .m_occurrences[static_cast<std::size_t>(OfStep.m_occurrence)];
+  for (Task &T : O[static_cast<std::size_t>(OfStep.m_step)]) {
+    const auto &Known = T.m_avoid;
+    if (T.m_phase == TaskPhase::Waiting &&
+        std::find(Known.begin(), Known.end(), Agent) == Known.end())
+      T.m_avoid.push_back(Agent);
+  }
+}
+
+// At least one worker of each service stays in use.
+bool Leader::mayQuarantine(const AgentView &A, const WorkerEvidence &E,
+                           Millis Now) const {
+  std::size_t Reachable = 0;
+  std::size_t Quarantined = 0;
+  for (const auto &[Name, Other] : m_agents) {
+    if (Other.m_worker.m_service != A.m_worker.m_service ||
+        !isReachable(Other, Now))
+      continue;
+    ++Reachable;
+    Quarantined += Now < Other.m_quarantinedUntil ? 1 : 0;
+  }
+  const std::size_t Most = Reachable > 0 ? Reachable - 1 : 0;
+  const bool Proven = E.m_proven >= EvidenceToQuarantine;
+  const std::size_t Limit =
+      Proven ? Most : std::min(Most, divideUp(Reachable, UnprovenPerService));
+  return Quarantined < Limit;
+}
+
+void Leader::quarantine(AgentView &A, const std::string &Job,
+                        const char *Reason, const WorkerEvidence &E,
+                        Millis Now) {
+  A.m_quarantineMs =
+      std::clamp(A.m_quarantineMs * 2, QuarantineMs, MaxQuarantineMs);
+  A.m_quarantinedUntil = Now + A.m_quarantineMs;
+  m_counters.get("quarantines")++;
+  m_ports.event("workerQuarantined", Job,
+                fmt::format("agent={} reason={} proven={} unproven={} forMs={}",
+                            A.m_name, Reason, E.m_proven, E.m_unproven,
+                            A.m_quarantineMs));
+}
+
+// Later runs may show whether the jobs or the worker were the cause.
+void Leader::reviewWorkerHealth(Millis Now) {
+  m_faults.prune(Now);
+  for (auto &[Name, A] : m_agents) {
+    if (A.m_evidence == 0 && m_faults.faultsOf(Name).empty())
+      continue;
+    for (const auto &[R, Task] : A.m_runs) {
+      if (!isCurrent(A, Task, R.m_run) || R.m_phase != RunPhase::Running)
+        continue;
+      const Millis PlacedAt = findTask(*Task)->m_placedAt;
+      m_faults.refuteOutlived(Name, PlacedAt, Now - PlacedAt);
+    }
+    if (Now >= A.m_quarantinedUntil) {
+      judgeWorker(A, "", "failures", Now);
+      continue;
+    }
+    A.m_evidence = evidenceAgainst(A, Now).total();
+    if (A.m_evidence < A.m_evidenceNeeded)
+      reinstate(A, Now);
+  }
+}
+
+void Leader::reinstate(AgentView &A, Millis Now) {
+  A.m_quarantinedUntil = Now;
+  A.m_quarantineMs = A.m_quarantineMs > QuarantineMs ? A.m_quarantineMs / 2 : 0;
+  m_scheduleDue = true;
+  m_ports.event("workerReinstated", "",
+                fmt::format("agent={} reason=jobsFailElsewhere", A.m_name));
+}
+
+// The next incarnation of a worker may be sound.
+void Leader::resetWorkerHealth(AgentView &A) {
+  m_faults.forget(A.m_name);
+  A.m_quarantinedUntil = A.m_quarantineMs = A.m_faultsSince = 0;
+  A.m_evidence = A.m_evidenceNeeded = 0;
+}
+
+} // namespace pomelokeel::batch
--- a/src/batch/leader_runs.cc
+++ b/src/batch/leader_runs.cc
@@ -20,13 +20,6 @@
 /// usual speed, a run of 11 s gains a percent every 1.1 s.
 constexpr Millis NoProgressMs = 4000;
 
-/// Runs that failed within this time count towards a quarantine.
-constexpr Millis FailureWindowMs = 10000;
-/// Failures of different tasks without a success that quarantine a worker.
-constexpr std::size_t FailuresToQuarantine = 2;
-constexpr Millis QuarantineMs = 3000; ///< Doubles each time.
-constexpr Millis MaxQuarantineMs = 30000;
-
 /// A run that has not started within this share of the gang timeout after its
 /// placement is stopped. That is before workers end the gang members that wait
 /// for it.
@@ -341,30 +334,6 @@
   resetTask(Ended);
 }
 
-void Leader::updateWorkerHealth(AgentView &A, const TaskName &Name,
-                                const EndReport &E, Millis Now) {
-  // An unhealthy worker would refuse the next order too.
-  if (E.m_kind == EndKind::NeverStarted && E.m_detail == UnhealthyReason &&
-      Now >= A.m_quarantinedUntil)
-    return quarantine(A, Name.m_job, "refuses", Now);
-  if (E.m_kind == EndKind::Done) {
-    A.m_failures.clear();
-    A.m_quarantineMs = 0;
-    return;
-  }
-  if (E.m_kind != EndKind::Failed)
-    return;
-  const std::string Task = toString(Name);
-  std::erase_if(A.m_failures, [&](const auto &F) {
-    return Now - F.first > FailureWindowMs || F.second == Task;
-  });
-  A.m_failures.emplace_back(Now, Task);
-  if (A.m_failures.size() < FailuresToQuarantine)
-    return;
-  A.m_failures.clear();
-  quarantine(A, Name.m_job, "failures", Now);
-}
-
 void Leader::loseRuns(const std::string &Agent, const std::string &Incarnation,
                       const char *Reason, Millis Now, Millis WallNow) {
   std::vector<TaskName> Lost;
@@ -457,20 +426,9 @@
   }
 }
 
-void Leader::quarantine(AgentView &A, const std::string &Job,
-                        const char *Reason, Millis Now) {
-  A.m_quarantineMs =
-      std::clamp(A.m_quarantineMs * 2, QuarantineMs, MaxQuarantineMs);
-  A.m_quarantinedUntil = Now + A.m_quarantineMs;
-  m_counters.get("quarantines")++;
-  m_ports.event("workerQuarantined", Job,
-                fmt::format("agent={} reason={} forMs={}", A.m_name, Reason,
-                            A.m_quarantineMs));
-}
-
 // Returns why a run should be stopped, or StopReason::None.
-StopReason Leader::reasonToStop(const Step &Kind, Task &T,
-                                const std::string &Job, Millis Now) {
+StopReason Leader::reasonToStop(const Step &Kind, Task &T, const TaskName &Name,
+                                Millis Now) {
   const auto StartMs = static_cast<Millis>(
       static_cast<double>(m_timing.m_gangTimeoutMs) * StartShare);
   AgentView &A = m_agents[T.m_agent];
@@ -489,10 +447,7 @@
   if (Kind.m_longRunning || Now - T.m_progressAt < NoProgressMs ||
       A.m_unhealthy || Now - A.m_workerReportedAt > m_timing.m_silentMs)
     return StopReason::None;
-  if (A.m_noProgressAt < 0 || Now - A.m_noProgressAt > NoProgressMs) {
-    A.m_noProgressAt = Now;
-    quarantine(A, Job, "noProgress", Now);
-  }
+  recordFault(A, Name, true, Now);
   T.m_avoid.push_back(T.m_agent);
   return StopReason::Stalled;
 }
@@ -506,7 +461,7 @@
       if (T.m_phase != TaskPhase::Placed || T.m_stop != StopReason::None)
         return;
       const Step &Kind = J.m_spec.m_steps[static_cast<std::size_t>(S)];
-      const StopReason Reason = reasonToStop(Kind, T, Id, Now);
+      const StopReason Reason = reasonToStop(Kind, T, {Id, K, S, I}, Now);
       if (Reason == StopReason::None)
         return;
       stopRun(T, {Id, K, S, I}, Reason);
--- a/src/batch/leader_schedule.cc
+++ b/src/batch/leader_schedule.cc
@@ -9,13 +9,6 @@
 
 namespace pomelokeel::batch {
 
-bool Leader::acceptsWork(const AgentView &A, Millis Now) const {
-  return !A.m_worker.m_workerIncarnation.empty() &&
-         Now - A.m_workerReportedAt < m_timing.m_silentMs &&
-         !A.m_worker.m_draining && !A.m_unhealthy &&
-         Now >= A.m_quarantinedUntil;
-}
-
 std::vector<CandidateWorker> Leader::makeCandidateWorkers(Millis Now) const {
   std::vector<CandidateWorker> Out;
   std::unordered_map<std::string_view, std::size_t> ByAgent;
@@ -30,7 +23,8 @@
     W.m_labels = A.m_worker.m_labels;
     W.m_capacity = W.m_free = W.m_freeSoon = A.m_worker.m_capacity;
     W.m_slowness = A.m_slowness;
-    W.m_failures = static_cast<int>(A.m_failures.size());
+    // Workers on probation are used last.
+    W.m_failures = A.m_evidence + (A.m_quarantineMs > 0 ? 1 : 0);
     W.m_usable = acceptsWork(A, Now);
     for (const auto &[Key, Reserved] : A.m_endingGangRuns) {
       W.m_free = W.m_free - Reserved.first;
--- a/tests/batch/leader_fixture.h
+++ b/tests/batch/leader_fixture.h
@@ -153,7 +153,8 @@
     R.m_worker = W;
     for (auto &[Task, Run] : B.m_runs) {
       // The leader would stop a run without progress.
-      Run.m_percent = static_cast<int>(m_now / 200 % 100);
+      if (Name != m_frozenAgent && !isFrozen(Task))
+        Run.m_percent = static_cast<int>(m_now / 200 % 100);
       R.m_runs.push_back(Run);
     }
     R.m_ends = B.m_ends;
@@ -164,6 +165,10 @@
     answerAppends();
   }
 
+  bool isFrozen(const std::string &Task) const {
+    return !m_frozenTasks.empty() && Task.starts_with(m_frozenTasks);
+  }
+
   /// Replaces the agent's process by one that has not heard from its worker.
   void restartAgent(const std::string &Name) {
     FakeAgent &B = m_agents[Name];
@@ -255,6 +260,8 @@
   std::vector<std::string> m_events;
   std::int64_t m_ends = 0;
   bool m_stopsWork = true;
+  std::string m_frozenAgent; ///< Runs of its worker make no progress.
+  std::string m_frozenTasks; ///< Tasks whose names begin so make no progress.
   base::Counters m_counters;
   std::unique_ptr<Leader> m_leader;
 };
--- /dev/null
+++ b/tests/batch/worker_health_test.cc
@@ -0,0 +1,321 @@
+#include "leader_fixture.h"
+
+#include <algorithm>
+#include <functional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace pomelokeel::batch::tests {
+namespace {
+
+/// Workers with 8 accelerators each, on which runs end by rules of the test.
+class WorkerHealthTest : public LeaderTest {
+protected:
+  /// Decides how a run ends that has worked for \p AgeMs, if it does.
+  using Outcome = std::function<std::optional<EndKind>(
+      const std::string &Agent, const std::string &Task, Millis AgeMs)>;
+
+  void addAgents(int Count) {
+    for (int I = 0; I < Count; ++I)
+      addAgent("w" + std::to_string(I));
+  }
+
+  /// Advances the time by \p Ms and ends runs by \p Rule.
+  void work(Millis Ms, const Outcome &Rule) {
+    const Millis End = m_now + Ms;
+    while (m_now < End) {
+      pass(50);
+      for (const std::string &Agent : m_alive)
+        endRuns(Agent, Rule);
+      for (const std::string &Agent : m_alive)
+        m_outOfUse[Agent] += quarantined(Agent) ? 50 : 0;
+    }
+  }
+
+  void endRuns(const std::string &Agent, const Outcome &Rule) {
+    std::vector<std::pair<std::string, EndKind>> Ends;
+    for (const auto &[Task, Run] : m_agents[Agent].m_runs) {
+      const auto Key = std::tuple(Agent, Task, Run.m_run);
+      const Millis Age = m_now - m_seen.try_emplace(Key, m_now).first->second;
+      if (Age == 0)
+        ++m_startsOn[Agent];
+      if (const auto Kind = Rule(Agent, Task, Age))
+        Ends.emplace_back(Task, *Kind);
+    }
+    for (const auto &[Task, Kind] : Ends)
+      end(Agent, Task, Kind);
+  }
+
+  bool quarantined(const std::string &Agent) const {
+    return m_quarantinedUntil.contains(Agent) &&
+           m_now < m_quarantinedUntil.at(Agent);
+  }
+
+  void event(const std::string &Name, const std::string &Job,
+             const std::string &Detail) override {
+    LeaderTest::event(Name, Job, Detail);
+    const auto Value = [&](const std::string &Key) {
+      const auto At = Detail.find(Key + "=") + Key.size() + 1;
+      return Detail.substr(At, Detail.find(' ', At) - At);
+    };
+    if (Name == "workerQuarantined") {
+      m_quarantinedUntil[Value("agent")] = m_now + std::stoll(Value("forMs"));
+      m_lengths.push_back(std::stoll(Value("forMs")));
+    }
+    if (Name == "workerReinstated")
+      m_quarantinedUntil.erase(Value("agent"));
+  }
+
+  Millis longestOutOfUse() const {
+    Millis Out = 0;
+    for (const auto &[Agent, Ms] : m_outOfUse)
+      Out = std::max(Out, Ms);
+    return Out;
+  }
+
+  static bool isOf(const std::string &Task, const std::string &Job) {
+    return Task.starts_with(Job);
+  }
+
+  std::map<std::tuple<std::string, std::string, int>, Millis> m_seen;
+  std::map<std::string, int> m_startsOn;
+  std::map<std::string, Millis> m_quarantinedUntil;
+  std::map<std::string, Millis> m_outOfUse; ///< Time in quarantine, by agent.
+  std::vector<Millis> m_lengths;            ///< Of the quarantines.
+};
+
+/// Jobs whose id begins with "bad" fail after \p FailMs, others are done after
+/// \p DoneMs.
+auto hopeless(Millis FailMs, Millis DoneMs) {
+  return [=](const std::string &, const std::string &Task,
+             Millis AgeMs) -> std::optional<EndKind> {
+    const bool Bad = Task.starts_with("bad");
+    if (AgeMs < (Bad ? FailMs : DoneMs))
+      return std::nullopt;
+    return Bad ? EndKind::Failed : EndKind::Done;
+  };
+}
+
+/// Workers in \p Workers fail all that they start after \p FailMs, others
+/// complete it after \p DoneMs.
+auto failingWorkers(std::set<std::string> Workers, Millis FailMs,
+                    Millis DoneMs) {
+  return [=](const std::string &Agent, const std::string &,
+             Millis AgeMs) -> std::optional<EndKind> {
+    const bool Bad = Workers.contains(Agent);
+    if (AgeMs < (Bad ? FailMs : DoneMs))
+      return std::nullopt;
+    return Bad ? EndKind::Failed : EndKind::Done;
+  };
+}
+
+// Review case 4: the failures of one hopeless job, reported together by all
+// workers, quarantined each of them for 3 + 6 + 12 + 24 s. Accepted jobs of
+// another account waited on an idle fleet.
+TEST_F(WorkerHealthTest, AHopelessJobLeavesTheFleetInUse) {
+  addAgents(6);
+  submit("bad", jobOf({step(55, 1)}));
+  work(9000, hopeless(4000, 500));
+  EXPECT_EQ(phaseOf("bad"), JobPhase::Failed);
+  submit("good", jobOf({step(48, 1)}));
+  work(1500, hopeless(4000, 500));
+  EXPECT_EQ(phaseOf("good"), JobPhase::Done);
+  EXPECT_LE(longestOutOfUse(), 300);
+}
+
+// The same for other numbers of workers, jobs, tasks and accounts, in one
+// burst or one after the other: sound jobs that come meanwhile do not wait.
+TEST_F(WorkerHealthTest, HopelessJobsOfAnySizeDelayNoSoundJob) {
+  struct Case {
+    int m_workers;
+    int m_jobs;
+    int m_tasks;
+    Millis m_gapMs;
+    Millis m_failMs;
+  };
+  for (const Case &C : {Case{2, 1, 16, 0, 4000}, Case{3, 2, 12, 0, 1000},
+                        Case{4, 30, 1, 0, 1000}, Case{6, 8, 6, 100, 300},
+                        Case{11, 40, 2, 200, 100}, Case{11, 4, 88, 0, 2000},
+                        Case{20, 5, 30, 500, 6000}, Case{1, 3, 4, 0, 500}}) {
+    SCOPED_TRACE(testing::Message() << C.m_workers << " workers, " << C.m_jobs
+                                    << " jobs of " << C.m_tasks);
+    m_agents.clear();
+    m_alive.clear();
+    m_stored.clear();
+    m_seen.clear();
+    m_quarantinedUntil.clear();
+    makeLeader();
+    addAgents(C.m_workers);
+    int Good = 0;
+    const auto Rule = hopeless(C.m_failMs, 500);
+    const auto SubmitGood = [&] {
+      CallerRequest R =
+          request(CallerRequestKind::Submit, "good" + std::to_string(Good++));
+      R.m_queue.m_priority = 0;
+      R.m_account = "another";
+      R.m_spec = jobOf({step(1, 1)});
+      ask(R);
+    };
+    for (int I = 0; I < C.m_jobs; ++I) {
+      CallerRequest R =
+          request(CallerRequestKind::Submit, "bad" + std::to_string(I));
+      R.m_account = "account" + std::to_string(I % 3);
+      R.m_spec = jobOf({step(C.m_tasks, 1)});
+      ask(R);
+      work(C.m_gapMs, Rule);
+    }
+    // While hopeless runs occupy the fleet a sound job may wait for them, but
+    // not on idle workers.
+    for (int I = 0; I < 20; ++I) {
+      SubmitGood();
+      work(1000, Rule);
+    }
+    work(C.m_failMs + 1000, Rule);
+    for (int I = 0; I < Good; ++I)
+      EXPECT_EQ(phaseOf("good" + std::to_string(I)), JobPhase::Done) << I;
+    int Available = 0;
+    for (const std::string &Agent : m_alive)
+      Available += quarantined(Agent) ? 0 : 1;
+    EXPECT_GE(Available * 3, C.m_workers * 2);
+    EXPECT_GE(Available, 1);
+  }
+}
+
+// A worker that fails all it starts is found by the jobs of a mixed load.
+TEST_F(WorkerHealthTest, AWorkerThatFailsAllItStartsIsQuarantined) {
+  addAgents(6);
+  const auto Rule = failingWorkers({"w2"}, 50, 2000);
+  for (int I = 0; I < 40; ++I) {
+    submit("job" + std::to_string(I), jobOf({step(9, 1)}));
+    work(400, Rule);
+  }
+  work(6000, Rule);
+  for (int I = 0; I < 40; ++I)
+    EXPECT_EQ(phaseOf("job" + std::to_string(I)), JobPhase::Done) << I;
+  EXPECT_LE(m_startsOn["w2"], 30);
+  EXPECT_GE(m_outOfUse["w2"], 12000);
+  for (const auto &[Agent, Ms] : m_outOfUse)
+    EXPECT_TRUE(Agent == "w2" || Ms == 0) << Agent;
+}
+
+// Also if the fleet runs only one wide job, whose other tasks go on: the
+// failing worker is always the first to be free and would get all of them.
+TEST_F(WorkerHealthTest, AFailingWorkerIsFoundByTheTasksOfOneJob) {
+  addAgents(4);
+  const auto Rule = failingWorkers({"w1"}, 50, 4000);
+  submit("wide", jobOf({step(100, 1)}));
+  work(25000, Rule);
+  EXPECT_EQ(phaseOf("wide"), JobPhase::Done);
+  EXPECT_GE(m_outOfUse["w1"], 3000);
+  EXPECT_LE(m_startsOn["w1"], 16);
+  EXPECT_EQ(m_outOfUse["w0"] + m_outOfUse["w2"] + m_outOfUse["w3"], 0);
+}
+
+// Jobs fail on each of several bad workers. That must not make the jobs
+// suspect for good.
+TEST_F(WorkerHealthTest, SeveralFailingWorkersAreFound) {
+  addAgents(6);
+  const std::set<std::string> Bad = {"w0", "w3", "w4"};
+  const auto Rule = failingWorkers(Bad, 50, 1500);
+  for (int I = 0; I < 40; ++I) {
+    submit("job" + std::to_string(I), jobOf({step(12, 1)}));
+    work(500, Rule);
+  }
+  for (const std::string &Agent : m_alive) {
+    if (Bad.contains(Agent))
+      EXPECT_GE(m_outOfUse[Agent], 8000) << Agent;
+    else
+      EXPECT_EQ(m_outOfUse[Agent], 0) << Agent;
+  }
+}
+
+// Runs that last for hours end too late to tell sound jobs from hopeless ones;
+// that they outlive the failed runs does.
+TEST_F(WorkerHealthTest, AFailingWorkerIsFoundByRunsThatLast) {
+  addAgents(5);
+  const auto Rule = failingWorkers({"w1", "w2"}, 200, 3600000);
+  for (int I = 0; I < 50; ++I) {
+    submit("job" + std::to_string(I), jobOf({step(2, 1)}));
+    work(500, Rule);
+  }
+  EXPECT_GE(m_outOfUse["w1"], 6000);
+  EXPECT_GE(m_outOfUse["w2"], 6000);
+  EXPECT_EQ(m_outOfUse["w0"] + m_outOfUse["w3"] + m_outOfUse["w4"], 0);
+}
+
+// A worker that is sound again is used again after its probation.
+TEST_F(WorkerHealthTest, ProbationEndsWithTheFirstCompletedRun) {
+  addAgents(3);
+  for (int I = 0; I < 8; ++I) {
+    submit("job" + std::to_string(I), jobOf({step(16, 1)}));
+    work(500, failingWorkers({"w0"}, 50, 1000));
+  }
+  ASSERT_GT(m_outOfUse["w0"], 0);
+  for (int I = 0; I < 60; ++I) {
+    submit("later" + std::to_string(I), jobOf({step(8, 1)}));
+    work(500, failingWorkers({}, 0, 1000));
+  }
+  ASSERT_FALSE(quarantined("w0"));
+  m_lengths.clear();
+  for (int I = 0; I < 8; ++I) {
+    submit("last" + std::to_string(I), jobOf({step(8, 1)}));
+    work(500, failingWorkers({"w0"}, 50, 1000));
+  }
+  ASSERT_FALSE(m_lengths.empty());
+  EXPECT_EQ(m_lengths.front(), 3000);
+}
+
+// Runs that were placed before a quarantine made the next one longer, although
+// no run had tested the worker since.
+TEST_F(WorkerHealthTest, OnlyAFailedProbationLengthensAQuarantine) {
+  addAgents(3);
+  const auto Rule = failingWorkers({"w0"}, 1000, 1000);
+  for (int I = 0; I < 8; ++I)
+    submit("job" + std::to_string(I), jobOf({step(3, 1)}));
+  work(2900, Rule);
+  EXPECT_EQ(m_lengths, std::vector<Millis>{3000});
+}
+
+// Tasks that stand still by their own fault quarantined each worker that they
+// were on.
+TEST_F(WorkerHealthTest, AJobThatStandsStillLeavesTheFleetInUse) {
+  addAgents(6);
+  submit("stuck", jobOf({step(48, 1)}));
+  pass(300);
+  m_frozenTasks = "stuck";
+  pass(4500);
+  submit("good", jobOf({step(2, 1)}));
+  work(1500, hopeless(0, 500));
+  EXPECT_EQ(phaseOf("good"), JobPhase::Done);
+}
+
+TEST_F(WorkerHealthTest, AWorkerOnWhichTasksStandStillIsQuarantined) {
+  addAgents(4);
+  for (int I = 0; I < 8; ++I)
+    submit("job" + std::to_string(I), jobOf({step(4, 1)}));
+  pass(300);
+  m_frozenAgent = "w1";
+  work(4500, failingWorkers({}, 0, 3600000));
+  EXPECT_TRUE(quarantined("w1"));
+  EXPECT_EQ(m_quarantinedUntil.size(), 1u);
+}
+
+// The next incarnation of a worker is another machine or has been repaired.
+TEST_F(WorkerHealthTest, ARestartedWorkerIsInUseAtOnce) {
+  addAgents(2);
+  for (int I = 0; I < 4; ++I)
+    submit("job" + std::to_string(I), jobOf({step(4, 1)}));
+  work(300, failingWorkers({"w0"}, 50, 200));
+  ASSERT_TRUE(quarantined("w0"));
+  m_agents["w0"].m_workerIncarnation = "w0@2";
+  m_agents["w0"].m_startTime = 2;
+  m_agents["w0"].m_runs.clear();
+  m_agents["w0"].m_ends.clear();
+  submit("next", jobOf({step(16, 1)}));
+  work(300, failingWorkers({}, 0, 5000));
+  EXPECT_EQ(m_agents["w0"].m_runs.size(), 8u);
+}
+
+} // namespace
+} // namespace pomelokeel::batch::tests
