Let each task avoid the workers that failed it

Cause: the tasks of a step were placed one by one with the list of avoided agents of the last waiting task. A task that had failed on a worker went back to it, and its job used up its attempts there.

Change: each task is placed with its own list. A task that does not fit does not keep the tasks with other lists waiting.

Red before: ScheduleTest.EachTaskAvoidsTheWorkersThatFailedIt.

--- a/src/batch/schedule.cc
+++ b/src/batch/schedule.cc
@@ -252,10 +252,11 @@
          static_cast<double>(U.m_step->m_estimateMs) / MsPerSecond;
 }
 
-Unit singleTaskUnit(const Unit &All, int Index) {
+Unit singleTaskUnit(const Unit &All, int Index, const Task &T) {
   Unit One = All;
   One.m_indices = {Index};
   One.m_name.m_index = Index;
+  One.m_avoid = T.m_avoid;
   return One;
 }
 
@@ -331,18 +332,33 @@
         tryUnit(C.m_unit, C.m_rank);
         continue;
       }
-      for (const int I : C.m_unit.m_indices) {
-        const auto At = tryUnit(singleTaskUnit(C.m_unit, I), C.m_rank);
-        if (!At)
-          break;
-        if (!C.m_unit.m_running.empty())
-          ++C.m_unit.m_running[At->front()];
-      }
+      startTasks(C);
     }
     return std::move(m_plan);
   }
 
 private:
+  // Starts as many tasks of the unit as fit. The tasks differ only in the
+  // agents that they avoid, so what does not fit once is not tried again.
+  void startTasks(Candidate &C) {
+    const TaskName &Name = C.m_unit.m_name;
+    const auto &Tasks =
+        m_jobs.at(Name.m_job)
+            ->m_progress.m_occurrences[static_cast<std::size_t>(
+                Name.m_occurrence)][static_cast<std::size_t>(Name.m_step)];
+    std::set<std::vector<std::string>> NotFitting;
+    for (const int I : C.m_unit.m_indices) {
+      const Task &T = Tasks[static_cast<std::size_t>(I)];
+      if (NotFitting.contains(T.m_avoid))
+        continue;
+      const auto At = tryUnit(singleTaskUnit(C.m_unit, I, T), C.m_rank);
+      if (!At)
+        NotFitting.insert(T.m_avoid);
+      else if (!C.m_unit.m_running.empty())
+        ++C.m_unit.m_running[At->front()];
+    }
+  }
+
   // Starts the unit if it fits now. Otherwise it keeps resources for the unit
   // that are becoming free, preempting other runs if necessary. Returns the
   // workers only if the unit starts.
--- a/tests/batch/schedule_test.cc
+++ b/tests/batch/schedule_test.cc
@@ -267,6 +267,20 @@
   EXPECT_EQ(planNow().m_starts.size(), 1u);
 }
 
+// All tasks of a step avoided the workers of its last waiting task. The others
+// went back to the worker that had failed them, and the job used up its
+// attempts.
+TEST_F(ScheduleTest, EachTaskAvoidsTheWorkersThatFailedIt) {
+  addWorkers(2);
+  run(addJob("busy", 0, {step(1, 8)}), {1}, 100);
+  JobState &J = addJob("job", 0, {step(3, 1)});
+  J.m_progress.m_occurrences[0][0][0].m_avoid = {"w0"};
+  const Plan P = planNow();
+  ASSERT_EQ(P.m_starts.size(), 2u);
+  EXPECT_EQ(P.m_starts[0].m_unit.m_indices, std::vector<int>{1});
+  EXPECT_EQ(P.m_starts[1].m_unit.m_indices, std::vector<int>{2});
+}
+
 double processorMs() {
   timespec T{};
   clock_gettime(CLOCK_THREAD_CPUTIME_ID, &T);
