Refuse a submission whose job was cancelled before it arrived

Callers saw: a caller gave up a submission without an answer and cancelled the job at another entry, which answered 410.

Cause: Leader::cancel() answered that an unknown job is gone and kept nothing, so a submission that arrived later was a new job. The same held for the cancel of a submission that the store had refused, of which another copy could follow.

Change: the leader stores a tombstone before it answers, and refuses submissions of that id for as long as it keeps ended jobs. The number of tombstones is limited; beyond that a cancel of an unknown job is refused instead of an earlier one forgotten.

--- a/src/batch/job.h
+++ b/src/batch/job.h
@@ -221,6 +221,18 @@
   }
 };
 
+/// Stands for a job that was cancelled before its submission arrived, so that
+/// the submission is refused.
+struct Tombstone {
+  Millis m_cancelledMs = 0; ///< Wall clock time.
+  /// Number of the journal batch that stores it; 0 if it is stored.
+  std::uint64_t m_batch = 0;
+
+  static constexpr auto fields() {
+    return std::tuple{base::required("cancelledMs", &Tombstone::m_cancelledMs)};
+  }
+};
+
 /// Calls \p Visit with occurrence, step, index and each task of \p P.
 template <typename P, typename F> void forEachTask(P &Of, F Visit) {
   int K = 0;
--- a/src/batch/journal.h
+++ b/src/batch/journal.h
@@ -24,6 +24,9 @@
 /// Progress that changes.
 constexpr std::string_view SpecKey = "spec/";
 constexpr std::string_view StateKey = "state/";
+/// Key prefix of the Tombstone of a job that was cancelled before it was
+/// submitted.
+constexpr std::string_view TombstoneKey = "cancelled/";
 
 inline std::string journalKey(std::string_view Prefix, const std::string &Job) {
   return std::string(Prefix) + Job;
--- a/src/batch/leader.cc
+++ b/src/batch/leader.cc
@@ -51,7 +51,8 @@
                std::uint64_t Epoch, Millis Now, Millis WallNow)
     : m_timing(T), m_ports(Ports), m_counters(Counters), m_epoch(Epoch),
       m_startedAt(Now), m_confirmedAt(Now), m_attention(Now, MaxStepMs),
-      m_journal(Epoch, [this](const JournalBatch &B) { m_ports.append(B); }) {
+      m_journal(Epoch, [this](const JournalBatch &B) { m_ports.append(B); }),
+      m_wallNow(WallNow) {
   m_ports.event("leadershipTaken", "",
                 fmt::format("epoch={} wall={}", Epoch, WallNow));
 }
@@ -75,6 +76,14 @@
         MarkUnreadable(R, S);
       continue;
     }
+    if (R.m_key.starts_with(TombstoneKey)) {
+      Tombstone T;
+      if (auto S = unpack(R, T); S)
+        m_tombstones[R.m_key.substr(TombstoneKey.size())] = T;
+      else
+        MarkUnreadable(R, S);
+      continue;
+    }
     if (!R.m_key.starts_with(SpecKey))
       continue;
     Job J;
@@ -166,6 +175,7 @@
   }
   if (refuseUnreadable(R, Answer))
     return;
+  m_wallNow = WallNow;
   switch (R.m_kind) {
   case CallerRequestKind::Submit:
     submit(R, Now, WallNow, std::move(Answer));
@@ -285,6 +295,7 @@
   m_counters.observe("leader_late_ms", LateMs);
   if (LateMs >= LateStepLogMs)
     m_ports.event("leaderLate", "", fmt::format("byMs={}", LateMs));
+  m_wallNow = WallNow;
   addOccurrences(WallNow);
   loseUnreachableRuns(Now, WallNow);
   checkRuns(Now);
@@ -406,11 +417,11 @@
   std::vector<KeyedRecord> Records;
   // The newest record of a key counts, and the id of a dropped job may be that
   // of a new one.
-  for (const std::string &Id : m_dropped) {
-    Records.push_back({journalKey(SpecKey, Id), ""});
-    Records.push_back({journalKey(StateKey, Id), ""});
-  }
+  for (const std::string &Key : m_dropped)
+    Records.push_back({Key, ""});
   for (const std::string &Id : m_dirty) {
+    if (const auto T = m_tombstones.find(Id); T != m_tombstones.end())
+      Records.push_back({journalKey(TombstoneKey, Id), pack(T->second)});
     const auto It = m_jobs.find(Id);
     if (It == m_jobs.end())
       continue;
@@ -440,11 +451,20 @@
       ++It;
       continue;
     }
-    m_dropped.push_back(It->first);
+    m_dropped.push_back(journalKey(SpecKey, It->first));
+    m_dropped.push_back(journalKey(StateKey, It->first));
     m_flushedPhases.erase(It->first);
     m_openJobs.erase(It->first);
     It = m_jobs.erase(It);
   }
+  std::erase_if(m_tombstones, [&](const auto &Entry) {
+    const auto &[Id, T] = Entry;
+    if (T.m_batch > m_journal.durable() ||
+        WallNow - T.m_cancelledMs < m_timing.m_retentionMs)
+      return false;
+    m_dropped.push_back(journalKey(TombstoneKey, Id));
+    return true;
+  });
 }
 
 } // namespace pomelokeel::batch
--- a/src/batch/leader.h
+++ b/src/batch/leader.h
@@ -218,8 +218,12 @@
   void query(const CallerRequest &R, const CallerAnswer &Answer) const;
   void cancel(const CallerRequest &R, Millis Now, Millis WallNow,
               CallerAnswer Answer);
+  void cancelUnknown(const CallerRequest &R, Millis Now, Millis WallNow,
+                     CallerAnswer Answer);
+  void addTombstone(const std::string &Id, Millis WallNow);
   void countPending(const CallerRequest &R, const CallerAnswer &Answer) const;
   void answerWaitingCallers(Millis Now);
+  CallerReply replyOnceStored(const detail::WaitingCaller &W) const;
   void withdrawSubmissions(bool OfCurrentBatch);
   void handleStall(Millis Now);
   bool refuseUnreadable(const CallerRequest &R, const CallerAnswer &Answer);
@@ -314,9 +318,11 @@
   std::uint64_t m_entriesVersion = 0;
   JobTable m_jobs;
   OpenJobs m_openJobs;
-  std::set<std::string> m_dirty;      ///< Jobs to write with the next batch.
+  std::map<std::string, Tombstone> m_tombstones; ///< By job.
+  /// Jobs and tombstones to write with the next batch.
+  std::set<std::string> m_dirty;
   std::set<std::string> m_unreadable; ///< Jobs with an unreadable record.
-  std::vector<std::string> m_dropped; ///< Jobs to delete from the journal.
+  std::vector<std::string> m_dropped; ///< Keys to delete from the journal.
   std::map<std::string, JobPhase> m_flushedPhases; ///< Of the current batch.
   bool m_journalStalled = false; ///< Was logged for the current batch.
   std::map<std::string, AgentView> m_agents;
@@ -328,6 +334,7 @@
   bool m_scheduleDue = true;
   Millis m_scheduledAt = 0;
   Millis m_roundAt = 0;                ///< Time of the last round.
+  Millis m_wallNow = 0;                ///< Wall clock time of the last call.
   std::optional<Millis> m_nextRoundAt; ///< Requested from the process.
 };
 
--- a/src/batch/leader_callers.cc
+++ b/src/batch/leader_callers.cc
@@ -21,6 +21,12 @@
 /// Retry-after time if the caller left too little time for an answer.
 constexpr Millis RetryNoTimeMs = 1000;
 
+/// Limit for the tombstones, which bounds their part of the journal.
+constexpr std::size_t MaxTombstones = 4096;
+
+constexpr const char *CancelledReason =
+    "the job was cancelled before it was submitted";
+
 CallerReply refusal(Verdict V, Millis RetryAfterMs, std::string Reason) {
   CallerReply Out;
   Out.m_verdict = V;
@@ -68,6 +74,15 @@
     return Answer(
         refusal(Verdict::BadRequest, 0, "the request contains no job"));
   auto It = m_jobs.find(R.m_id);
+  if (const auto T = m_tombstones.find(R.m_id);
+      T != m_tombstones.end() && It == m_jobs.end()) {
+    m_ports.event("jobRefused", R.m_id, "reason=cancelledBefore");
+    m_counters.get("jobs_refused{reason=\"cancelled\"}")++;
+    m_waitingCallers.push_back({T->second.m_batch, R.m_id, true,
+                                Now + R.m_remainingMs - AnswerMarginMs,
+                                std::move(Answer)});
+    return;
+  }
   if (It == m_jobs.end()) {
     // The caller would stop waiting before the job is stored and would not
     // know the outcome.
@@ -126,7 +141,7 @@
                     CallerAnswer Answer) {
   const auto It = m_jobs.find(R.m_id);
   if (It == m_jobs.end())
-    return Answer(refusal(Verdict::Gone, 0, ""));
+    return cancelUnknown(R, Now, WallNow, std::move(Answer));
   Job &J = It->second;
   if (!isEnded(J.m_progress.m_phase)) {
     m_ports.event("jobCancelled", R.m_id,
@@ -140,6 +155,30 @@
                               std::move(Answer)});
 }
 
+// The submission may still be on its way through another entry. Once the caller
+// was told that there is no such job, it must not run.
+void Leader::cancelUnknown(const CallerRequest &R, Millis Now, Millis WallNow,
+                           CallerAnswer Answer) {
+  if (!m_tombstones.contains(R.m_id)) {
+    if (m_tombstones.size() >= MaxTombstones) {
+      m_ports.event("cancelRefused", R.m_id, "reason=tooMany");
+      return Answer(refusal(Verdict::Overloaded, RetryJournalMs,
+                            "too many unknown jobs were cancelled"));
+    }
+    addTombstone(R.m_id, WallNow);
+  }
+  m_waitingCallers.push_back({m_tombstones[R.m_id].m_batch, R.m_id, false,
+                              Now + R.m_remainingMs - AnswerMarginMs,
+                              std::move(Answer)});
+}
+
+void Leader::addTombstone(const std::string &Id, Millis WallNow) {
+  m_ports.event("jobCancelled", Id, "phase=unknown");
+  m_counters.get("jobs_cancelled")++;
+  m_tombstones[Id] = {WallNow, m_journal.nextBatch()};
+  m_dirty.insert(Id);
+}
+
 void Leader::countPending(const CallerRequest &R,
                           const CallerAnswer &Answer) const {
   CallerReply Out;
@@ -152,14 +191,22 @@
   Answer(std::move(Out));
 }
 
+CallerReply Leader::replyOnceStored(const detail::WaitingCaller &W) const {
+  CallerReply Out;
+  Out.m_verdict = Verdict::Ok;
+  if (const auto It = m_jobs.find(W.m_job); It != m_jobs.end())
+    Out.m_phase = visiblePhase(It->second);
+  else if (m_tombstones.contains(W.m_job))
+    Out = refusal(Verdict::Gone, 0, W.m_submission ? CancelledReason : "");
+  return Out;
+}
+
 void Leader::answerWaitingCallers(Millis Now) {
   std::vector<std::pair<CallerAnswer, CallerReply>> Ready;
   std::erase_if(m_waitingCallers, [&](detail::WaitingCaller &W) {
     CallerReply Out;
     if (W.m_batch <= m_journal.durable()) {
-      Out.m_verdict = Verdict::Ok;
-      if (const auto It = m_jobs.find(W.m_job); It != m_jobs.end())
-        Out.m_phase = visiblePhase(It->second);
+      Out = replyOnceStored(W);
     } else if (Now >= W.m_deadline) {
       Out.m_verdict = Verdict::Unknown;
       Out.m_reason = "the log has not answered in time";
@@ -201,13 +248,6 @@
     Refused.push_back(std::move(W.m_answer));
     return true;
   });
-  std::vector<CallerAnswer> NotFound;
-  std::erase_if(m_waitingCallers, [&](detail::WaitingCaller &W) {
-    if (!Withdrawn.contains(W.m_job))
-      return false;
-    NotFound.push_back(std::move(W.m_answer));
-    return true;
-  });
   for (const std::string &Id : Withdrawn) {
     m_ports.event("jobRefused", Id, "reason=journalRefused");
     m_counters.get("jobs_refused{reason=\"journal\"}")++;
@@ -220,11 +260,17 @@
         m_journal.withdraw(journalKey(Kind, Id));
     }
   }
+  // Another copy of a refused submission may arrive after its cancelling.
+  for (detail::WaitingCaller &W : m_waitingCallers) {
+    if (!Withdrawn.contains(W.m_job))
+      continue;
+    if (!m_tombstones.contains(W.m_job))
+      addTombstone(W.m_job, m_wallNow);
+    W.m_batch = m_tombstones[W.m_job].m_batch;
+  }
   for (const CallerAnswer &Answer : Refused)
     Answer(refusal(Verdict::Unavailable, RetryJournalMs,
                    "the log does not accept records"));
-  for (const CallerAnswer &Answer : NotFound)
-    Answer(refusal(Verdict::Gone, 0, ""));
 }
 
 } // namespace pomelokeel::batch
