Do not handle requests of clients that have left

Cause: a process that was suspended reads the requests that waited in its sockets and handled also those whose clients had closed the connection meanwhile. The server noticed that only afterwards.

Change: after a request is read, the connection is closed without handling it if the client has closed its side.

Red before, on: HttpServer.ARequestOfAClientThatHasLeftIsNotHandled.

--- a/src/http/http.h
+++ b/src/http/http.h
@@ -89,7 +89,8 @@
 /// the limit gets `overloaded`, a request that is too large `tooLarge`, and one
 /// that is malformed or does not arrive in time `badRequest`; then the
 /// connection is closed. If a client closes its side of the connection while it
-/// waits for a response, the server closes the connection without one.
+/// waits for a response, the server closes the connection without one. If it
+/// has done so before its request is read, the request is not handled.
 class Server {
 public:
   /// Binds to `host:port`. For port 0 the system chooses the port. Error:
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -18,6 +18,8 @@
 #include <thread>
 #include <utility>
 
+#include <sys/socket.h>
+
 namespace pomelokeel::http {
 namespace {
 
@@ -213,6 +215,10 @@
     for (const auto &Field : Received)
       R.m_headers.push_back(
           {std::string(Field.name_string()), std::string(Field.value())});
+    // The request may have waited while this process was suspended. Its client
+    // has given up and may rely on the request having had no effect.
+    if (closedByClient())
+      return close();
     m_phase = Phase::Handling;
     ++m_requestNumber;
     setDeadline(m_owner.limits().m_responseTimeoutMs);
@@ -220,6 +226,13 @@
     m_owner.handle(std::move(R), shared_from_this(), m_requestNumber);
   }
 
+  // True if the client has closed its side and everything it sent was read.
+  bool closedByClient() {
+    char Next = 0;
+    return m_buffer.size() == 0 && ::recv(m_socket.native_handle(), &Next, 1,
+                                          MSG_PEEK | MSG_DONTWAIT) == 0;
+  }
+
   void onReadError(Code E) {
     namespace bh = beast::http;
     if (m_readTimedOut)
--- a/tests/http/http_test.cc
+++ b/tests/http/http_test.cc
@@ -36,6 +36,7 @@
 //   /throw  throws an exception
 //   /lost   closes the connection without a response
 //   /big    responds with 16 MB
+//   /block  blocks the server thread until unblock()
 class Fixture : public testing::Test {
 protected:
   void start(const ServerLimits &Limits = {}) {
@@ -63,6 +64,11 @@
       throw std::runtime_error("on purpose");
     if (R.m_target == "/lost")
       return Answer(http::noAnswer());
+    if (R.m_target == "/block") {
+      m_blocked = true;
+      m_blocked.notify_all();
+      m_unblocked.wait(false);
+    }
     if (R.m_target == "/big")
       return Answer({200, std::string(16 * 1024 * 1024, 'x')});
     Answer({200, R.m_method + " " + R.m_target + " " + R.m_body});
@@ -86,6 +92,11 @@
     });
   }
 
+  void unblock() {
+    m_unblocked = true;
+    m_unblocked.notify_all();
+  }
+
   void answerHeld(const std::string &Body) {
     const std::lock_guard Lock(m_mutex);
     for (const Responder &Answer : m_held)
@@ -95,6 +106,8 @@
   std::mutex m_mutex;
   std::vector<Responder> m_held;
   std::atomic<int> m_requests = 0;
+  std::atomic<bool> m_blocked = false;
+  std::atomic<bool> m_unblocked = false;
   std::atomic<std::uint64_t> m_connection = 0;
   std::unique_ptr<Server> m_server;
 };
@@ -225,6 +238,24 @@
   answerHeld("too late");
 }
 
+// A process that was suspended handled the requests of clients that had long
+// given up (review case 5).
+TEST_F(HttpServer, ARequestOfAClientThatHasLeftIsNotHandled) {
+  start();
+  RawConnection Blocking(m_server->address());
+  ASSERT_TRUE(Blocking.send(rawGet("/block")));
+  m_blocked.wait(false);
+  RawConnection Waiting(m_server->address());
+  ASSERT_TRUE(Waiting.send(rawGet("/late")));
+  RawConnection Left(m_server->address());
+  ASSERT_TRUE(Left.send(rawGet("/left")));
+  Left.close();
+  unblock();
+  EXPECT_TRUE(eventually([&] { return m_requests == 2; }));
+  EXPECT_EQ(callOnce(get("/")).m_status, 200);
+  EXPECT_EQ(m_requests, 3);
+}
+
 TEST_F(HttpServer, MissingAnswersAreErrors) {
   ServerLimits Limits;
   Limits.m_responseTimeoutMs = ShortMs;
