Count a suspension in the deadline of submissions

Cause: an entry counted the time that a caller waits from the moment at which it read the submission. After a suspension that was a full new deadline for a caller who may have given up long before, and a submission could outlive the tombstone of its cancelled job.

No submission is handed in for longer than 30 s.

Red before: EntryNodeTest.TheDeadlineOfASubmissionCountsTheTimeOfASuspension.

--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -53,6 +53,9 @@
 constexpr Millis MaxLeaderChangeMs = 1500;
 /// Limit for the time that a submission waits for a new leader.
 constexpr Millis MaxLeaderWaitMs = 1200;
+/// Limit for the time in which a submission is handed to the leader, well
+/// within the time for which the leader remembers cancelled jobs.
+constexpr Millis MaxSubmissionMs = 30000;
 /// Interval between queries to other entries while the store is unreachable.
 constexpr Millis PeerQueryIntervalMs = 250;
 /// Part of the caller's deadline, and of the time in which this process ends,
@@ -128,7 +131,7 @@
     : m_reactor(R), m_settings(S), m_store(SharedStore),
       m_readConfig(std::move(ReadConfig)), m_events(Events),
       m_counters(Counters), m_tick(R.timer()), m_loadTimer(R.timer()),
-      m_roundTimer(R.timer()), m_clients(R) {
+      m_roundTimer(R.timer()), m_clients(R), m_arrivals(base::bootNow()) {
   ElectionSettings E;
   E.m_name = S.m_name;
   E.m_address = S.m_controlListen;
@@ -314,6 +317,7 @@
 void EntryNode::tick() {
   m_tick->start(TickMs, [this] { tick(); });
   const Millis Now = base::bootNow();
+  m_arrivals.tick(Now);
   queryPeers(Now);
   if (!m_leader)
     return;
@@ -403,9 +407,19 @@
   return Out;
 }
 
+// The caller of a submission that has waited may have given up, cancelled it
+// and been told that there is no such job. It is handed in for a limited time
+// only.
+Millis EntryNode::deadlineOf(const CallerCall &Call, Millis Now) const {
+  const Millis Left = Call.m_remainingMs - AnswerMarginMs;
+  if (Call.m_method != CallerCall::Method::Submit)
+    return Now + Left;
+  return m_arrivals.earliestArrival(Now) + std::min(Left, MaxSubmissionMs);
+}
+
 void EntryNode::answer(CallerCall Call, batch::CallerAnswer Answer) {
   const Millis Begin = base::bootNow();
-  const Millis Deadline = Begin + Call.m_remainingMs - AnswerMarginMs;
+  const Millis Deadline = deadlineOf(Call, Begin);
   auto Routed = route(m_config, std::move(Call));
   ++m_inFlight;
   auto Finish = [this, Begin, Answer = std::move(Answer),
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -5,6 +5,7 @@
 #include "batch/leader.h"
 #include "http/async_client.h"
 #include "http/reactor.h"
+#include "node/arrival_clock.h"
 #include "node/election.h"
 #include "node/peers.h"
 #include "node/router.h"
@@ -70,6 +71,7 @@
   void checkIsolation(Millis Now);
   void handOverIfIsolated(const std::string &Address, const EntryStatus &S);
   EntryStatus status();
+  Millis deadlineOf(const CallerCall &Call, Millis Now) const;
   void dispatch(batch::CallerRequest R, Millis Deadline,
                 batch::CallerAnswer Answer);
   void forward(batch::CallerRequest R, Millis Deadline,
@@ -105,6 +107,7 @@
   /// was served, or -1.
   Millis m_unavailableSince = -1;
   std::size_t m_inFlight = 0;
+  ArrivalClock m_arrivals;
   Millis m_isolatedSince = -1;
   /// While this leader is isolated: agents that other entries hear, by address.
   std::map<std::string, std::int64_t> m_agentsAtPeers;
--- a/tests/node/entry_node_test.cc
+++ b/tests/node/entry_node_test.cc
@@ -148,6 +148,38 @@
   EXPECT_EQ(*Submitted, Verdict::Unavailable);
 }
 
+// An entry that had been frozen gave a submission that had waited in its socket
+// a full new deadline, although its caller had given up (review case 5).
+TEST_F(EntryNodeTest, TheDeadlineOfASubmissionCountsTheTimeOfASuspension) {
+  constexpr Millis SuspendedMs = 1500;
+  ASSERT_TRUE(until([&] { return hasLeader() && other().m_node->ready(); }));
+  const Millis Until = base::bootNow() + SuspendedMs;
+  while (base::bootNow() < Until)
+    continue;
+  const auto Late = leader().call(CallerCall::Method::Submit, "1", 1000);
+  const auto Cancel = leader().call(CallerCall::Method::Cancel, "1");
+  ASSERT_TRUE(until([&] { return Late->has_value(); }));
+  EXPECT_EQ(*Late, Verdict::Unavailable);
+  ASSERT_TRUE(until([&] { return Cancel->has_value(); }));
+  EXPECT_EQ(*Cancel, Verdict::Gone);
+}
+
+// A caller gives up a submission at one entry and cancels the job at another.
+// The leader forgot the cancel when it changed.
+TEST_F(EntryNodeTest, ASubmissionIsRefusedByTheNextLeaderAfterItsCancel) {
+  ASSERT_TRUE(until([&] { return hasLeader() && other().m_node->ready(); }));
+  const auto Cancelled = other().call(CallerCall::Method::Cancel, "1");
+  ASSERT_TRUE(until([&] { return Cancelled->has_value(); }));
+  EXPECT_EQ(*Cancelled, Verdict::Gone);
+  Entry &Next = other();
+  leader().m_node->beginStop(1000);
+  ASSERT_TRUE(
+      until([&] { return Next.m_counters.get("leader_epoch") > 0; }, 6000));
+  const auto Submitted = Next.call(CallerCall::Method::Submit, "1");
+  ASSERT_TRUE(until([&] { return Submitted->has_value(); }));
+  EXPECT_EQ(*Submitted, Verdict::Gone);
+}
+
 // An entry that could not reach the store kept its old configuration and
 // rejected callers with new keys.
 TEST_F(EntryNodeTest, FetchesTheConfigurationFromPeersWithoutTheStore) {
