Let callers of the soak give up submissions and cancel elsewhere

Half of the callers that cancel now give up a submission after 300 ms and cancel the job at another entry. Both 200 and 410 acknowledge the cancel, after which no task may start.

--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -15,6 +15,8 @@
 namespace names = platform::names;
 
 constexpr Millis CallTimeoutMs = 3000;
+/// Some callers give up a submission after this time and cancel the job.
+constexpr Millis GiveUpMs = 300;
 constexpr Millis QueryIntervalMs = 800;
 constexpr Millis RetryDelayMs = 400;
 /// A job is abandoned if its submission with this number, or a later one, is
@@ -59,6 +61,7 @@
     : m_reactor(R), m_history(H), m_random(Random), m_entries(Entries) {}
 
 void Callers::call(const char *Method, Job &J, std::string Body,
+                   Millis TimeoutMs,
                    std::function<void(Job &, const http::CallResult &)> Done) {
   if (!J.m_entry || J.m_entryIsGone)
     J.m_entry = http::AsyncClient::create(
@@ -67,7 +70,7 @@
   J.m_callInFlight = true;
   http::Request R = makeRequest(Method, J);
   R.m_body = std::move(Body);
-  J.m_entry->call(std::move(R), CallTimeoutMs,
+  J.m_entry->call(std::move(R), TimeoutMs,
                   [this, Id = J.m_id, SentAt = base::bootNow(),
                    Done = std::move(Done)](const http::CallResult &Got) {
                     Job &J = m_jobs[Id];
@@ -104,6 +107,7 @@
   J.m_body = base::dumpJson(
       {{"spec", base::dumpJson(Payload)}, {"steps", Json::array({Step})}});
   J.m_shouldCancel = m_random() % 8 == 0;
+  J.m_shouldGiveUp = J.m_shouldCancel && J.m_id.front() % 2 == 0;
   if (!Entry.empty())
     J.m_entry = http::AsyncClient::create(m_reactor, Entry);
   m_jobs[J.m_id] = J;
@@ -123,49 +127,62 @@
 void Callers::sendSubmit(Job &J) {
   ++J.m_submissions;
   m_history.submitted(J.m_id);
-  call("POST", J, J.m_body, [this](Job &J, const http::CallResult &Result) {
-    const auto *Got = std::get_if<http::Response>(&Result);
-    const auto *Failed = std::get_if<http::CallError>(&Result);
-    if (Got != nullptr && Got->m_status == 200) {
-      J.m_accepted = true;
-      return m_history.accepted(J.m_id);
-    }
-    const bool NotSent = Failed != nullptr && Failed->m_sent == http::Sent::No;
-    const bool Refused =
-        Got != nullptr && (Got->m_status == 503 || Got->m_status == 429);
-    if (!NotSent && !Refused)
-      return;
-    m_history.refused(J.m_id);
-    // A submission without an answer may have been accepted, so the job is
-    // submitted again. Only a refusal lets the caller give up.
-    J.m_abandoned = J.m_submissions >= MaxSubmissions;
-  });
+  const Millis TimeoutMs = J.m_shouldGiveUp ? GiveUpMs : CallTimeoutMs;
+  call("POST", J, J.m_body, TimeoutMs,
+       [this](Job &J, const http::CallResult &Result) {
+         const auto *Got = std::get_if<http::Response>(&Result);
+         const auto *Failed = std::get_if<http::CallError>(&Result);
+         if (Got != nullptr && Got->m_status == 200) {
+           J.m_accepted = true;
+           return m_history.accepted(J.m_id);
+         }
+         const bool NotSent =
+             Failed != nullptr && Failed->m_sent == http::Sent::No;
+         const bool Refused =
+             Got != nullptr && (Got->m_status == 503 || Got->m_status == 429);
+         if (!NotSent && !Refused) {
+           J.m_gaveUp = J.m_shouldGiveUp && Failed != nullptr;
+           // Another entry answers the cancel.
+           J.m_entryIsGone = J.m_entryIsGone || J.m_gaveUp;
+           return;
+         }
+         m_history.refused(J.m_id);
+         // A submission without an answer may have been accepted, so the job is
+         // submitted again. Only a refusal lets the caller give up.
+         J.m_abandoned = J.m_submissions >= MaxSubmissions;
+       });
 }
 
 void Callers::sendQuery(Job &J) {
-  call("GET", J, "", [this](Job &J, const http::CallResult &Result) {
-    J.m_nextCallAt = base::bootNow() + QueryIntervalMs;
-    const auto *Got = std::get_if<http::Response>(&Result);
-    if (Got == nullptr || (Got->m_status != 200 && Got->m_status != 410))
-      return;
-    const Json Body = base::parseJson(Got->m_body);
-    const std::string State =
-        Got->m_status == 410 ? "gone" : Body.value("state", "");
-    m_history.stateShown(J.m_id, State, J.m_tasks);
-    J.m_ended = State != "queued" && State != "running";
-  });
+  call("GET", J, "", CallTimeoutMs,
+       [this](Job &J, const http::CallResult &Result) {
+         J.m_nextCallAt = base::bootNow() + QueryIntervalMs;
+         const auto *Got = std::get_if<http::Response>(&Result);
+         if (Got == nullptr || (Got->m_status != 200 && Got->m_status != 410))
+           return;
+         const Json Body = base::parseJson(Got->m_body);
+         const std::string State =
+             Got->m_status == 410 ? "gone" : Body.value("state", "");
+         m_history.stateShown(J.m_id, State, J.m_tasks);
+         J.m_ended = State != "queued" && State != "running";
+       });
 }
 
 void Callers::sendCancel(Job &J) {
   // Recorded before the call, because the request can take effect even if it
   // is not answered.
   m_history.cancelRequested(J.m_id);
-  call("DELETE", J, "", [this](Job &J, const http::CallResult &Result) {
-    const auto *Got = std::get_if<http::Response>(&Result);
-    J.m_cancelConfirmed = Got != nullptr && Got->m_status == 200;
-    if (J.m_cancelConfirmed)
-      m_history.cancelAcknowledged(J.m_id);
-  });
+  call("DELETE", J, "", CallTimeoutMs,
+       [this](Job &J, const http::CallResult &Result) {
+         const auto *Got = std::get_if<http::Response>(&Result);
+         const bool Unknown =
+             Got != nullptr && Got->m_status == 410 && J.m_gaveUp;
+         J.m_cancelConfirmed =
+             Got != nullptr && (Got->m_status == 200 || Unknown);
+         J.m_ended = J.m_ended || Unknown;
+         if (J.m_cancelConfirmed)
+           m_history.cancelAcknowledged(J.m_id);
+       });
 }
 
 void Callers::tick() {
@@ -173,7 +190,7 @@
   for (auto &[Id, J] : m_jobs) {
     if (J.m_callInFlight || J.m_ended || J.m_abandoned || Now < J.m_nextCallAt)
       continue;
-    if (!J.m_accepted)
+    if (!J.m_accepted && !J.m_gaveUp)
       sendSubmit(J);
     else if (J.m_shouldCancel && !J.m_cancelConfirmed)
       sendCancel(J);
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -50,8 +50,11 @@
     bool m_abandoned = false; ///< Refused too often, not submitted again.
     bool m_ended = false;     ///< As an entry has answered.
     bool m_callInFlight = false;
-    bool m_shouldCancel = false;    ///< Cancel it once it is accepted.
-    bool m_cancelConfirmed = false; ///< Answered with status 200.
+    bool m_shouldCancel = false; ///< Cancel it once it is accepted.
+    /// Cancel it already if its submission is not answered soon.
+    bool m_shouldGiveUp = false;
+    bool m_gaveUp = false;
+    bool m_cancelConfirmed = false; ///< Answered with status 200 or 410.
     Millis m_nextCallAt = 0;
     std::shared_ptr<http::AsyncClient> m_entry;
     bool m_entryIsGone = false;
@@ -62,7 +65,7 @@
   void sendQuery(Job &J);
   void sendCancel(Job &J);
   /// Sends the request to the entry of the job's caller.
-  void call(const char *Method, Job &J, std::string Body,
+  void call(const char *Method, Job &J, std::string Body, Millis TimeoutMs,
             std::function<void(Job &, const http::CallResult &)> Done);
 
   http::Reactor &m_reactor;
