Simulate callers that give up submissions and cancel

The restart simulation cancelled only jobs that were accepted. With m_callersGiveUp, callers give up a submission and cancel the job while a copy of the submission arrives before or after that. The plays of the other tests stay the same.

--- a/tests/batch/restart_simulation.cc
+++ b/tests/batch/restart_simulation.cc
@@ -24,8 +24,8 @@
 
 } // namespace
 
-RestartSimulation::RestartSimulation(std::uint64_t Seed, Millis PauseMs)
-    : m_seed(Seed), m_pauseMs(PauseMs), m_random(Seed),
+RestartSimulation::RestartSimulation(std::uint64_t Seed, const Options &O)
+    : m_seed(Seed), m_options(O), m_random(Seed),
       m_journal(std::make_unique<Journal>(*this)) {
   m_agents.resize(WorkerCount);
   for (std::size_t I = 0; I < WorkerCount; ++I) {
--- a/tests/batch/restart_simulation.h
+++ b/tests/batch/restart_simulation.h
@@ -23,8 +23,15 @@
 /// seed. What workers and callers see is checked against the promises to them.
 class RestartSimulation {
 public:
-  /// The leaders pause for \p PauseMs between rounds and scheduling passes.
-  explicit RestartSimulation(std::uint64_t Seed, Millis PauseMs = 0);
+  struct Options {
+    /// Pause of the leaders between rounds and between scheduling passes.
+    Millis m_pauseMs = 0;
+    /// Some callers give up a submission and cancel the job. A copy of the
+    /// submission arrives before or after that.
+    bool m_callersGiveUp = false;
+  };
+
+  RestartSimulation(std::uint64_t Seed, const Options &O);
   ~RestartSimulation();
 
   /// Plays the faults and then a calm period in which every job must end.
@@ -149,6 +156,8 @@
   // Callers.
   void submitJob();
   void sendSubmission(const std::string &Id);
+  void sendCopy(const std::string &Id);
+  void giveUp(const std::string &Id);
   void sendCancel(const std::string &Id);
   void sendQuery(const std::string &Id);
   void ask(CallerRequest R,
@@ -169,7 +178,7 @@
   void log(const std::string &JobId, const std::string &Text);
 
   const std::uint64_t m_seed;
-  const Millis m_pauseMs;
+  const Options m_options;
   std::mt19937_64 m_random;
   Millis m_now = 1000;
   bool m_calm = false;
--- a/tests/batch/restart_simulation_callers.cc
+++ b/tests/batch/restart_simulation_callers.cc
@@ -40,6 +40,33 @@
   const std::string Id = S.m_id;
   m_jobs[Id] = std::move(J);
   sendSubmission(Id);
+  if (!m_options.m_callersGiveUp || chance(0.5))
+    return;
+  after(between(5, 1500), [this, Id] { giveUp(Id); });
+  after(between(5, 9000), [this, Id] { sendCopy(Id); });
+}
+
+void RestartSimulation::giveUp(const std::string &Id) {
+  Job &J = *m_jobs[Id];
+  if (J.m_accepted || J.m_givenUp)
+    return;
+  J.m_givenUp = true;
+  sendCancel(Id);
+}
+
+// A copy that waited somewhere. Its caller does not hear of the answer.
+void RestartSimulation::sendCopy(const std::string &Id) {
+  Job &J = *m_jobs[Id];
+  CallerRequest R = requestOf(CallerRequestKind::Submit, Id);
+  R.m_spec = J.m_spec;
+  ++J.m_openSubmissions;
+  ask(R, [this, Id, &J](const CallerReply &Reply) {
+    --J.m_openSubmissions;
+    log(Id, fmt::format("copy of the submission is answered {}",
+                        base::nameOf(Reply.m_verdict)));
+    if (!isRefusal(Reply.m_verdict))
+      ++J.m_unrefused;
+  });
 }
 
 void RestartSimulation::ask(
@@ -101,7 +128,8 @@
       J.m_givenUp = true;
       return;
     }
-    after(between(200, 1500), [this, Id] { sendSubmission(Id); });
+    if (!J.m_givenUp)
+      after(between(200, 1500), [this, Id] { sendSubmission(Id); });
   });
 }
 
--- a/tests/batch/restart_simulation_processes.cc
+++ b/tests/batch/restart_simulation_processes.cc
@@ -17,7 +17,7 @@
     : m_simulation(S), m_epoch(Epoch) {
   Timing T;
   T.m_gangTimeoutMs = GangTimeoutMs;
-  T.m_roundPauseMs = T.m_passPauseMs = S.m_pauseMs;
+  T.m_roundPauseMs = T.m_passPauseMs = S.m_options.m_pauseMs;
   m_leader = std::make_unique<Leader>(T, *this, S.m_counters, Epoch, S.m_now,
                                       S.wallNow());
 }
--- a/tests/batch/restart_test.cc
+++ b/tests/batch/restart_test.cc
@@ -26,10 +26,10 @@
 }
 
 int countViolations(const std::vector<std::uint64_t> &Seeds,
-                    Millis PauseMs = 0) {
+                    const RestartSimulation::Options &O = {}) {
   int Failed = 0;
   for (const std::uint64_t Seed : Seeds) {
-    const std::string Violation = RestartSimulation(Seed, PauseMs).run();
+    const std::string Violation = RestartSimulation(Seed, O).run();
     if (Violation.empty())
       continue;
     if (Failed++ == 0)
@@ -57,8 +57,18 @@
   std::vector<std::uint64_t> Seeds;
   for (std::uint64_t Seed = First; Seed <= Last; ++Seed)
     Seeds.push_back(Seed);
-  constexpr Millis PauseMs = 25;
-  EXPECT_EQ(countViolations(Seeds, PauseMs), 0)
+  EXPECT_EQ(countViolations(Seeds, {25}), 0)
+      << "of seeds " << First << " to " << Last;
+}
+
+// Guards against a submission that is accepted after the cancel of its job was
+// answered, over changes of the leader and faults of the store.
+TEST(RestartTest, CancelledSubmissionsNeverRun) {
+  const auto [First, Last] = seedRange();
+  std::vector<std::uint64_t> Seeds;
+  for (std::uint64_t Seed = First; Seed <= Last; ++Seed)
+    Seeds.push_back(Seed);
+  EXPECT_EQ(countViolations(Seeds, {0, true}), 0)
       << "of seeds " << First << " to " << Last;
 }
 
@@ -68,8 +78,7 @@
 // Guards against a task that runs again although an earlier run had ended as
 // done while a later one, which was lost, was placed.
 TEST(RestartTest, EarlierResultsAreUsed) {
-  constexpr Millis PauseMs = 25;
-  EXPECT_EQ(countViolations({1272}, PauseMs), 0);
+  EXPECT_EQ(countViolations({1272}, {25}), 0);
 }
 
 // Guards against ends that are acknowledged before they are stored.
--- a/tests/batch/worker_health_test.cc
+++ b/tests/batch/worker_health_test.cc
@@ -99,7 +99,7 @@
 
 /// Workers in \p Workers fail all that they start after \p FailMs, others
 /// complete it after \p DoneMs.
-auto failingWorkers(std::set<std::string> Workers, Millis FailMs,
+auto failingWorkers(const std::set<std::string> &Workers, Millis FailMs,
                     Millis DoneMs) {
   return [=](const std::string &Agent, const std::string &,
              Millis AgeMs) -> std::optional<EndKind> {
