Bound the cost of reviewing faults

With a hopeless job of 1,920 tasks on 240 workers, a review of the evidence took 269 ms of processor time: each fault was compared with all tasks of its step and with all faults of the fleet, and each new fault was judged by itself.

Change: RunComparison looks at the tasks of a step once a review, FaultLog finds the faults of a job by an index, a report is judged once, and reviews are 200 ms apart. The lists of avoided agents are bounded too.

--- a/src/batch/fault_log.cc
+++ b/src/batch/fault_log.cc
@@ -7,11 +7,14 @@
 namespace pomelokeel::batch {
 namespace {
 
-/// Faults count for this long, and longer if the run took long: two runs that
-/// fail one after the other are that far apart. It exceeds the longest
-/// quarantine, so that the reasons for one outlast it.
+/// Faults count for this long, which exceeds the longest quarantine, and longer
+/// by a multiple of the time that the run took: two runs that fail one after
+/// the other are at least that far apart.
 constexpr Millis FaultWindowMs = 40000;
-constexpr Millis WindowRuns = 4;
+constexpr Millis WindowPerRun = 4;
+
+/// Proven evidence beyond this is not counted.
+constexpr int MaxProven = 2;
 
 /// Older faults of a worker are forgotten.
 constexpr std::size_t MaxFaultsPerWorker = 64;
@@ -36,6 +39,7 @@
 }
 
 void FaultLog::add(const std::string &Agent, RunFault F) {
+  m_indexed = false;
   auto &Faults = m_faults[Agent];
   if (Faults.size() >= MaxFaultsPerWorker)
     Faults.erase(Faults.begin());
@@ -46,8 +50,10 @@
   const auto It = m_faults.find(Agent);
   if (It == m_faults.end())
     return;
-  for (RunFault &F : It->second)
-    F.m_refuted = F.m_refuted || F.m_placedAt <= PlacedAt;
+  for (RunFault &F : It->second) {
+    if (F.m_placedAt <= PlacedAt)
+      setRefuted(F);
+  }
 }
 
 void FaultLog::refuteOutlived(const std::string &Agent, Millis PlacedAt,
@@ -55,9 +61,15 @@
   const auto It = m_faults.find(Agent);
   if (It == m_faults.end())
     return;
-  for (RunFault &F : It->second)
-    F.m_refuted = F.m_refuted || (!F.m_stuck && F.m_placedAt <= PlacedAt &&
-                                  outlives(AgeMs, F));
+  for (RunFault &F : It->second) {
+    if (!F.m_stuck && F.m_placedAt <= PlacedAt && outlives(AgeMs, F))
+      setRefuted(F);
+  }
+}
+
+void FaultLog::setRefuted(RunFault &F) {
+  m_indexed = m_indexed && F.m_refuted;
+  F.m_refuted = true;
 }
 
 std::size_t FaultLog::faultyTasks(const std::string &Agent,
@@ -71,11 +83,17 @@
   return Out.size();
 }
 
+void FaultLog::forget(const std::string &Agent) {
+  m_indexed = false;
+  m_faults.erase(Agent);
+}
+
 void FaultLog::prune(Millis Now) {
   for (auto It = m_faults.begin(); It != m_faults.end();) {
-    std::erase_if(It->second, [&](const RunFault &F) {
-      return Now - F.m_at > FaultWindowMs + WindowRuns * F.ranMs();
+    const std::size_t Old = std::erase_if(It->second, [&](const RunFault &F) {
+      return Now - F.m_at > FaultWindowMs + WindowPerRun * F.ranMs();
     });
+    m_indexed = m_indexed && Old == 0;
     It = It->second.empty() ? m_faults.erase(It) : std::next(It);
   }
 }
@@ -87,40 +105,56 @@
   return It == m_faults.end() ? None : It->second;
 }
 
+void FaultLog::index() {
+  if (std::exchange(m_indexed, true))
+    return;
+  m_byJob.clear();
+  m_byTask.clear();
+  for (const auto &[Agent, Faults] : m_faults) {
+    for (const RunFault &F : Faults) {
+      for (bool *Refuted :
+           {&m_byJob[F.m_task.m_job][Agent], &m_byTask[F.m_task][Agent]})
+        *Refuted = *Refuted || F.m_refuted;
+    }
+  }
+}
+
 FaultLog::Cause FaultLog::causeOf(const RunFault &F, const std::string &Agent,
                                   WorksElsewhere Works) const {
   if (Works == WorksElsewhere::Task)
     return Cause::Worker;
-  bool Elsewhere = false;
-  for (const auto &[Other, Faults] : m_faults) {
-    if (Other == Agent)
-      continue;
-    for (const RunFault &O : Faults) {
-      const bool Same = Works == WorksElsewhere::Step
-                            ? O.m_task == F.m_task
-                            : O.m_task.m_job == F.m_task.m_job;
-      if (Same && O.m_refuted)
-        return Cause::Job;
-      Elsewhere = Elsewhere || Same;
-    }
-  }
-  if (Elsewhere)
-    return Cause::ProbablyJob;
-  return Works == WorksElsewhere::Step ? Cause::Worker : Cause::Unknown;
+  const AgentsWithFault &Agents = Works == WorksElsewhere::Step
+                                      ? m_byTask.at(F.m_task)
+                                      : m_byJob.at(F.m_task.m_job);
+  if (Agents.size() == 1)
+    return Works == WorksElsewhere::Step ? Cause::Worker : Cause::Unknown;
+  const bool Refuted =
+      std::any_of(Agents.begin(), Agents.end(), [&](const auto &Entry) {
+        return Entry.second && Entry.first != Agent;
+      });
+  return Refuted ? Cause::Job : Cause::ProbablyJob;
 }
 
 WorkerEvidence FaultLog::evidenceAgainst(const std::string &Agent,
                                          Millis PlacedSince,
-                                         const CompareRuns &Compare) const {
+                                         const CompareRuns &Compare) {
+  index();
   WorkerEvidence Out;
   std::set<TaskName> Counted;
+  std::set<std::pair<std::string, int>> StepsThatFail; // On all workers.
   std::set<std::string> Unknown;
   std::set<std::string> ProbablyJob;
   for (const RunFault &F : faultsOf(Agent)) {
+    if (Out.m_proven >= MaxProven)
+      break;
+    const std::pair Step(F.m_task.m_job, F.m_task.m_step);
     if (F.m_refuted || F.m_placedAt < PlacedSince ||
-        !Counted.insert(F.m_task).second)
+        StepsThatFail.contains(Step) || !Counted.insert(F.m_task).second)
       continue;
-    switch (causeOf(F, Agent, Compare(F, Agent))) {
+    const WorksElsewhere Works = Compare(F, Agent);
+    if (Works == WorksElsewhere::Nothing)
+      StepsThatFail.insert(Step);
+    switch (causeOf(F, Agent, Works)) {
     case Cause::Worker:
       Out.m_proven += F.m_stuck ? StuckWeight : 1;
       break;
--- a/src/batch/fault_log.h
+++ b/src/batch/fault_log.h
@@ -36,7 +36,7 @@
 
 /// How much speaks for the worker, rather than the jobs, as the cause.
 struct WorkerEvidence {
-  /// Tasks that failed although their job works on other workers.
+  /// Tasks that failed although their job works on other workers, up to two.
   int m_proven = 0;
   /// Jobs that work nowhere so far, weighted by how likely they are sound.
   int m_unproven = 0;
@@ -59,7 +59,7 @@
   void refuteOutlived(const std::string &Agent, Millis PlacedAt, Millis AgeMs);
 
   /// Forgets the faults of a worker that was replaced.
-  void forget(const std::string &Agent) { m_faults.erase(Agent); }
+  void forget(const std::string &Agent);
 
   /// Forgets faults that are too old to count.
   void prune(Millis Now);
@@ -72,7 +72,7 @@
 
   /// Counts the faults of runs that were placed at \p PlacedSince or later.
   WorkerEvidence evidenceAgainst(const std::string &Agent, Millis PlacedSince,
-                                 const CompareRuns &Compare) const;
+                                 const CompareRuns &Compare);
 
 private:
   /// The likely cause of a fault. ProbablyJob: it also fails on other workers,
@@ -82,7 +82,17 @@
   Cause causeOf(const RunFault &F, const std::string &Agent,
                 WorksElsewhere Works) const;
 
+  /// Agents with a fault of one job or task, and whether any of these faults
+  /// is refuted.
+  using AgentsWithFault = std::map<std::string, bool>;
+
+  void index();
+  void setRefuted(RunFault &F);
+
   std::map<std::string, std::vector<RunFault>> m_faults;
+  bool m_indexed = false; ///< The two indices below are up to date.
+  std::map<std::string, AgentsWithFault> m_byJob;
+  std::map<TaskName, AgentsWithFault> m_byTask;
 };
 
 } // namespace pomelokeel::batch
--- a/src/batch/leader.h
+++ b/src/batch/leader.h
@@ -3,10 +3,10 @@
 #include "base/counters.h"
 #include "batch/attention_clock.h"
 #include "batch/config.h"
-#include "batch/fault_log.h"
 #include "batch/job.h"
 #include "batch/journal.h"
 #include "batch/messages.h"
+#include "batch/run_comparison.h"
 #include "batch/schedule.h"
 
 #include <cstdint>
@@ -136,7 +136,8 @@
   /// Faults of runs that were placed before do not count: the end of the last
   /// quarantine, or of the one before while the worker is quarantined.
   Millis m_faultsSince = 0;
-  int m_evidence = 0; ///< That the worker fails sound work.
+  bool m_hasNewFaults = false; ///< Faults that are not judged yet.
+  int m_evidence = 0;          ///< That the worker fails sound work.
   /// Evidence without which the quarantine ends; 0 if the worker refused
   /// orders.
   int m_evidenceNeeded = 0;
@@ -262,11 +263,9 @@
   void updateWorkerHealth(AgentView &A, const TaskName &Name,
                           const EndReport &E, Millis Now);
   void recordFault(AgentView &A, const TaskName &Name, bool Stuck, Millis Now);
-  WorkerEvidence evidenceAgainst(const AgentView &A, Millis Now) const;
-  void judgeWorker(AgentView &A, const std::string &Job, const char *Reason,
-                   Millis Now);
-  WorksElsewhere compareRuns(const RunFault &F, const std::string &Agent,
-                             Millis Now) const;
+  RunComparison makeComparison(Millis Now) const;
+  WorkerEvidence evidenceAgainst(const AgentView &A, RunComparison &C);
+  void judgeWorker(AgentView &A, RunComparison &C, Millis Now);
   void avoidForStep(const TaskName &OfStep, const std::string &Agent);
   bool mayQuarantine(const AgentView &A, const WorkerEvidence &E,
                      Millis Now) const;
@@ -333,6 +332,7 @@
   Millis m_ordersAt = 0;
   bool m_scheduleDue = true;
   Millis m_scheduledAt = 0;
+  Millis m_healthReviewedAt = 0;
   Millis m_roundAt = 0;                ///< Time of the last round.
   Millis m_wallNow = 0;                ///< Wall clock time of the last call.
   std::optional<Millis> m_nextRoundAt; ///< Requested from the process.
--- a/src/batch/leader_health.cc
+++ b/src/batch/leader_health.cc
@@ -22,12 +22,12 @@
 constexpr std::size_t UnprovenPerService = 3;
 
 /// Once so many tasks of a step have failed on a worker, and it has completed
-/// nothing since, the others avoid it.
+/// nothing since, the others avoid it. They avoid a limited number of workers.
 constexpr std::size_t FaultyTasksToAvoid = 2;
+constexpr std::size_t MaxAvoided = 4;
 
-/// A run of another worker that has made no progress for this long does not
-/// show that a stuck one is unusual.
-constexpr Millis RecentProgressMs = 4000;
+/// Interval between reviews of the evidence against workers.
+constexpr Millis ReviewEveryMs = 200;
 
 std::size_t divideUp(std::size_t Number, std::size_t By) {
   return (Number + By - 1) / By;
@@ -46,41 +46,19 @@
   return isReachable(A, Now) && Now >= A.m_quarantinedUntil;
 }
 
-// Compares a fault with the other tasks of its step, which are identical.
-WorksElsewhere Leader::compareRuns(const RunFault &F, const std::string &Agent,
-                                   Millis Now) const {
-  const Task *Faulty = findTask(F.m_task);
-  if (Faulty == nullptr)
-    return WorksElsewhere::Nothing;
-  const auto Works = [&](const Task &T) {
-    if (T.m_agent == Agent)
-      return false;
-    if (T.m_phase == TaskPhase::Done)
-      return true;
-    if (T.m_phase != TaskPhase::Placed || !T.m_running ||
-        T.m_stop != StopReason::None)
-      return false;
-    const auto At = m_agents.find(T.m_agent);
-    if (At == m_agents.end() || !isReachable(At->second, Now))
-      return false;
-    return F.m_stuck ? Now - T.m_progressAt < RecentProgressMs
-                     : outlives(Now - T.m_placedAt, F);
-  };
-  if (Works(*Faulty))
-    return WorksElsewhere::Task;
-  const auto &Occurrences = m_jobs.at(F.m_task.m_job).m_progress.m_occurrences;
-  const auto Step = static_cast<std::size_t>(F.m_task.m_step);
-  const bool Any = std::any_of(
-      Occurrences.begin(), Occurrences.end(), [&](const Occurrence &O) {
-        return std::any_of(O[Step].begin(), O[Step].end(), Works);
-      });
-  return Any ? WorksElsewhere::Step : WorksElsewhere::Nothing;
+RunComparison Leader::makeComparison(Millis Now) const {
+  return {m_jobs,
+          [this, Now](const std::string &Agent) {
+            const auto It = m_agents.find(Agent);
+            return It != m_agents.end() && isReachable(It->second, Now);
+          },
+          Now};
 }
 
-WorkerEvidence Leader::evidenceAgainst(const AgentView &A, Millis Now) const {
+WorkerEvidence Leader::evidenceAgainst(const AgentView &A, RunComparison &C) {
   return m_faults.evidenceAgainst(
       A.m_name, A.m_faultsSince, [&](const RunFault &F, const std::string &Of) {
-        return compareRuns(F, Of, Now);
+        return C.compare(F, Of);
       });
 }
 
@@ -113,22 +91,25 @@
   m_faults.add(A.m_name, {Name, Now, T.m_placedAt, Stuck, Expected});
   if (m_faults.faultyTasks(A.m_name, Name) >= FaultyTasksToAvoid)
     avoidForStep(Name, A.m_name);
-  judgeWorker(A, Name.m_job, Stuck ? "noProgress" : "failures", Now);
+  A.m_hasNewFaults = true;
 }
 
 // Runs that were placed before the last quarantine ended do not count, so only
 // a failed probation makes the next one longer.
-void Leader::judgeWorker(AgentView &A, const std::string &Job,
-                         const char *Reason, Millis Now) {
+void Leader::judgeWorker(AgentView &A, RunComparison &C, Millis Now) {
+  A.m_hasNewFaults = false;
   if (Now < A.m_quarantinedUntil)
     return;
   A.m_faultsSince = A.m_quarantinedUntil;
   A.m_evidenceNeeded =
       A.m_quarantineMs > 0 ? EvidenceOnProbation : EvidenceToQuarantine;
-  const WorkerEvidence E = evidenceAgainst(A, Now);
+  const WorkerEvidence E = evidenceAgainst(A, C);
   A.m_evidence = E.total();
-  if (A.m_evidence >= A.m_evidenceNeeded && mayQuarantine(A, E, Now))
-    quarantine(A, Job, Reason, E, Now);
+  if (A.m_evidence < A.m_evidenceNeeded || !mayQuarantine(A, E, Now))
+    return;
+  const RunFault &Newest = m_faults.faultsOf(A.m_name).back();
+  quarantine(A, Newest.m_task.m_job, Newest.m_stuck ? "noProgress" : "failures",
+             E, Now);
 }
 
 // A worker that fails what it starts is the first to be free again, and would
@@ -140,7 +121,7 @@
           .m_occurrences[static_cast<std::size_t>(OfStep.m_occurrence)];
   for (Task &T : O[static_cast<std::size_t>(OfStep.m_step)]) {
     const auto &Known = T.m_avoid;
-    if (T.m_phase == TaskPhase::Waiting &&
+    if (T.m_phase == TaskPhase::Waiting && Known.size() < MaxAvoided &&
         std::find(Known.begin(), Known.end(), Agent) == Known.end())
       T.m_avoid.push_back(Agent);
   }
@@ -180,7 +161,11 @@
 
 // Later runs may show whether the jobs or the worker were the cause.
 void Leader::reviewWorkerHealth(Millis Now) {
+  if (Now - m_healthReviewedAt < ReviewEveryMs)
+    return;
+  m_healthReviewedAt = Now;
   m_faults.prune(Now);
+  RunComparison C = makeComparison(Now);
   for (auto &[Name, A] : m_agents) {
     if (A.m_evidence == 0 && m_faults.faultsOf(Name).empty())
       continue;
@@ -191,10 +176,10 @@
       m_faults.refuteOutlived(Name, PlacedAt, Now - PlacedAt);
     }
     if (Now >= A.m_quarantinedUntil) {
-      judgeWorker(A, "", "failures", Now);
+      judgeWorker(A, C, Now);
       continue;
     }
-    A.m_evidence = evidenceAgainst(A, Now).total();
+    A.m_evidence = evidenceAgainst(A, C).total();
     if (A.m_evidence < A.m_evidenceNeeded)
       reinstate(A, Now);
   }
--- a/src/batch/leader_runs.cc
+++ b/src/batch/leader_runs.cc
@@ -50,17 +50,7 @@
 } // namespace
 
 const Task *Leader::findTask(const TaskName &Name) const {
-  const auto It = m_jobs.find(Name.m_job);
-  if (It == m_jobs.end())
-    return nullptr;
-  const auto &Occurrences = It->second.m_progress.m_occurrences;
-  const auto K = static_cast<std::size_t>(Name.m_occurrence);
-  const auto Step = static_cast<std::size_t>(Name.m_step);
-  const auto Index = static_cast<std::size_t>(Name.m_index);
-  if (K >= Occurrences.size() || Step >= Occurrences[K].size() ||
-      Index >= Occurrences[K][Step].size())
-    return nullptr;
-  return &Occurrences[K][Step][Index];
+  return batch::findTask(m_jobs, Name);
 }
 
 Task *Leader::findTask(const TaskName &Name) {
--- /dev/null
+++ b/src/batch/run_comparison.cc
@@ -0,0 +1,76 @@
+#include "batch/run_comparison.h"
+
+#include <utility>
+
+namespace pomelokeel::batch {
+namespace {
+
+/// A run that has made no progress for this long does not show that a stuck
+/// one is unusual.
+constexpr Millis RecentProgressMs = 4000;
+
+} // namespace
+
+void RunComparison::Highest::add(const std::string &Agent, Millis Value) {
+  if (Agent == m_agent) {
+    m_first = std::max(m_first, Value);
+  } else if (Value > m_first) {
+    m_second = std::exchange(m_first, Value);
+    m_agent = Agent;
+  } else {
+    m_second = std::max(m_second, Value);
+  }
+}
+
+void RunComparison::add(const Task &T, Achievements &Out) const {
+  if (T.m_phase == TaskPhase::Done)
+    Out.m_done.add(T.m_agent, 0);
+  if (T.m_phase != TaskPhase::Placed || !T.m_running ||
+      T.m_stop != StopReason::None || !m_isReachable(T.m_agent))
+    return;
+  Out.m_ageMs.add(T.m_agent, m_now - T.m_placedAt);
+  Out.m_progressAt.add(T.m_agent, T.m_progressAt);
+}
+
+bool RunComparison::works(const Achievements &Of, const RunFault &F,
+                          const std::string &Agent) const {
+  if (Of.m_done.without(Agent) >= 0)
+    return true;
+  const Millis ProgressAt = Of.m_progressAt.without(Agent);
+  return F.m_stuck ? ProgressAt >= 0 && m_now - ProgressAt < RecentProgressMs
+                   : outlives(Of.m_ageMs.without(Agent), F);
+}
+
+const RunComparison::Achievements &RunComparison::ofStep(const JobState &J,
+                                                         const TaskName &Name) {
+  const auto [It, New] =
+      m_steps.try_emplace({Name.m_job, Name.m_occurrence, Name.m_step});
+  if (New) {
+    const Occurrence &O =
+        J.m_progress.m_occurrences[static_cast<std::size_t>(Name.m_occurrence)];
+    for (const Task &T : O[static_cast<std::size_t>(Name.m_step)])
+      add(T, It->second);
+  }
+  return It->second;
+}
+
+WorksElsewhere RunComparison::compare(const RunFault &F,
+                                      const std::string &Agent) {
+  const Task *Faulty = findTask(m_jobs, F.m_task);
+  if (Faulty == nullptr)
+    return WorksElsewhere::Nothing;
+  Achievements OfTask;
+  add(*Faulty, OfTask);
+  if (works(OfTask, F, Agent))
+    return WorksElsewhere::Task;
+  const JobState &J = m_jobs.at(F.m_task.m_job);
+  TaskName Name = F.m_task;
+  if (works(ofStep(J, Name), F, Agent))
+    return WorksElsewhere::Step;
+  // The occurrence before may have shown that the step works.
+  if (--Name.m_occurrence >= 0 && works(ofStep(J, Name), F, Agent))
+    return WorksElsewhere::Step;
+  return WorksElsewhere::Nothing;
+}
+
+} // namespace pomelokeel::batch
--- /dev/null
+++ b/src/batch/run_comparison.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "batch/fault_log.h"
+#include "batch/schedule.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <tuple>
+
+namespace pomelokeel::batch {
+
+/// Compares faults with the other runs of their step at one moment. Looks at
+/// the tasks of a step only once, whatever the number of its faults.
+class RunComparison {
+public:
+  /// True if the agent can be heard, so that its runs are at work.
+  using IsReachable = std::function<bool(const std::string &Agent)>;
+
+  /// \p Jobs must outlive it.
+  RunComparison(const JobTable &Jobs, IsReachable R, Millis Now)
+      : m_jobs(Jobs), m_isReachable(std::move(R)), m_now(Now) {}
+
+  WorksElsewhere compare(const RunFault &F, const std::string &Agent);
+
+private:
+  /// The highest values of two agents.
+  class Highest {
+  public:
+    void add(const std::string &Agent, Millis Value);
+    /// The highest value of any agent but \p Agent, or -1.
+    Millis without(const std::string &Agent) const {
+      return Agent == m_agent ? m_second : m_first;
+    }
+
+  private:
+    std::string m_agent; ///< Of m_first.
+    Millis m_first = -1;
+    Millis m_second = -1; ///< Of another agent.
+  };
+
+  /// What the tasks of one step, or one task, have achieved.
+  struct Achievements {
+    Highest m_done;       ///< 0 for an agent on which a task is done.
+    Highest m_ageMs;      ///< Of runs at work.
+    Highest m_progressAt; ///< Of runs at work.
+  };
+
+  void add(const Task &T, Achievements &Out) const;
+  bool works(const Achievements &Of, const RunFault &F,
+             const std::string &Agent) const;
+  const Achievements &ofStep(const JobState &J, const TaskName &Name);
+
+  const JobTable &m_jobs;
+  IsReachable m_isReachable;
+  Millis m_now;
+  /// By job, occurrence and step.
+  std::map<std::tuple<std::string, int, int>, Achievements> m_steps;
+};
+
+} // namespace pomelokeel::batch
--- a/src/batch/schedule.cc
+++ b/src/batch/schedule.cc
@@ -37,6 +37,10 @@
 /// orders and starting the tasks.
 constexpr double RackLocalShare = 0.5;
 
+/// The tasks of a step may avoid different agents. After so many lists of
+/// agents with which none fits, the others wait for the next pass.
+constexpr std::size_t MaxAvoidLists = 4;
+
 /// Share of all accelerators that may stand idle for gangs without a guarantee.
 constexpr double ReservedShare = 0.2;
 
@@ -351,6 +355,8 @@
       const Task &T = Tasks[static_cast<std::size_t>(I)];
       if (NotFitting.contains(T.m_avoid))
         continue;
+      if (NotFitting.size() >= MaxAvoidLists)
+        break;
       const auto At = tryUnit(singleTaskUnit(C.m_unit, I, T), C.m_rank);
       if (!At)
         NotFitting.insert(T.m_avoid);
@@ -571,6 +577,20 @@
   return Open;
 }
 
+const Task *findTask(const JobTable &Jobs, const TaskName &Name) {
+  const auto It = Jobs.find(Name.m_job);
+  if (It == Jobs.end())
+    return nullptr;
+  const auto &Occurrences = It->second.m_progress.m_occurrences;
+  const auto K = static_cast<std::size_t>(Name.m_occurrence);
+  const auto Step = static_cast<std::size_t>(Name.m_step);
+  const auto Index = static_cast<std::size_t>(Name.m_index);
+  if (K >= Occurrences.size() || Step >= Occurrences[K].size() ||
+      Index >= Occurrences[K][Step].size())
+    return nullptr;
+  return &Occurrences[K][Step][Index];
+}
+
 OpenJobs openJobs(JobTable &Jobs) {
   OpenJobs Out;
   for (auto &[Id, J] : Jobs) {
--- a/src/batch/schedule.h
+++ b/src/batch/schedule.h
@@ -25,6 +25,9 @@
 
 using JobTable = std::map<std::string, JobState>;
 
+/// Returns nullptr if there is no such task.
+const Task *findTask(const JobTable &Jobs, const TaskName &Name);
+
 /// The jobs of a table that planning has to consider, by id.
 using OpenJobs = std::map<std::string, JobState *>;
 
--- a/tests/batch/worker_health_test.cc
+++ b/tests/batch/worker_health_test.cc
@@ -6,6 +6,8 @@
 #include <string>
 #include <vector>
 
+#include <time.h>
+
 namespace pomelokeel::batch::tests {
 namespace {
 
@@ -301,6 +303,32 @@
   EXPECT_EQ(m_quarantinedUntil.size(), 1u);
 }
 
+double processorMs() {
+  timespec T{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &T);
+  return static_cast<double>(T.tv_sec) * 1e3 +
+         static_cast<double>(T.tv_nsec) / 1e6;
+}
+
+// A hopeless job as wide as a large fleet: each of its faults is compared with
+// the other tasks and workers. On an eighth of a core, a review may take a
+// tenth of the 200 ms between two reviews.
+TEST_F(WorkerHealthTest, FaultsOfAWideJobAreReviewedQuickly) {
+  constexpr int Workers = 240;
+  constexpr int Reviews = 10;
+  constexpr double MaxReviewMs = 2.5;
+  addAgents(Workers);
+  submit("bad", jobOf({step(8 * Workers, 1)}));
+  work(1500, hopeless(1000, 500));
+  ASSERT_GT(m_startsOn.size(), Workers * 9 / 10);
+  const double Begin = processorMs();
+  for (int I = 0; I < Reviews; ++I) {
+    m_now += 200;
+    m_leader->advance(m_now, wallNow());
+  }
+  EXPECT_LT((processorMs() - Begin) / Reviews, MaxReviewMs);
+}
+
 // The next incarnation of a worker is another machine or has been repaired.
 TEST_F(WorkerHealthTest, ARestartedWorkerIsInUseAtOnce) {
   addAgents(2);
