Limit the workers that hopeless jobs quarantine in stand-alone mode

Cause: the tracker of failures blames the first worker on which a job fails.

Change: at most a third of the workers may be quarantined at a time, and one stays in use, counting those whose records are not applied yet.

Red before: Leader.HopelessJobsLeaveWorkersInUse; 60 such jobs did not end within 60 s, as all six workers were quarantined after 24 placements. Leader.FailingWorkerIsQuarantinedAndJobsComplete passes as before.

--- a/src/entry/leader_attempts.cc
+++ b/src/entry/leader_attempts.cc
@@ -175,6 +175,29 @@
             " reason=\"" + V->m_requeue->m_reason + '"');
 }
 
+// If more than a third of the workers fail alike, the jobs are the likelier
+// cause. At least one worker stays in use. Several workers may be quarantined
+// before the records of it are applied, so the state alone does not tell.
+bool Leader::Impl::mayQuarantine(const state::State &S,
+                                 const std::string &Worker) const {
+  constexpr std::size_t WorkersPerQuarantine = 3;
+  std::size_t InContact = 0;
+  std::size_t Others = 0;
+  for (const auto &[Name, W] : S.m_workers) {
+    if (W.m_standing == model::WorkerStanding::Lost)
+      continue;
+    ++InContact;
+    Others +=
+        Name != Worker && (W.m_standing == model::WorkerStanding::Quarantined ||
+                           m_failures.wasQuarantined(Name))
+            ? 1
+            : 0;
+  }
+  const std::size_t Share =
+      (InContact + WorkersPerQuarantine - 1) / WorkersPerQuarantine;
+  return Others < Share && Others + 1 < InContact;
+}
+
 // Counts the results of the tasks, changes the standing of their workers, and
 // returns whether a worker rather than the job caused a failure.
 bool Leader::Impl::updateWorkerHealth(const state::State &S, const Attempt &A,
@@ -188,7 +211,8 @@
     if (W == S.m_workers.end())
       continue;
     const auto Verdict =
-        m_failures.record(M.m_worker, A.m_job, Failed, logTime(NowMs));
+        m_failures.record(M.m_worker, A.m_job, Failed, logTime(NowMs),
+                          mayQuarantine(S, M.m_worker));
     const bool Probation = onProbation(W->second, logTime(NowMs));
     if (Verdict.m_quarantine)
       changeStanding(M.m_worker, model::WorkerStanding::Quarantined,
--- a/src/entry/leader_impl.h
+++ b/src/entry/leader_impl.h
@@ -30,6 +30,7 @@
                      Actions &Out);
   void recordAttemptProgress(const state::State &S, const model::Job &J,
                              Attempt &A, Millis NowMs, Actions &Out);
+  bool mayQuarantine(const state::State &S, const std::string &Worker) const;
   bool updateWorkerHealth(const state::State &S, const Attempt &A, Millis NowMs,
                           Actions &Out);
   void avoidWorkers(const Attempt &A, Millis UntilMs);
--- a/src/sched/failures.cc
+++ b/src/sched/failures.cc
@@ -23,7 +23,8 @@
 
 FailureTracker::Verdict FailureTracker::record(const std::string &Worker,
                                                const std::string &Job,
-                                               bool Failed, Millis NowMs) {
+                                               bool Failed, Millis NowMs,
+                                               bool MayQuarantine) {
   History &H = m_workers[Worker];
   if (!Failed) {
     m_workers.erase(Worker);
@@ -44,7 +45,7 @@
   H.m_failedJobs.push_back(Job);
   // After a quarantine, a single failure on probation starts the next one.
   const std::size_t Needed = H.m_quarantines > 0 ? 1 : FailedJobsToQuarantine;
-  if (H.m_failedJobs.size() < Needed)
+  if (H.m_failedJobs.size() < Needed || !MayQuarantine)
     return {};
   const Millis Length = QuarantineMs << std::min(H.m_quarantines, MaxDoublings);
   ++H.m_quarantines;
@@ -53,9 +54,13 @@
 
 bool FailureTracker::isWorkerFault(const std::string &Worker,
                                    const std::string &Job) const {
+  return wasQuarantined(Worker) &&
+         contains(m_workers.at(Worker).m_failedJobs, Job);
+}
+
+bool FailureTracker::wasQuarantined(const std::string &Worker) const {
   const auto It = m_workers.find(Worker);
-  return It != m_workers.end() && It->second.m_quarantines > 0 &&
-         contains(It->second.m_failedJobs, Job);
+  return It != m_workers.end() && It->second.m_quarantines > 0;
 }
 
 Millis retryBackoff(const model::JobClass &C, int Failures) {
--- a/src/sched/sched.h
+++ b/src/sched/sched.h
@@ -183,14 +183,18 @@
   };
 
   /// Records the end of a task on \p Worker. A job that fails on several
-  /// workers counts against none but the first of them.
+  /// workers counts against none but the first of them. The worker is not
+  /// quarantined unless \p MayQuarantine.
   Verdict record(const std::string &Worker, const std::string &Job, bool Failed,
-                 Millis NowMs);
+                 Millis NowMs, bool MayQuarantine = true);
 
   /// True if \p Worker has been quarantined and a failure of \p Job on it is
   /// attributed to the worker.
   bool isWorkerFault(const std::string &Worker, const std::string &Job) const;
 
+  /// True if \p Worker has been quarantined and has completed nothing since.
+  bool wasQuarantined(const std::string &Worker) const;
+
 private:
   struct History {
     std::vector<std::string> m_failedJobs;
--- a/tests/entry/leader_test.cc
+++ b/tests/entry/leader_test.cc
@@ -167,6 +167,27 @@
     EXPECT_EQ(F.outcome(Id), Outcome::Completed) << Id;
 }
 
+// A wave of jobs that fail wherever they run quarantined all workers for a
+// minute, and sound jobs waited on an idle fleet.
+TEST(Leader, HopelessJobsLeaveWorkersInUse) {
+  sim::Fleet F(6, 1, {});
+  for (auto &[Name, A] : F.m_agents)
+    A.m_failTask = [] { return true; };
+  for (int I = 0; I < 60; ++I)
+    F.submit("bad" + std::to_string(I), "batch");
+  ASSERT_TRUE(F.runUntil([&] { return F.allFinished(); }, 60000));
+  for (auto &[Name, A] : F.m_agents)
+    A.m_failTask = [] { return false; };
+  F.submit("good", "batch");
+  EXPECT_TRUE(F.runUntil([&] { return F.finished("good"); }, 5000));
+  const auto InUse = std::count_if(
+      F.m_state.m_workers.begin(), F.m_state.m_workers.end(),
+      [](const auto &W) {
+        return W.second.m_standing == model::WorkerStanding::Healthy;
+      });
+  EXPECT_GE(InUse, 4);
+}
+
 TEST(Leader, FailingJobUsesUpItsAttempts) {
   sim::Fleet F(2, 1, {});
   for (auto &[Name, A] : F.m_agents)
