End a worker's probation with a run that lasts

Cause: only a completed run ended the probation of a worker. Where jobs run for hours, a worker stayed on probation for as long, and a single failure quarantined it again.

Change: a run that was placed after the quarantine and is at work for 30 s ends the probation too.

Red without the change: WorkerHealthTest.ProbationEndsWithARunThatLasts.

--- a/src/batch/leader.h
+++ b/src/batch/leader.h
@@ -130,8 +130,7 @@
   bool m_hasPendingOrders = false;        ///< To be sent with its next report.
   std::uint64_t m_entriesVersionSent = 0; ///< Last version of m_entries sent.
   Millis m_quarantinedUntil = 0;
-  /// Length of the last quarantine; 0 once the worker has completed a run
-  /// since.
+  /// Length of the last quarantine; 0 once the worker has passed its probation.
   Millis m_quarantineMs = 0;
   /// Faults of runs that were placed before do not count: the end of the last
   /// quarantine, or of the one before while the worker is quarantined.
--- a/src/batch/leader_health.cc
+++ b/src/batch/leader_health.cc
@@ -11,8 +11,11 @@
 constexpr Millis QuarantineMs = 3000; ///< Doubles each time.
 constexpr Millis MaxQuarantineMs = 30000;
 
-/// Evidence that quarantines a worker, and one on probation, which has not
-/// completed a run since its last quarantine.
+/// A run that was placed after a quarantine and is at work for this long ends
+/// the probation of its worker, as a completed run does.
+constexpr Millis ProbationMs = MaxQuarantineMs;
+
+/// Evidence that quarantines a worker, and one on probation.
 constexpr int EvidenceToQuarantine = 2;
 constexpr int EvidenceOnProbation = 1;
 
@@ -167,13 +170,16 @@
   m_faults.prune(Now);
   RunComparison C = makeComparison(Now);
   for (auto &[Name, A] : m_agents) {
-    if (A.m_evidence == 0 && m_faults.faultsOf(Name).empty())
+    if (A.m_evidence == 0 && A.m_quarantineMs == 0 &&
+        m_faults.faultsOf(Name).empty())
       continue;
     for (const auto &[R, Task] : A.m_runs) {
       if (!isCurrent(A, Task, R.m_run) || R.m_phase != RunPhase::Running)
         continue;
       const Millis PlacedAt = findTask(*Task)->m_placedAt;
       m_faults.refuteOutlived(Name, PlacedAt, Now - PlacedAt);
+      if (PlacedAt >= A.m_quarantinedUntil && Now - PlacedAt > ProbationMs)
+        A.m_quarantineMs = 0;
     }
     if (Now >= A.m_quarantinedUntil) {
       judgeWorker(A, C, Now);
--- a/tests/batch/worker_health_test.cc
+++ b/tests/batch/worker_health_test.cc
@@ -268,6 +268,23 @@
   EXPECT_EQ(m_lengths.front(), 3000);
 }
 
+// Most jobs run for hours. A worker with such a run is not on probation until
+// its end.
+TEST_F(WorkerHealthTest, ProbationEndsWithARunThatLasts) {
+  addAgents(2);
+  for (int I = 0; I < 4; ++I)
+    submit("job" + std::to_string(I), jobOf({step(8, 1)}));
+  work(1000, failingWorkers({"w0"}, 50, 100));
+  ASSERT_EQ(m_lengths, std::vector<Millis>{3000});
+  submit("long", jobOf({step(16, 1)}));
+  work(60000, failingWorkers({}, 0, 3600000));
+  ASSERT_EQ(m_agents["w0"].m_runs.size(), 8u);
+  for (int I = 0; I < 8; ++I)
+    end("w0", m_agents["w0"].m_runs.begin()->first, EndKind::Failed);
+  work(200, failingWorkers({}, 0, 3600000));
+  EXPECT_EQ(m_lengths.back(), 3000);
+}
+
 // Runs that were placed before a quarantine made the next one longer, although
 // no run had tested the worker since.
 TEST_F(WorkerHealthTest, OnlyAFailedProbationLengthensAQuarantine) {
