Keep a fleet that refuses orders out of use only briefly

Cause: each refused order doubled the quarantine of its worker, up to 30 s. If all workers are unhealthy for some time, the whole fleet stayed idle for up to 30 s after they had recovered.

Red before: WorkerHealthTest.AFleetThatRefusedOrdersIsInUseSoonAfterwards.

--- a/src/batch/leader_health.cc
+++ b/src/batch/leader_health.cc
@@ -72,6 +72,10 @@
   if (E.m_kind == EndKind::NeverStarted && E.m_detail == UnhealthyReason &&
       Now >= A.m_quarantinedUntil) {
     A.m_evidenceNeeded = 0;
+    // If the others are out of use too, a long quarantine would outlast the
+    // cause.
+    if (!mayQuarantine(A, {}, Now))
+      A.m_quarantineMs = 0;
     return quarantine(A, Name.m_job, "refuses", {}, Now);
   }
   if (E.m_kind == EndKind::Done) {
@@ -130,7 +134,7 @@
   }
 }
 
-// At least one worker of each service stays in use.
+// For failures, at least one worker of each service stays in use.
 bool Leader::mayQuarantine(const AgentView &A, const WorkerEvidence &E,
                            Millis Now) const {
   std::size_t Reachable = 0;
--- a/tests/batch/worker_health_test.cc
+++ b/tests/batch/worker_health_test.cc
@@ -296,6 +296,26 @@
   EXPECT_EQ(m_lengths, std::vector<Millis>{3000});
 }
 
+// All workers were unhealthy for some time. The quarantines grew to 30 s and
+// outlasted that by far, with the whole fleet idle.
+TEST_F(WorkerHealthTest, AFleetThatRefusedOrdersIsInUseSoonAfterwards) {
+  addAgents(4);
+  submit("job", jobOf({step(8, 1)}));
+  const Millis HealthyAt = m_now + 40000;
+  while (m_now < HealthyAt) {
+    pass(50);
+    for (const std::string &Agent : m_alive) {
+      while (!m_agents[Agent].m_runs.empty()) {
+        end(Agent, m_agents[Agent].m_runs.begin()->first,
+            EndKind::NeverStarted);
+        m_agents[Agent].m_ends.back().m_detail = UnhealthyReason;
+      }
+    }
+  }
+  work(4000, failingWorkers({}, 0, 500));
+  EXPECT_EQ(phaseOf("job"), JobPhase::Done);
+}
+
 // Tasks that stand still by their own fault quarantined each worker that they
 // were on.
 TEST_F(WorkerHealthTest, AJobThatStandsStillLeavesTheFleetInUse) {
