Judge faults that are reported together in one review

Cause: the address sanitizer's run of the test FaultsOfAWideJobAreReviewedQuickly exceeded its 2.5 ms. The reviews looked at each agent of a job for each fault and at each task of a step for each of them. The same cost acted on a larger scale in reports: each report with a fault built the index of all faults and compared all tasks of the step anew, and each quarantine counted all agents. With 240 workers, 1,920 runs that fail together took 76 ms of the leader's processor time, 16 times as much as 480 runs on 60 workers.

Change: the index of the faults is kept up to date by each change. New faults are judged together before the next scheduling pass, with one comparison of each step and one count of each service. Reviews look up the worker only of runs that can change the outcome. The judgements are the same.

Measured on x86-64, before / after: the burst on 240 workers 76 / 6.8 ms, on 60 workers 4.8 / 1.1 ms; a review 0.84 / 0.21 ms. The test of the review, whose bound is unchanged, passes under the address sanitizer in 9 of 9 runs, 6 of them beside six busy processes.

Red before: WorkerHealthTest.FaultsReportedTogetherCostInProportion, 3 of 3.

--- a/src/batch/fault_log.cc
+++ b/src/batch/fault_log.cc
@@ -38,21 +38,58 @@
   return AgeMs > OutliveFactor * F.ranMs() + OutliveMarginMs;
 }
 
+void FaultLog::Spread::add(const std::string &Agent, int Faults, int Refuted) {
+  const auto It = m_agents.try_emplace(Agent).first;
+  Tally &T = It->second;
+  const bool WasRefuted = T.m_refuted > 0;
+  T.m_faults += Faults;
+  T.m_refuted += Refuted;
+  const bool IsRefuted = T.m_refuted > 0;
+  if (IsRefuted && !WasRefuted)
+    ++m_refutedAgents;
+  if (WasRefuted && !IsRefuted)
+    --m_refutedAgents;
+  if (T.m_faults == 0)
+    m_agents.erase(It);
+}
+
 void FaultLog::add(const std::string &Agent, RunFault F) {
-  m_indexed = false;
-  auto &Faults = m_faults[Agent];
-  if (Faults.size() >= MaxFaultsPerWorker)
-    Faults.erase(Faults.begin());
-  Faults.push_back(std::move(F));
+  Entries &Known = m_faults[Agent];
+  if (Known.size() >= MaxFaultsPerWorker) {
+    removeFromIndices(Agent, Known.front());
+    Known.erase(Known.begin());
+  }
+  const auto Job = m_byJob.try_emplace(F.m_task.m_job).first;
+  const auto Task = m_byTask.try_emplace(F.m_task).first;
+  Job->second.add(Agent, 1, F.m_refuted ? 1 : 0);
+  Task->second.add(Agent, 1, F.m_refuted ? 1 : 0);
+  Known.push_back({std::move(F), Job, Task});
+}
+
+void FaultLog::setRefuted(const std::string &Agent, Entry &E) {
+  if (std::exchange(E.m_fault.m_refuted, true))
+    return;
+  E.m_job->second.add(Agent, 0, 1);
+  E.m_task->second.add(Agent, 0, 1);
+}
+
+void FaultLog::removeFromIndices(const std::string &Agent, const Entry &E) {
+  const int Refuted = E.m_fault.m_refuted ? -1 : 0;
+  E.m_job->second.add(Agent, -1, Refuted);
+  E.m_task->second.add(Agent, -1, Refuted);
+  if (E.m_job->second.m_agents.empty())
+    m_byJob.erase(E.m_job);
+  if (E.m_task->second.m_agents.empty())
+    m_byTask.erase(E.m_task);
 }
 
 void FaultLog::refute(const std::string &Agent, Millis PlacedAt) {
   const auto It = m_faults.find(Agent);
   if (It == m_faults.end())
     return;
-  for (RunFault &F : It->second) {
-    if (F.m_placedAt <= PlacedAt)
-      setRefuted(F);
+  for (Entry &E : It->second) {
+    if (E.m_fault.m_placedAt <= PlacedAt)
+      setRefuted(Agent, E);
   }
 }
 
@@ -61,117 +98,109 @@
   const auto It = m_faults.find(Agent);
   if (It == m_faults.end())
     return;
-  for (RunFault &F : It->second) {
+  for (Entry &E : It->second) {
+    const RunFault &F = E.m_fault;
     if (!F.m_stuck && F.m_placedAt <= PlacedAt && outlives(AgeMs, F))
-      setRefuted(F);
+      setRefuted(Agent, E);
   }
 }
 
-void FaultLog::setRefuted(RunFault &F) {
-  m_indexed = m_indexed && F.m_refuted;
-  F.m_refuted = true;
-}
-
 std::size_t FaultLog::faultyTasks(const std::string &Agent,
                                   const TaskName &OfStep) const {
-  std::set<TaskName> Out;
-  for (const RunFault &F : faultsOf(Agent)) {
-    if (!F.m_refuted && F.m_task.m_job == OfStep.m_job &&
-        F.m_task.m_step == OfStep.m_step)
-      Out.insert(F.m_task);
+  std::set<const Spread *> Tasks;
+  for (const Entry &E : entriesOf(Agent)) {
+    const TaskName &Name = E.m_fault.m_task;
+    if (!E.m_fault.m_refuted && Name.m_step == OfStep.m_step &&
+        Name.m_job == OfStep.m_job)
+      Tasks.insert(&E.m_task->second);
   }
-  return Out.size();
+  return Tasks.size();
 }
 
-int FaultLog::faultyTasksAfter(const std::string &Agent, Millis Since) const {
-  std::set<TaskName> Out;
-  for (const RunFault &F : faultsOf(Agent)) {
-    if (!F.m_refuted && F.m_at > Since)
-      Out.insert(F.m_task);
+std::size_t FaultLog::faultyTasksAfter(const std::string &Agent,
+                                       Millis Since) const {
+  std::set<const Spread *> Tasks;
+  for (const Entry &E : entriesOf(Agent)) {
+    if (!E.m_fault.m_refuted && E.m_fault.m_at > Since)
+      Tasks.insert(&E.m_task->second);
   }
-  return static_cast<int>(Out.size());
+  return Tasks.size();
 }
 
 void FaultLog::forget(const std::string &Agent) {
-  m_indexed = false;
+  for (const Entry &E : entriesOf(Agent))
+    removeFromIndices(Agent, E);
   m_faults.erase(Agent);
 }
 
 void FaultLog::prune(Millis Now) {
   for (auto It = m_faults.begin(); It != m_faults.end();) {
-    const std::size_t Old = std::erase_if(It->second, [&](const RunFault &F) {
-      return Now - F.m_at > FaultWindowMs + WindowPerRun * F.ranMs();
+    auto &[Agent, Known] = *It;
+    std::erase_if(Known, [&](const Entry &E) {
+      const RunFault &F = E.m_fault;
+      if (Now - F.m_at <= FaultWindowMs + WindowPerRun * F.ranMs())
+        return false;
+      removeFromIndices(Agent, E);
+      return true;
     });
-    m_indexed = m_indexed && Old == 0;
-    It = It->second.empty() ? m_faults.erase(It) : std::next(It);
+    It = Known.empty() ? m_faults.erase(It) : std::next(It);
   }
 }
 
-const std::vector<RunFault> &
-FaultLog::faultsOf(const std::string &Agent) const {
-  static const std::vector<RunFault> None;
+const FaultLog::Entries &FaultLog::entriesOf(const std::string &Agent) const {
+  static const Entries None;
   const auto It = m_faults.find(Agent);
   return It == m_faults.end() ? None : It->second;
 }
 
-void FaultLog::index() {
-  if (std::exchange(m_indexed, true))
-    return;
-  m_byJob.clear();
-  m_byTask.clear();
-  for (const auto &[Agent, Faults] : m_faults) {
-    for (const RunFault &F : Faults) {
-      for (bool *Refuted :
-           {&m_byJob[F.m_task.m_job][Agent], &m_byTask[F.m_task][Agent]})
-        *Refuted = *Refuted || F.m_refuted;
-    }
-  }
+const RunFault *FaultLog::newest(const std::string &Agent) const {
+  const Entries &Known = entriesOf(Agent);
+  return Known.empty() ? nullptr : &Known.back().m_fault;
 }
 
-FaultLog::Cause FaultLog::causeOf(const RunFault &F, const std::string &Agent,
-                                  WorksElsewhere Works) const {
+FaultLog::Cause FaultLog::causeOf(const Entry &E, const std::string &Agent,
+                                  WorksElsewhere Works) {
   if (Works == WorksElsewhere::Task)
     return Cause::Worker;
-  const AgentsWithFault &Agents = Works == WorksElsewhere::Step
-                                      ? m_byTask.at(F.m_task)
-                                      : m_byJob.at(F.m_task.m_job);
-  if (Agents.size() == 1)
+  const Spread &S =
+      Works == WorksElsewhere::Step ? E.m_task->second : E.m_job->second;
+  if (S.m_agents.size() == 1)
     return Works == WorksElsewhere::Step ? Cause::Worker : Cause::Unknown;
-  const bool Refuted =
-      std::any_of(Agents.begin(), Agents.end(), [&](const auto &Entry) {
-        return Entry.second && Entry.first != Agent;
-      });
-  return Refuted ? Cause::Job : Cause::ProbablyJob;
+  const std::size_t RefutedHere = S.m_agents.at(Agent).m_refuted > 0 ? 1 : 0;
+  return S.m_refutedAgents > RefutedHere ? Cause::Job : Cause::ProbablyJob;
 }
 
 WorkerEvidence FaultLog::evidenceAgainst(const std::string &Agent,
                                          Millis PlacedSince,
-                                         const CompareRuns &Compare) {
-  index();
+                                         const CompareRuns &Compare) const {
   WorkerEvidence Out;
-  std::set<TaskName> Counted;
-  std::set<std::pair<std::string, int>> StepsThatFail; // On all workers.
-  std::set<std::string> Unknown;
-  std::set<std::string> ProbablyJob;
-  for (const RunFault &F : faultsOf(Agent)) {
+  std::set<const Spread *> Counted; // Tasks.
+  // Job and step; of these nothing works on other workers.
+  std::set<std::pair<const Spread *, int>> StepsThatFail;
+  std::set<const Spread *> Unknown; // Jobs.
+  std::set<const Spread *> ProbablyJob;
+  for (const Entry &E : entriesOf(Agent)) {
     if (Out.m_proven >= MaxProven)
       break;
-    const std::pair Step(F.m_task.m_job, F.m_task.m_step);
+    const RunFault &F = E.m_fault;
+    const Spread *Job = &E.m_job->second;
+    const std::pair Step(Job, F.m_task.m_step);
     if (F.m_refuted || F.m_placedAt < PlacedSince ||
-        StepsThatFail.contains(Step) || !Counted.insert(F.m_task).second)
+        StepsThatFail.contains(Step) ||
+        !Counted.insert(&E.m_task->second).second)
       continue;
     const WorksElsewhere Works = Compare(F, Agent);
     if (Works == WorksElsewhere::Nothing)
       StepsThatFail.insert(Step);
-    switch (causeOf(F, Agent, Works)) {
+    switch (causeOf(E, Agent, Works)) {
     case Cause::Worker:
       Out.m_proven += F.m_stuck ? StuckWeight : 1;
       break;
     case Cause::Unknown:
-      Unknown.insert(F.m_task.m_job);
+      Unknown.insert(Job);
       break;
     case Cause::ProbablyJob:
-      ProbablyJob.insert(F.m_task.m_job);
+      ProbablyJob.insert(Job);
       break;
     case Cause::Job:
       break;
--- a/src/batch/fault_log.h
+++ b/src/batch/fault_log.h
@@ -46,7 +46,8 @@
 
 /// The recent faults of all workers, by agent. Tells faults of workers from
 /// faults of jobs: what fails on one worker only speaks against the worker,
-/// what fails on several against the job.
+/// what fails on several against the job. Recording or
+/// judging a fault costs the same on a fleet of any size.
 class FaultLog {
 public:
   void add(const std::string &Agent, RunFault F);
@@ -64,38 +65,60 @@
   /// Forgets faults that are too old to count.
   void prune(Millis Now);
 
-  const std::vector<RunFault> &faultsOf(const std::string &Agent) const;
+  /// Returns nullptr if the worker has no fault.
+  const RunFault *newest(const std::string &Agent) const;
 
   /// Number of tasks of the same step as \p OfStep with a fault on the worker.
   std::size_t faultyTasks(const std::string &Agent,
                           const TaskName &OfStep) const;
 
   /// Number of tasks with a fault on the worker after \p Since.
-  int faultyTasksAfter(const std::string &Agent, Millis Since) const;
+  std::size_t faultyTasksAfter(const std::string &Agent, Millis Since) const;
 
   /// Counts the faults of runs that were placed at \p PlacedSince or later.
   WorkerEvidence evidenceAgainst(const std::string &Agent, Millis PlacedSince,
-                                 const CompareRuns &Compare);
+                                 const CompareRuns &Compare) const;
 
 private:
   /// The likely cause of a fault. ProbablyJob: it also fails on other workers,
   /// which have completed nothing since.
   enum class Cause { Worker, Unknown, ProbablyJob, Job };
 
-  Cause causeOf(const RunFault &F, const std::string &Agent,
-                WorksElsewhere Works) const;
-
-  /// Agents with a fault of one job or task, and whether any of these faults
-  /// is refuted.
-  using AgentsWithFault = std::map<std::string, bool>;
-
-  void index();
-  void setRefuted(RunFault &F);
-
-  std::map<std::string, std::vector<RunFault>> m_faults;
-  bool m_indexed = false; ///< The two indices below are up to date.
-  std::map<std::string, AgentsWithFault> m_byJob;
-  std::map<TaskName, AgentsWithFault> m_byTask;
+  /// Numbers of faults of one job or task on one worker.
+  struct Tally {
+    int m_faults = 0;
+    int m_refuted = 0;
+  };
+
+  /// The faults of one job or task on all workers.
+  struct Spread {
+    std::map<std::string, Tally> m_agents;
+    std::size_t m_refutedAgents = 0; ///< Agents with a refuted fault.
+
+    void add(const std::string &Agent, int Faults, int Refuted);
+  };
+
+  using ByJob = std::map<std::string, Spread>;
+  using ByTask = std::map<TaskName, Spread>;
+
+  /// A fault with its places in the indices.
+  struct Entry {
+    RunFault m_fault;
+    ByJob::iterator m_job;
+    ByTask::iterator m_task;
+  };
+
+  using Entries = std::vector<Entry>;
+
+  const Entries &entriesOf(const std::string &Agent) const;
+  void setRefuted(const std::string &Agent, Entry &E);
+  void removeFromIndices(const std::string &Agent, const Entry &E);
+  static Cause causeOf(const Entry &E, const std::string &Agent,
+                       WorksElsewhere Works);
+
+  std::map<std::string, Entries> m_faults; ///< By agent, oldest first.
+  ByJob m_byJob;
+  ByTask m_byTask;
 };
 
 } // namespace pomelokeel::batch
--- a/src/batch/leader.cc
+++ b/src/batch/leader.cc
@@ -250,10 +250,6 @@
     updateRuns(A, Now);
     for (const EndReport &E : R.m_ends)
       handleEndReport(A, E, Now, WallNow);
-    if (A.m_hasNewFaults) {
-      RunComparison C = makeComparison(Now);
-      judgeWorker(A, C, Now);
-    }
     std::erase_if(A.m_ends, [&](const auto &Known) {
       return std::none_of(
           R.m_ends.begin(), R.m_ends.end(), [&](const EndReport &E) {
--- a/src/batch/leader.h
+++ b/src/batch/leader.h
@@ -154,6 +154,19 @@
   CallerAnswer m_answer;
 };
 
+/// How many workers of a service can receive orders, and how many of these are
+/// quarantined.
+struct ServiceUse {
+  std::size_t m_reachable = 0;
+  std::size_t m_quarantined = 0;
+};
+
+/// What the judgements of several workers at one moment have in common.
+struct HealthReview {
+  RunComparison m_runs;
+  std::map<std::string, ServiceUse> m_services; ///< Filled when needed.
+};
+
 } // namespace detail
 
 /// Accepts jobs, places their tasks and handles the end of runs. Each change is
@@ -209,6 +222,8 @@
 private:
   using Job = JobState;
   using AgentView = detail::AgentView;
+  using HealthReview = detail::HealthReview;
+  using ServiceUse = detail::ServiceUse;
 
   static void stopBrokenGangs(Job &J);
   void adoptRuns(const AgentReport &R);
@@ -257,6 +272,9 @@
   void addOccurrences(Millis WallNow);
   const Task *findTask(const TaskName &Name) const;
   Task *findTask(const TaskName &Name);
+  /// Returns nullptr if the task has no such run on the agent's worker now.
+  const Task *findCurrent(const AgentView &A,
+                          const std::optional<TaskName> &Name, int Run) const;
   bool isCurrent(const AgentView &A, const std::optional<TaskName> &Name,
                  int Run) const;
 
@@ -264,15 +282,20 @@
   void updateWorkerHealth(AgentView &A, const TaskName &Name,
                           const EndReport &E, Millis Now);
   void recordFault(AgentView &A, const TaskName &Name, bool Stuck, Millis Now);
-  RunComparison makeComparison(Millis Now) const;
-  WorkerEvidence evidenceAgainst(const AgentView &A, RunComparison &C);
-  void judgeWorker(AgentView &A, RunComparison &C, Millis Now);
+  HealthReview makeReview(Millis Now) const;
+  WorkerEvidence evidenceAgainst(const AgentView &A,
+                                 HealthReview &Review) const;
+  ServiceUse useOfService(const std::string &Service, Millis Now) const;
+  ServiceUse &useOfService(const std::string &Service, HealthReview &Review,
+                           Millis Now) const;
+  void judgeWorker(AgentView &A, HealthReview &Review, Millis Now);
+  void judgeNewFaults(Millis Now);
   void avoidForStep(const TaskName &OfStep, const std::string &Agent);
-  bool mayQuarantine(const AgentView &A, const WorkerEvidence &E,
-                     Millis Now) const;
+  static bool mayQuarantine(const WorkerEvidence &E, const ServiceUse &Use);
   void quarantine(AgentView &A, const std::string &Job, const char *Reason,
                   const WorkerEvidence &E, Millis Now);
   void reviewWorkerHealth(Millis Now);
+  void reviewRuns(AgentView &A, Millis Now);
   void reinstate(AgentView &A, Millis Now);
   void resetWorkerHealth(AgentView &A);
   bool isReachable(const AgentView &A, Millis Now) const;
--- a/src/batch/leader_health.cc
+++ b/src/batch/leader_health.cc
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace pomelokeel::batch {
@@ -49,22 +50,45 @@
   return isReachable(A, Now) && Now >= A.m_quarantinedUntil;
 }
 
-RunComparison Leader::makeComparison(Millis Now) const {
-  return {m_jobs,
-          [this, Now](const std::string &Agent) {
-            const auto It = m_agents.find(Agent);
-            return It != m_agents.end() && isReachable(It->second, Now);
-          },
-          Now};
+Leader::HealthReview Leader::makeReview(Millis Now) const {
+  return {{m_jobs,
+           [this, Now](const std::string &Agent) {
+             const auto It = m_agents.find(Agent);
+             return It != m_agents.end() && isReachable(It->second, Now);
+           },
+           Now},
+          {}};
 }
 
-WorkerEvidence Leader::evidenceAgainst(const AgentView &A, RunComparison &C) {
+WorkerEvidence Leader::evidenceAgainst(const AgentView &A,
+                                       HealthReview &Review) const {
   return m_faults.evidenceAgainst(
       A.m_name, A.m_faultsSince, [&](const RunFault &F, const std::string &Of) {
-        return C.compare(F, Of);
+        return Review.m_runs.compare(F, Of);
       });
 }
 
+Leader::ServiceUse Leader::useOfService(const std::string &Service,
+                                        Millis Now) const {
+  ServiceUse Out;
+  for (const auto &[Name, A] : m_agents) {
+    if (A.m_worker.m_service != Service || !isReachable(A, Now))
+      continue;
+    ++Out.m_reachable;
+    Out.m_quarantined += Now < A.m_quarantinedUntil ? 1 : 0;
+  }
+  return Out;
+}
+
+Leader::ServiceUse &Leader::useOfService(const std::string &Service,
+                                         HealthReview &Review,
+                                         Millis Now) const {
+  const auto [It, New] = Review.m_services.try_emplace(Service);
+  if (New)
+    It->second = useOfService(Service, Now);
+  return It->second;
+}
+
 void Leader::updateWorkerHealth(AgentView &A, const TaskName &Name,
                                 const EndReport &E, Millis Now) {
   const Millis PlacedAt = findTask(Name)->m_placedAt;
@@ -74,7 +98,7 @@
     A.m_evidenceNeeded = 0;
     // If the others are out of use too, a long quarantine would outlast the
     // cause.
-    if (!mayQuarantine(A, {}, Now))
+    if (!mayQuarantine({}, useOfService(A.m_worker.m_service, Now)))
       A.m_quarantineMs = 0;
     return quarantine(A, Name.m_job, "refuses", {}, Now);
   }
@@ -104,20 +128,34 @@
 
 // Runs that were placed before the last quarantine ended do not count, so only
 // a failed probation makes the next one longer.
-void Leader::judgeWorker(AgentView &A, RunComparison &C, Millis Now) {
+void Leader::judgeWorker(AgentView &A, HealthReview &Review, Millis Now) {
   A.m_hasNewFaults = false;
   if (Now < A.m_quarantinedUntil)
     return;
   A.m_faultsSince = A.m_quarantinedUntil;
   A.m_evidenceNeeded =
       A.m_quarantineMs > 0 ? EvidenceOnProbation : EvidenceToQuarantine;
-  const WorkerEvidence E = evidenceAgainst(A, C);
+  const WorkerEvidence E = evidenceAgainst(A, Review);
   A.m_evidence = E.total();
-  if (A.m_evidence < A.m_evidenceNeeded || !mayQuarantine(A, E, Now))
+  const RunFault *Newest = m_faults.newest(A.m_name);
+  if (Newest == nullptr || A.m_evidence < A.m_evidenceNeeded)
+    return;
+  ServiceUse &Use = useOfService(A.m_worker.m_service, Review, Now);
+  if (!mayQuarantine(E, Use))
     return;
-  const RunFault &Newest = m_faults.faultsOf(A.m_name).back();
-  quarantine(A, Newest.m_task.m_job, Newest.m_stuck ? "noProgress" : "failures",
-             E, Now);
+  quarantine(A, Newest->m_task.m_job,
+             Newest->m_stuck ? "noProgress" : "failures", E, Now);
+  Use.m_quarantined += isReachable(A, Now) ? 1 : 0;
+}
+
+// The runs of many workers may fail at the same time, so their faults are
+// judged together.
+void Leader::judgeNewFaults(Millis Now) {
+  HealthReview Review = makeReview(Now);
+  for (auto &[Name, A] : m_agents) {
+    if (A.m_hasNewFaults)
+      judgeWorker(A, Review, Now);
+  }
 }
 
 // A worker that fails what it starts is the first to be free again, and would
@@ -136,22 +174,13 @@
 }
 
 // For failures, at least one worker of each service stays in use.
-bool Leader::mayQuarantine(const AgentView &A, const WorkerEvidence &E,
-                           Millis Now) const {
-  std::size_t Reachable = 0;
-  std::size_t Quarantined = 0;
-  for (const auto &[Name, Other] : m_agents) {
-    if (Other.m_worker.m_service != A.m_worker.m_service ||
-        !isReachable(Other, Now))
-      continue;
-    ++Reachable;
-    Quarantined += Now < Other.m_quarantinedUntil ? 1 : 0;
-  }
-  const std::size_t Most = Reachable > 0 ? Reachable - 1 : 0;
+bool Leader::mayQuarantine(const WorkerEvidence &E, const ServiceUse &Use) {
+  const std::size_t Most = Use.m_reachable > 0 ? Use.m_reachable - 1 : 0;
   const bool Proven = E.m_proven >= EvidenceToQuarantine;
   const std::size_t Limit =
-      Proven ? Most : std::min(Most, divideUp(Reachable, UnprovenPerService));
-  return Quarantined < Limit;
+      Proven ? Most
+             : std::min(Most, divideUp(Use.m_reachable, UnprovenPerService));
+  return Use.m_quarantined < Limit;
 }
 
 void Leader::quarantine(AgentView &A, const std::string &Job,
@@ -173,26 +202,37 @@
     return;
   m_healthReviewedAt = Now;
   m_faults.prune(Now);
-  RunComparison C = makeComparison(Now);
+  HealthReview Review = makeReview(Now);
   for (auto &[Name, A] : m_agents) {
     if (A.m_evidence == 0 && A.m_quarantineMs == 0 &&
-        m_faults.faultsOf(Name).empty())
+        m_faults.newest(Name) == nullptr)
       continue;
-    for (const auto &[R, Task] : A.m_runs) {
-      if (!isCurrent(A, Task, R.m_run) || R.m_phase != RunPhase::Running)
-        continue;
-      const Millis PlacedAt = findTask(*Task)->m_placedAt;
-      m_faults.refuteOutlived(Name, PlacedAt, Now - PlacedAt);
-      if (PlacedAt >= A.m_quarantinedUntil && Now - PlacedAt > ProbationMs)
-        A.m_quarantineMs = 0;
-    }
+    reviewRuns(A, Now);
     if (Now >= A.m_quarantinedUntil) {
-      judgeWorker(A, C, Now);
+      judgeWorker(A, Review, Now);
       continue;
     }
-    A.m_evidence = evidenceAgainst(A, C).total();
-    if (A.m_evidence < A.m_evidenceNeeded)
-      reinstate(A, Now);
+    A.m_evidence = evidenceAgainst(A, Review).total();
+    if (A.m_evidence >= A.m_evidenceNeeded)
+      continue;
+    reinstate(A, Now);
+    if (isReachable(A, Now))
+      --useOfService(A.m_worker.m_service, Review, Now).m_quarantined;
+  }
+}
+
+// Runs that have been at work for some time speak for their worker.
+void Leader::reviewRuns(AgentView &A, Millis Now) {
+  std::set<Millis> PlacedAt;
+  for (const auto &[R, Name] : A.m_runs) {
+    const Task *T = findCurrent(A, Name, R.m_run);
+    if (T != nullptr && R.m_phase == RunPhase::Running)
+      PlacedAt.insert(T->m_placedAt);
+  }
+  for (const Millis At : PlacedAt) {
+    m_faults.refuteOutlived(A.m_name, At, Now - At);
+    if (At >= A.m_quarantinedUntil && Now - At > ProbationMs)
+      A.m_quarantineMs = 0;
   }
 }
 
--- a/src/batch/leader_runs.cc
+++ b/src/batch/leader_runs.cc
@@ -99,12 +99,19 @@
                             WallNow - J.m_spec.m_acceptedMs));
 }
 
+const Task *Leader::findCurrent(const AgentView &A,
+                                const std::optional<TaskName> &Name,
+                                int Run) const {
+  const batch::Task *T = Name ? findTask(*Name) : nullptr;
+  const bool Current = T != nullptr && T->m_phase == TaskPhase::Placed &&
+                       T->m_run == Run && T->m_agent == A.m_name &&
+                       T->m_workerIncarnation == A.m_worker.m_workerIncarnation;
+  return Current ? T : nullptr;
+}
+
 bool Leader::isCurrent(const AgentView &A, const std::optional<TaskName> &Name,
                        int Run) const {
-  const batch::Task *T = Name ? findTask(*Name) : nullptr;
-  return T != nullptr && T->m_phase == TaskPhase::Placed && T->m_run == Run &&
-         T->m_agent == A.m_name &&
-         T->m_workerIncarnation == A.m_worker.m_workerIncarnation;
+  return findCurrent(A, Name, Run) != nullptr;
 }
 
 void Leader::updateRuns(AgentView &A, Millis Now) {
--- a/src/batch/leader_schedule.cc
+++ b/src/batch/leader_schedule.cc
@@ -24,8 +24,9 @@
     W.m_capacity = W.m_free = W.m_freeSoon = A.m_worker.m_capacity;
     W.m_slowness = A.m_slowness;
     // Workers on probation are used last.
-    W.m_failures = m_faults.faultyTasksAfter(Name, A.m_clearedAt) +
-                   (A.m_quarantineMs > 0 ? 1 : 0);
+    W.m_failures =
+        static_cast<int>(m_faults.faultyTasksAfter(Name, A.m_clearedAt)) +
+        (A.m_quarantineMs > 0 ? 1 : 0);
     W.m_usable = acceptsWork(A, Now);
     for (const auto &[Key, Reserved] : A.m_endingGangRuns) {
       W.m_free = W.m_free - Reserved.first;
@@ -115,6 +116,7 @@
   m_scheduleDue = false;
   m_scheduledAt = Now;
   m_counters.get("scheduling_passes")++;
+  judgeNewFaults(Now);
   const std::vector<CandidateWorker> Workers = makeCandidateWorkers(Now);
   const Plan P =
       plan(m_openJobs, Workers, m_guarantees, m_timing.m_reclaimMs, Now);
--- a/src/batch/run_comparison.cc
+++ b/src/batch/run_comparison.cc
@@ -26,9 +26,14 @@
   if (T.m_phase == TaskPhase::Done)
     Out.m_done.add(T.m_agent, 0);
   if (T.m_phase != TaskPhase::Placed || !T.m_running ||
-      T.m_stop != StopReason::None || !m_isReachable(T.m_agent))
+      T.m_stop != StopReason::None)
     return;
-  Out.m_ageMs.add(T.m_agent, m_now - T.m_placedAt);
+  const Millis AgeMs = m_now - T.m_placedAt;
+  const bool Matters = Out.m_ageMs.isChangedBy(AgeMs) ||
+                       Out.m_progressAt.isChangedBy(T.m_progressAt);
+  if (!Matters || !m_isReachable(T.m_agent))
+    return;
+  Out.m_ageMs.add(T.m_agent, AgeMs);
   Out.m_progressAt.add(T.m_agent, T.m_progressAt);
 }
 
--- a/src/batch/run_comparison.h
+++ b/src/batch/run_comparison.h
@@ -28,6 +28,8 @@
   class Highest {
   public:
     void add(const std::string &Agent, Millis Value);
+    /// False if adding \p Value has no effect, for any agent.
+    bool isChangedBy(Millis Value) const { return Value > m_second; }
     /// The highest value of any agent but \p Agent, or -1.
     Millis without(const std::string &Agent) const {
       return Agent == m_agent ? m_second : m_first;
--- a/tests/batch/worker_health_test.cc
+++ b/tests/batch/worker_health_test.cc
@@ -371,6 +371,38 @@
   EXPECT_LT(ReviewMs / Reviews, MaxReviewMs);
 }
 
+// All runs of a wide hopeless job fail at the same time. Each report of faults
+// was judged on its own, at a cost that grew with the number of all faults.
+TEST_F(WorkerHealthTest, FaultsReportedTogetherCostInProportion) {
+  m_timing.m_roundPauseMs = 10;
+  m_timing.m_passPauseMs = 25;
+  const auto BurstMs = [&](int Workers) {
+    m_agents.clear();
+    m_alive.clear();
+    m_stored.clear();
+    makeLeader();
+    addAgents(Workers);
+    submit("bad", jobOf({step(8 * Workers, 1)}));
+    pass(300);
+    for (const std::string &Agent : m_alive) {
+      while (!m_agents[Agent].m_runs.empty())
+        end(Agent, m_agents[Agent].m_runs.begin()->first, EndKind::Failed);
+    }
+    double Ms = 0;
+    for (const std::string &Agent : m_alive) {
+      const double Begin = processorMs();
+      report(Agent);
+      Ms += processorMs() - Begin;
+    }
+    return Ms;
+  };
+  // In proportion to the number of faults, with a margin of two.
+  constexpr int Factor = 4;
+  const double Few = BurstMs(60);
+  const double Many = BurstMs(60 * Factor);
+  EXPECT_LT(Many, Few * Factor * 2);
+}
+
 // The next incarnation of a worker is another machine or has been repaired.
 TEST_F(WorkerHealthTest, ARestartedWorkerIsInUseAtOnce) {
   addAgents(2);
