Place long-running tasks again where they failed at work

Cause: a task avoids each worker on which it failed. Long-running tasks may fail at any time, so each of them came to avoid all workers but one and waited for room there, while the others had room. The lists also grew with each failure. Class: a fault of the work is attributed to the machine.

Change: a failure of a long-running task that was at work counts as no reason to avoid its worker, as it already counted as no evidence against it. A list names a worker once.

Red before: WorkerHealthTest.LongRunningTasksThatFailAtRandomLeaveTheFleetInUse; 44 tasks on 6 workers with room for 48 waited for up to 99.8 s (memoryless lives of 15 s) and 12.6 s (lives of 4 to 30 s). Now no longer than the rule's 3 s.

--- a/src/batch/leader.h
+++ b/src/batch/leader.h
@@ -288,8 +288,10 @@
   ServiceUse useOfService(const std::string &Service, Millis Now) const;
   ServiceUse &useOfService(const std::string &Service, HealthReview &Review,
                            Millis Now) const;
+  bool isLongRunAtWork(const TaskName &Name) const;
   void judgeWorker(AgentView &A, HealthReview &Review, Millis Now);
   void judgeNewFaults(Millis Now);
+  static void avoid(Task &T, const std::string &Agent);
   void avoidForStep(const TaskName &OfStep, const std::string &Agent);
   static bool mayQuarantine(const WorkerEvidence &E, const ServiceUse &Use);
   void quarantine(AgentView &A, const std::string &Job, const char *Reason,
--- a/src/batch/leader_health.cc
+++ b/src/batch/leader_health.cc
@@ -112,15 +112,18 @@
     recordFault(A, Name, false, Now);
 }
 
-void Leader::recordFault(AgentView &A, const TaskName &Name, bool Stuck,
-                         Millis Now) {
-  const Task &T = *findTask(Name);
+// Long-running tasks may fail at any time once they are at work.
+bool Leader::isLongRunAtWork(const TaskName &Name) const {
+  constexpr int AtWorkPercent = 100;
   const Step &Kind = m_jobs.at(Name.m_job)
                          .m_spec.m_steps[static_cast<std::size_t>(Name.m_step)];
-  // Long-running tasks may fail at any time once they are at work.
-  constexpr int AtWorkPercent = 100;
-  const bool Expected = Kind.m_longRunning && T.m_percent >= AtWorkPercent;
-  m_faults.add(A.m_name, {Name, Now, T.m_placedAt, Stuck, Expected});
+  return Kind.m_longRunning && findTask(Name)->m_percent >= AtWorkPercent;
+}
+
+void Leader::recordFault(AgentView &A, const TaskName &Name, bool Stuck,
+                         Millis Now) {
+  m_faults.add(A.m_name, {Name, Now, findTask(Name)->m_placedAt, Stuck,
+                          isLongRunAtWork(Name)});
   if (m_faults.faultyTasks(A.m_name, Name) >= FaultyTasksToAvoid)
     avoidForStep(Name, A.m_name);
   A.m_hasNewFaults = true;
@@ -158,6 +161,11 @@
   }
 }
 
+void Leader::avoid(Task &T, const std::string &Agent) {
+  if (std::find(T.m_avoid.begin(), T.m_avoid.end(), Agent) == T.m_avoid.end())
+    T.m_avoid.push_back(Agent);
+}
+
 // A worker that fails what it starts is the first to be free again, and would
 // get all tasks of the step.
 void Leader::avoidForStep(const TaskName &OfStep, const std::string &Agent) {
@@ -166,10 +174,8 @@
           .m_progress
           .m_occurrences[static_cast<std::size_t>(OfStep.m_occurrence)];
   for (Task &T : O[static_cast<std::size_t>(OfStep.m_step)]) {
-    const auto &Known = T.m_avoid;
-    if (T.m_phase == TaskPhase::Waiting && Known.size() < MaxAvoided &&
-        std::find(Known.begin(), Known.end(), Agent) == Known.end())
-      T.m_avoid.push_back(Agent);
+    if (T.m_phase == TaskPhase::Waiting && T.m_avoid.size() < MaxAvoided)
+      avoid(T, Agent);
   }
 }
 
--- a/src/batch/leader_runs.cc
+++ b/src/batch/leader_runs.cc
@@ -243,8 +243,8 @@
   if (Current) {
     updateWorkerHealth(A, Name, E, Now);
     Job &J = m_jobs[Name.m_job];
-    if (E.m_kind == EndKind::Failed)
-      findTask(Name)->m_avoid.push_back(A.m_name);
+    if (E.m_kind == EndKind::Failed && !isLongRunAtWork(Name))
+      avoid(*findTask(Name), A.m_name);
     endRun(J, Name, E.m_kind, E.m_checkpoint, Now, WallNow);
   }
   A.m_ends[Key] = {Batch, Now, false};
@@ -445,7 +445,7 @@
       A.m_unhealthy || Now - A.m_workerReportedAt > m_timing.m_silentMs)
     return StopReason::None;
   recordFault(A, Name, true, Now);
-  T.m_avoid.push_back(T.m_agent);
+  avoid(T, T.m_agent);
   return StopReason::Stalled;
 }
 
--- a/tests/batch/leader_fixture.h
+++ b/tests/batch/leader_fixture.h
@@ -154,7 +154,8 @@
     for (auto &[Task, Run] : B.m_runs) {
       // The leader would stop a run without progress.
       if (Name != m_frozenAgent && !isFrozen(Task))
-        Run.m_percent = static_cast<int>(m_now / 200 % 100);
+        Run.m_percent =
+            m_runsAreAtWork ? 100 : static_cast<int>(m_now / 200 % 100);
       R.m_runs.push_back(Run);
     }
     R.m_ends = B.m_ends;
@@ -260,7 +261,8 @@
   std::vector<std::string> m_events;
   std::int64_t m_ends = 0;
   bool m_stopsWork = true;
-  std::string m_frozenAgent; ///< Runs of its worker make no progress.
+  bool m_runsAreAtWork = false; ///< As long-running tasks report it.
+  std::string m_frozenAgent;    ///< Runs of its worker make no progress.
   std::string m_frozenTasks; ///< Tasks whose names begin so make no progress.
   base::Counters m_counters;
   std::unique_ptr<Leader> m_leader;
--- a/tests/batch/worker_health_test.cc
+++ b/tests/batch/worker_health_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -246,6 +247,58 @@
   EXPECT_EQ(m_outOfUse["w0"] + m_outOfUse["w3"] + m_outOfUse["w4"], 0);
 }
 
+Step longRunningStep(int Count) {
+  Step S;
+  S.m_count = Count;
+  S.m_each = {1000, 100, 1};
+  S.m_longRunning = true;
+  return S;
+}
+
+// Long-running tasks that fail at random, by any law, quarantine no worker for
+// long. The tasks avoided each worker on which they had failed, and waited for
+// room on the others.
+TEST_F(WorkerHealthTest, LongRunningTasksThatFailAtRandomLeaveTheFleetInUse) {
+  m_runsAreAtWork = true;
+  std::mt19937 Random(1);
+  for (const bool Memoryless : {true, false}) {
+    m_agents.clear();
+    m_alive.clear();
+    m_stored.clear();
+    m_seen.clear();
+    m_outOfUse.clear();
+    m_quarantinedUntil.clear();
+    makeLeader();
+    addAgents(6);
+    submit("service", jobOf({longRunningStep(44)}));
+    std::map<std::tuple<std::string, std::string, Millis>, double> Lives;
+    std::map<std::string, Millis> LastSeen; // By task.
+    Millis LongestWaitMs = 0;
+    std::exponential_distribution<double> Exponential(1.0 / 15000);
+    std::uniform_real_distribution<double> Uniform(4000, 30000);
+    work(300000,
+         [&](const std::string &Agent, const std::string &Task,
+             Millis AgeMs) -> std::optional<EndKind> {
+           Millis &SeenAt = LastSeen.try_emplace(Task, m_now).first->second;
+           LongestWaitMs = std::max(LongestWaitMs, m_now - SeenAt);
+           SeenAt = m_now;
+           double &LifeMs = Lives[{Agent, Task, m_now - AgeMs}];
+           if (LifeMs == 0)
+             LifeMs = Memoryless ? Exponential(Random) : Uniform(Random);
+           if (static_cast<double>(AgeMs) < LifeMs)
+             return std::nullopt;
+           return EndKind::Failed;
+         });
+    EXPECT_EQ(LastSeen.size(), 44u);
+    EXPECT_LE(LongestWaitMs, 3000) << Memoryless;
+    // A hundredth of the time of six workers.
+    Millis OutOfUse = 0;
+    for (const auto &[Agent, Ms] : m_outOfUse)
+      OutOfUse += Ms;
+    EXPECT_LE(OutOfUse, 18000) << Memoryless;
+  }
+}
+
 // A worker that is sound again is used again after its probation.
 TEST_F(WorkerHealthTest, ProbationEndsWithTheFirstCompletedRun) {
   addAgents(3);
