Find workers on which long-running tasks always fail soon

Cause: since failures of long-running tasks at work count against no worker, a worker that fails each of them after a second was never quarantined and was given them for ever.

Change: a series of such failures on one worker counts, if most runs of the step are more than four times as old as each of them. Three in a row are one piece of unproven evidence; two pieces quarantine the worker.

Red before: WorkerHealthTest.AWorkerOnWhichLongRunningTasksFailSoonIsQuarantined.

--- a/src/batch/fault_log.cc
+++ b/src/batch/fault_log.cc
@@ -32,6 +32,14 @@
 constexpr Millis OutliveFactor = 4;
 constexpr Millis OutliveMarginMs = 500;
 
+/// So many tasks in a row that failed at work much earlier than others do count
+/// as one piece of evidence. Tasks that fail at random seldom do so by chance.
+constexpr int EarlyEndsPerDoubt = 3;
+constexpr int MaxEarlyEnds = 2 * EarlyEndsPerDoubt;
+
+// True if the fault does not speak against its worker on its own.
+bool isExcused(const RunFault &F) { return F.m_refuted || F.m_atWork; }
+
 } // namespace
 
 bool outlives(Millis AgeMs, const RunFault &F) {
@@ -61,20 +69,23 @@
   }
   const auto Job = m_byJob.try_emplace(F.m_task.m_job).first;
   const auto Task = m_byTask.try_emplace(F.m_task).first;
-  Job->second.add(Agent, 1, F.m_refuted ? 1 : 0);
-  Task->second.add(Agent, 1, F.m_refuted ? 1 : 0);
+  const int Refuted = isExcused(F) ? 1 : 0;
+  Job->second.add(Agent, 1, Refuted);
+  Task->second.add(Agent, 1, Refuted);
   Known.push_back({std::move(F), Job, Task});
 }
 
 void FaultLog::setRefuted(const std::string &Agent, Entry &E) {
-  if (std::exchange(E.m_fault.m_refuted, true))
+  const bool WasExcused = isExcused(E.m_fault);
+  E.m_fault.m_refuted = true;
+  if (WasExcused)
     return;
   E.m_job->second.add(Agent, 0, 1);
   E.m_task->second.add(Agent, 0, 1);
 }
 
 void FaultLog::removeFromIndices(const std::string &Agent, const Entry &E) {
-  const int Refuted = E.m_fault.m_refuted ? -1 : 0;
+  const int Refuted = isExcused(E.m_fault) ? -1 : 0;
   E.m_job->second.add(Agent, -1, Refuted);
   E.m_task->second.add(Agent, -1, Refuted);
   if (E.m_job->second.m_agents.empty())
@@ -110,7 +121,7 @@
   std::set<const Spread *> Tasks;
   for (const Entry &E : entriesOf(Agent)) {
     const TaskName &Name = E.m_fault.m_task;
-    if (!E.m_fault.m_refuted && Name.m_step == OfStep.m_step &&
+    if (!isExcused(E.m_fault) && Name.m_step == OfStep.m_step &&
         Name.m_job == OfStep.m_job)
       Tasks.insert(&E.m_task->second);
   }
@@ -121,7 +132,7 @@
                                        Millis Since) const {
   std::set<const Spread *> Tasks;
   for (const Entry &E : entriesOf(Agent)) {
-    if (!E.m_fault.m_refuted && E.m_fault.m_at > Since)
+    if (!isExcused(E.m_fault) && E.m_fault.m_at > Since)
       Tasks.insert(&E.m_task->second);
   }
   return Tasks.size();
@@ -185,7 +196,7 @@
     const RunFault &F = E.m_fault;
     const Spread *Job = &E.m_job->second;
     const std::pair Step(Job, F.m_task.m_step);
-    if (F.m_refuted || F.m_placedAt < PlacedSince ||
+    if (isExcused(F) || F.m_placedAt < PlacedSince ||
         StepsThatFail.contains(Step) ||
         !Counted.insert(&E.m_task->second).second)
       continue;
@@ -207,7 +218,26 @@
     }
   }
   Out.m_unproven =
-      static_cast<int>(Unknown.size() + ProbablyJob.size() / JobsPerDoubt);
+      static_cast<int>(Unknown.size() + ProbablyJob.size() / JobsPerDoubt) +
+      earlyEnds(Agent, PlacedSince, Compare) / EarlyEndsPerDoubt;
+  return Out;
+}
+
+// Counts the newest tasks in a row that failed at work much earlier than others
+// do. A run that lasts on this worker ends the series.
+int FaultLog::earlyEnds(const std::string &Agent, Millis PlacedSince,
+                        const CompareRuns &Compare) const {
+  int Out = 0;
+  const Entries &Known = entriesOf(Agent);
+  for (auto It = Known.rbegin(); It != Known.rend(); ++It) {
+    const RunFault &F = It->m_fault;
+    if (!F.m_atWork)
+      continue;
+    if (Out >= MaxEarlyEnds || F.m_refuted || F.m_placedAt < PlacedSince ||
+        Compare(F, Agent) == WorksElsewhere::Nothing)
+      break;
+    ++Out;
+  }
   return Out;
 }
 
--- a/src/batch/fault_log.h
+++ b/src/batch/fault_log.h
@@ -16,6 +16,8 @@
   Millis m_at = 0;
   Millis m_placedAt = 0;
   bool m_stuck = false; ///< It made no progress. False: it failed.
+  /// The task is long-running and was at work. Such tasks may fail at any time.
+  bool m_atWork = false;
   /// The worker has completed other work since.
   bool m_refuted = false;
 
@@ -27,7 +29,8 @@
 bool outlives(Millis AgeMs, const RunFault &F);
 
 /// What works on other workers: nothing of the step of a fault, other tasks of
-/// the step, or the task itself.
+/// the step, or the task itself. For a task that failed at work, other tasks of
+/// the step work if most of them have run much longer.
 enum class WorksElsewhere { Nothing, Step, Task };
 
 /// Compares a fault on \p Agent with the other runs of its step.
@@ -38,7 +41,8 @@
 struct WorkerEvidence {
   /// Tasks that failed although their job works on other workers, up to two.
   int m_proven = 0;
-  /// Jobs that work nowhere so far, weighted by how likely they are sound.
+  /// Jobs that work nowhere so far, weighted by how likely they are sound, and
+  /// series of tasks that failed at work much earlier than others do.
   int m_unproven = 0;
 
   int total() const { return m_proven + m_unproven; }
@@ -87,13 +91,13 @@
   /// Numbers of faults of one job or task on one worker.
   struct Tally {
     int m_faults = 0;
-    int m_refuted = 0;
+    int m_refuted = 0; ///< That do not speak against the worker.
   };
 
   /// The faults of one job or task on all workers.
   struct Spread {
     std::map<std::string, Tally> m_agents;
-    std::size_t m_refutedAgents = 0; ///< Agents with a refuted fault.
+    std::size_t m_refutedAgents = 0; ///< Agents with m_refuted > 0.
 
     void add(const std::string &Agent, int Faults, int Refuted);
   };
@@ -113,6 +117,8 @@
   const Entries &entriesOf(const std::string &Agent) const;
   void setRefuted(const std::string &Agent, Entry &E);
   void removeFromIndices(const std::string &Agent, const Entry &E);
+  int earlyEnds(const std::string &Agent, Millis PlacedSince,
+                const CompareRuns &Compare) const;
   static Cause causeOf(const Entry &E, const std::string &Agent,
                        WorksElsewhere Works);
 
--- a/src/batch/run_comparison.cc
+++ b/src/batch/run_comparison.cc
@@ -1,6 +1,8 @@
 #include "batch/run_comparison.h"
 
+#include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace pomelokeel::batch {
 namespace {
@@ -9,6 +11,12 @@
 /// one is unusual.
 constexpr Millis RecentProgressMs = 4000;
 
+const std::vector<Task> &tasksOfStep(const JobState &J, const TaskName &Name) {
+  const Occurrence &O =
+      J.m_progress.m_occurrences[static_cast<std::size_t>(Name.m_occurrence)];
+  return O[static_cast<std::size_t>(Name.m_step)];
+}
+
 } // namespace
 
 void RunComparison::Highest::add(const std::string &Agent, Millis Value) {
@@ -51,19 +59,40 @@
   const auto [It, New] =
       m_steps.try_emplace({Name.m_job, Name.m_occurrence, Name.m_step});
   if (New) {
-    const Occurrence &O =
-        J.m_progress.m_occurrences[static_cast<std::size_t>(Name.m_occurrence)];
-    for (const Task &T : O[static_cast<std::size_t>(Name.m_step)])
+    for (const Task &T : tasksOfStep(J, Name))
       add(T, It->second);
   }
   return It->second;
 }
 
+// Compares with the median, as some tasks that fail at random outlive most.
+bool RunComparison::mostOutlive(const RunFault &F) {
+  const TaskName &Name = F.m_task;
+  const auto [It, New] = m_medianAgesMs.try_emplace(
+      {Name.m_job, Name.m_occurrence, Name.m_step}, 0);
+  if (New) {
+    std::vector<Millis> AgesMs;
+    for (const Task &T : tasksOfStep(m_jobs.at(Name.m_job), Name)) {
+      if (T.m_phase == TaskPhase::Placed && T.m_running)
+        AgesMs.push_back(m_now - T.m_placedAt);
+    }
+    const auto Middle =
+        AgesMs.begin() + static_cast<std::ptrdiff_t>(AgesMs.size() / 2);
+    if (Middle != AgesMs.end()) {
+      std::nth_element(AgesMs.begin(), Middle, AgesMs.end());
+      It->second = *Middle;
+    }
+  }
+  return outlives(It->second, F);
+}
+
 WorksElsewhere RunComparison::compare(const RunFault &F,
                                       const std::string &Agent) {
   const Task *Faulty = findTask(m_jobs, F.m_task);
   if (Faulty == nullptr)
     return WorksElsewhere::Nothing;
+  if (F.m_atWork)
+    return mostOutlive(F) ? WorksElsewhere::Step : WorksElsewhere::Nothing;
   Achievements OfTask;
   add(*Faulty, OfTask);
   if (works(OfTask, F, Agent))
--- a/src/batch/run_comparison.h
+++ b/src/batch/run_comparison.h
@@ -53,11 +53,14 @@
              const std::string &Agent) const;
   const Achievements &ofStep(const JobState &J, const TaskName &Name);
 
+  bool mostOutlive(const RunFault &F);
+
   const JobTable &m_jobs;
   IsReachable m_isReachable;
   Millis m_now;
-  /// By job, occurrence and step.
-  std::map<std::tuple<std::string, int, int>, Achievements> m_steps;
+  using StepKey = std::tuple<std::string, int, int>; ///< Job, occurrence, step.
+  std::map<StepKey, Achievements> m_steps;
+  std::map<StepKey, Millis> m_medianAgesMs; ///< Of runs at work.
 };
 
 } // namespace pomelokeel::batch
--- a/tests/batch/worker_health_test.cc
+++ b/tests/batch/worker_health_test.cc
@@ -255,6 +255,20 @@
   return S;
 }
 
+// Long-running tasks may fail at any time, but on a bad worker they do so soon,
+// one after the other. They counted against no worker once they were at work.
+TEST_F(WorkerHealthTest, AWorkerOnWhichLongRunningTasksFailSoonIsQuarantined) {
+  m_runsAreAtWork = true;
+  addAgents(4);
+  submit("service", jobOf({longRunningStep(24)}));
+  submit("other", jobOf({longRunningStep(4)}));
+  work(10000, failingWorkers({}, 0, 3600000));
+  work(40000, failingWorkers({"w1"}, 1000, 3600000));
+  EXPECT_GE(m_outOfUse["w1"], 15000);
+  EXPECT_LE(m_startsOn["w1"], 60);
+  EXPECT_EQ(m_outOfUse["w0"] + m_outOfUse["w2"] + m_outOfUse["w3"], 0);
+}
+
 // Long-running tasks that fail at random, by any law, quarantine no worker for
 // long. The tasks avoided each worker on which they had failed, and waited for
 // room on the others.
