Let tasks that failed on many workers run there again

Cause: a task waits rather than run on a worker that it avoids, as long as the others could hold it when idle. All waiting tasks of a step avoid a worker on which two of its tasks failed. If the tasks of a step failed at first by their own fault, on all workers with room, the step waited for the workers that were busy, for hours on a fleet whose jobs run for hours.

Change: a task that avoids more than a third of the workers that could run it may run on all of them; those where it did not fail are still preferred. With less than half of the fleet in use, the workers that it does not avoid have room.

Red before: WorkerHealthTest.TasksThatFailOnceDoNotWaitForBusyWorkers (3 and 5 workers), ScheduleTest.ATaskThatFailedOnManyWorkersIsPlacedAgain.

--- a/src/batch/placement.cc
+++ b/src/batch/placement.cc
@@ -235,11 +235,26 @@
   });
 }
 
-// Excludes the workers where the unit failed, unless no others could hold it.
+/// A unit that has failed on more than this part of the workers is the likelier
+/// cause. It would wait for few workers while the others have room.
+constexpr std::ptrdiff_t MaxAvoidedPart = 3;
+
+// Excludes the workers where the unit failed, unless these are many or no
+// others could hold it.
 Avoided avoidanceOf(const Unit &U, const Fleet &F) {
-  return !U.m_avoid.empty() && fitsWhenIdle(FitContext(U, F, Avoided::Excluded))
-             ? Avoided::Excluded
-             : Avoided::Allowed;
+  if (U.m_avoid.empty())
+    return Avoided::Allowed;
+  const auto Eligible = [&](Avoided A) {
+    return std::count_if(
+        F.m_workers.begin(), F.m_workers.end(),
+        [&](const CandidateWorker &W) { return mayRun(U, W, A); });
+  };
+  const auto All = Eligible(Avoided::Allowed);
+  const auto MaxAvoided = (All + MaxAvoidedPart - 1) / MaxAvoidedPart;
+  if (All - Eligible(Avoided::Excluded) > MaxAvoided)
+    return Avoided::Allowed;
+  return fitsWhenIdle(FitContext(U, F, Avoided::Excluded)) ? Avoided::Excluded
+                                                           : Avoided::Allowed;
 }
 
 } // namespace
--- a/tests/batch/schedule_test.cc
+++ b/tests/batch/schedule_test.cc
@@ -281,6 +281,16 @@
   EXPECT_EQ(P.m_starts[1].m_unit.m_indices, std::vector<int>{2});
 }
 
+// A task that had failed on most of the workers waited for the others, for
+// hours if these were busy.
+TEST_F(ScheduleTest, ATaskThatFailedOnManyWorkersIsPlacedAgain) {
+  addWorkers(5);
+  run(addJob("busy", 0, {step(2, 8)}), {3, 4}, 100);
+  JobState &J = addJob("job", 0, {step(1, 1)});
+  J.m_progress.m_occurrences[0][0][0].m_avoid = {"w0", "w1", "w2"};
+  EXPECT_EQ(planNow().m_starts.size(), 1u);
+}
+
 double processorMs() {
   timespec T{};
   clock_gettime(CLOCK_THREAD_CPUTIME_ID, &T);
--- a/tests/batch/worker_health_test.cc
+++ b/tests/batch/worker_health_test.cc
@@ -185,6 +185,39 @@
   }
 }
 
+// Tasks that fail at first by their own fault made all others of their step
+// avoid the workers with room, and wait for those that were busy for hours.
+TEST_F(WorkerHealthTest, TasksThatFailOnceDoNotWaitForBusyWorkers) {
+  for (const int Workers : {2, 3, 5, 8}) {
+    SCOPED_TRACE(Workers);
+    m_agents.clear();
+    m_alive.clear();
+    m_stored.clear();
+    m_seen.clear();
+    m_quarantinedUntil.clear();
+    makeLeader();
+    addAgents(Workers);
+    const int Busy = (Workers - 1) / 2;
+    submit("busy", jobOf({step(Busy, 8)}));
+    pass(200);
+    submit("flaky", jobOf({step(2 * (Workers - Busy), 4)}));
+    std::map<std::string, Millis> FirstRuns; // Start, by task.
+    work(3000,
+         [&](const std::string &, const std::string &Task,
+             Millis AgeMs) -> std::optional<EndKind> {
+           if (isOf(Task, "busy"))
+             return std::nullopt;
+           const Millis StartedAt = m_now - AgeMs;
+           const Millis First =
+               FirstRuns.try_emplace(Task, StartedAt).first->second;
+           if (First == StartedAt && AgeMs >= 300)
+             return EndKind::Failed;
+           return AgeMs >= 500 ? std::optional(EndKind::Done) : std::nullopt;
+         });
+    EXPECT_EQ(phaseOf("flaky"), JobPhase::Done);
+  }
+}
+
 // A worker that fails all it starts is found by the jobs of a mixed load.
 TEST_F(WorkerHealthTest, AWorkerThatFailsAllItStartsIsQuarantined) {
   addAgents(6);
