Try the tasks of a step that may run on the free workers

Cause: the tasks of a step avoid different workers. A scheduling pass stopped after four lists of workers with which no task had fitted. If these all named the workers with room, the other tasks of the step were not tried in any pass.

Change: a task that does not fit shows that only the workers that it avoids may have room. Tasks that avoid the rest of these too are skipped, all others are tried.

Red before: ScheduleTest.TasksThatAvoidTheFreeWorkersDelayNoOthers.

--- a/src/batch/schedule.cc
+++ b/src/batch/schedule.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <compare>
+#include <functional>
 #include <optional>
 #include <set>
 #include <string_view>
@@ -37,10 +38,6 @@
 /// orders and starting the tasks.
 constexpr double RackLocalShare = 0.5;
 
-/// The tasks of a step may avoid different agents. After so many lists of
-/// agents with which none fits, the others wait for the next pass.
-constexpr std::size_t MaxAvoidLists = 4;
-
 /// Share of all accelerators that may stand idle for gangs without a guarantee.
 constexpr double ReservedShare = 0.2;
 
@@ -343,25 +340,33 @@
 
 private:
   // Starts as many tasks of the unit as fit. The tasks differ only in the
-  // agents that they avoid, so what does not fit once is not tried again.
+  // agents that they avoid. If one of them does not fit, only the workers that
+  // it avoids may have room, and tasks that avoid these too are not tried.
   void startTasks(Candidate &C) {
     const TaskName &Name = C.m_unit.m_name;
     const auto &Tasks =
         m_jobs.at(Name.m_job)
             ->m_progress.m_occurrences[static_cast<std::size_t>(
                 Name.m_occurrence)][static_cast<std::size_t>(Name.m_step)];
-    std::set<std::vector<std::string>> NotFitting;
+    std::optional<std::vector<std::string>> MayHaveRoom; // Any if not set.
     for (const int I : C.m_unit.m_indices) {
       const Task &T = Tasks[static_cast<std::size_t>(I)];
-      if (NotFitting.contains(T.m_avoid))
+      const auto Avoids = [&](const std::string &Agent) {
+        return std::find(T.m_avoid.begin(), T.m_avoid.end(), Agent) !=
+               T.m_avoid.end();
+      };
+      if (MayHaveRoom &&
+          std::all_of(MayHaveRoom->begin(), MayHaveRoom->end(), Avoids))
         continue;
-      if (NotFitting.size() >= MaxAvoidLists)
-        break;
       const auto At = tryUnit(singleTaskUnit(C.m_unit, I, T), C.m_rank);
-      if (!At)
-        NotFitting.insert(T.m_avoid);
-      else if (!C.m_unit.m_running.empty())
+      if (At && !C.m_unit.m_running.empty())
         ++C.m_unit.m_running[At->front()];
+      if (At)
+        continue;
+      if (MayHaveRoom)
+        std::erase_if(*MayHaveRoom, std::not_fn(Avoids));
+      else
+        MayHaveRoom = T.m_avoid;
     }
   }
 
--- a/tests/batch/schedule_test.cc
+++ b/tests/batch/schedule_test.cc
@@ -291,6 +291,22 @@
   EXPECT_EQ(planNow().m_starts.size(), 1u);
 }
 
+// After four tasks that avoid the workers with room, the others of the step
+// were not tried any more.
+TEST_F(ScheduleTest, TasksThatAvoidTheFreeWorkersDelayNoOthers) {
+  addWorkers(6);
+  run(addJob("busy", 0, {step(5, 8)}), {1, 2, 3, 4, 5}, 100);
+  JobState &J = addJob("job", 0, {step(6, 1)});
+  auto &Tasks = J.m_progress.m_occurrences[0][0];
+  for (int I = 0; I < 5; ++I)
+    Tasks[static_cast<std::size_t>(I)].m_avoid = {"w0",
+                                                  "w" + std::to_string(I + 1)};
+  Tasks[5].m_avoid = {"w1", "w2"};
+  const Plan P = planNow();
+  ASSERT_EQ(P.m_starts.size(), 1u);
+  EXPECT_EQ(P.m_starts[0].m_unit.m_indices, std::vector<int>{5});
+}
+
 double processorMs() {
   timespec T{};
   clock_gettime(CLOCK_THREAD_CPUTIME_ID, &T);
