--- a/src/batch/fault_log.cc
+++ b/src/batch/fault_log.cc
@@ -146,7 +146,8 @@
 
 void FaultLog::prune(Millis Now) {
   for (auto It = m_faults.begin(); It != m_faults.end();) {
-    auto &[Agent, Known] = *It;
+    const std::string &Agent = It->first;
+    Entries &Known = It->second;
     std::erase_if(Known, [&](const Entry &E) {
       const RunFault &F = E.m_fault;
       if (Now - F.m_at <= FaultWindowMs + WindowPerRun * F.ranMs())
