Limit the tombstones of one account

Cause: cancels of unknown jobs share one limit of 4,096 tombstones. One account could use it up, and the cancels of all others were refused with 429 for the retention time.

Change: a tombstone names the account of its caller, and one account may have a quarter of them. Records without an account remain readable.

Red before: EarlyCancelTest.OneAccountLeavesRoomForTheCancelsOfOthers.

--- a/src/batch/job.h
+++ b/src/batch/job.h
@@ -225,11 +225,13 @@
 /// the submission is refused.
 struct Tombstone {
   Millis m_cancelledMs = 0; ///< Wall clock time.
+  std::string m_account;    ///< Of the caller, or "" if not known.
   /// Number of the journal batch that stores it; 0 if it is stored.
   std::uint64_t m_batch = 0;
 
   static constexpr auto fields() {
-    return std::tuple{base::required("cancelledMs", &Tombstone::m_cancelledMs)};
+    return std::tuple{base::required("cancelledMs", &Tombstone::m_cancelledMs),
+                      base::optional("account", &Tombstone::m_account)};
   }
 };
 
--- a/src/batch/leader.h
+++ b/src/batch/leader.h
@@ -237,7 +237,8 @@
               CallerAnswer Answer);
   void cancelUnknown(const CallerRequest &R, Millis Now, Millis WallNow,
                      CallerAnswer Answer);
-  void addTombstone(const std::string &Id, Millis WallNow);
+  void addTombstone(const std::string &Id, const std::string &Account,
+                    Millis WallNow);
   void countPending(const CallerRequest &R, const CallerAnswer &Answer) const;
   void answerWaitingCallers(Millis Now);
   CallerReply replyOnceStored(const detail::WaitingCaller &W) const;
--- a/src/batch/leader_callers.cc
+++ b/src/batch/leader_callers.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace pomelokeel::batch {
@@ -23,6 +24,8 @@
 
 /// Limit for the tombstones, which bounds their part of the journal.
 constexpr std::size_t MaxTombstones = 4096;
+/// Limit for those of one account, so that it leaves room for the others.
+constexpr std::ptrdiff_t MaxTombstonesOfAccount = MaxTombstones / 4;
 
 constexpr const char *CancelledReason =
     "the job was cancelled before it was submitted";
@@ -160,22 +163,30 @@
 void Leader::cancelUnknown(const CallerRequest &R, Millis Now, Millis WallNow,
                            CallerAnswer Answer) {
   if (!m_tombstones.contains(R.m_id)) {
-    if (m_tombstones.size() >= MaxTombstones) {
-      m_ports.event("cancelRefused", R.m_id, "reason=tooMany");
+    const auto OfAccount = std::count_if(
+        m_tombstones.begin(), m_tombstones.end(), [&](const auto &Entry) {
+          return Entry.second.m_account == R.m_account;
+        });
+    if (m_tombstones.size() >= MaxTombstones ||
+        OfAccount >= MaxTombstonesOfAccount) {
+      m_ports.event("cancelRefused", R.m_id,
+                    fmt::format("reason=tooMany account={} ofAccount={} all={}",
+                                R.m_account, OfAccount, m_tombstones.size()));
       return Answer(refusal(Verdict::Overloaded, RetryJournalMs,
                             "too many unknown jobs were cancelled"));
     }
-    addTombstone(R.m_id, WallNow);
+    addTombstone(R.m_id, R.m_account, WallNow);
   }
   m_waitingCallers.push_back({m_tombstones[R.m_id].m_batch, R.m_id, false,
                               Now + R.m_remainingMs - AnswerMarginMs,
                               std::move(Answer)});
 }
 
-void Leader::addTombstone(const std::string &Id, Millis WallNow) {
+void Leader::addTombstone(const std::string &Id, const std::string &Account,
+                          Millis WallNow) {
   m_ports.event("jobCancelled", Id, "phase=unknown");
   m_counters.get("jobs_cancelled")++;
-  m_tombstones[Id] = {WallNow, m_journal.nextBatch()};
+  m_tombstones[Id] = {WallNow, Account, m_journal.nextBatch()};
   m_dirty.insert(Id);
 }
 
@@ -265,7 +276,7 @@
     if (!Withdrawn.contains(W.m_job))
       continue;
     if (!m_tombstones.contains(W.m_job))
-      addTombstone(W.m_job, m_wallNow);
+      addTombstone(W.m_job, "", m_wallNow);
     W.m_batch = m_tombstones[W.m_job].m_batch;
   }
   for (const CallerAnswer &Answer : Refused)
--- a/tests/batch/early_cancel_test.cc
+++ b/tests/batch/early_cancel_test.cc
@@ -120,6 +120,24 @@
   expectRefused("job0");
 }
 
+// One account used up the limit for all, also under the next leader.
+TEST_F(EarlyCancelTest, OneAccountLeavesRoomForTheCancelsOfOthers) {
+  addAgent("w");
+  Verdict Last = Verdict::Gone;
+  for (int I = 0; I < 5000 && Last == Verdict::Gone; ++I)
+    Last = verdictOf(cancel("job" + std::to_string(I)));
+  EXPECT_EQ(Last, Verdict::Overloaded);
+  for (const bool Restarted : {false, true}) {
+    if (Restarted)
+      restartLeader();
+    EXPECT_EQ(verdictOf(cancel("more")), Verdict::Overloaded);
+    CallerRequest R = request(CallerRequestKind::Cancel,
+                              "other" + std::to_string(Restarted ? 1 : 0));
+    R.m_account = "another";
+    EXPECT_EQ(verdictOf(ask(R)), Verdict::Gone);
+  }
+}
+
 TEST_F(EarlyCancelTest, AnUnreadableRecordRefusesTheSubmission) {
   addAgent("w");
   EXPECT_EQ(verdictOf(cancel("a")), Verdict::Gone);
