Prefer another worker for a long-running task that failed at work

Cause: a failure at work is no reason to avoid the worker. A service of one task cannot be compared with others of its step either, so a worker that fails it after a second was given it again for ever, as it was the fullest.

Change: a long-running task prefers other workers than the one on which it last failed, and waits for none of them. It has no limited number of attempts.

--- a/src/batch/leader_runs.cc
+++ b/src/batch/leader_runs.cc
@@ -243,8 +243,12 @@
   if (Current) {
     updateWorkerHealth(A, Name, E, Now);
     Job &J = m_jobs[Name.m_job];
-    if (E.m_kind == EndKind::Failed && !isLongRunAtWork(Name))
-      avoid(*findTask(Name), A.m_name);
+    if (E.m_kind == EndKind::Failed) {
+      batch::Task &T = *findTask(Name);
+      if (isLongRunAtWork(Name))
+        T.m_avoid.clear();
+      avoid(T, A.m_name);
+    }
     endRun(J, Name, E.m_kind, E.m_checkpoint, Now, WallNow);
   }
   A.m_ends[Key] = {Batch, Now, false};
--- a/src/batch/placement.cc
+++ b/src/batch/placement.cc
@@ -240,9 +240,10 @@
 constexpr std::ptrdiff_t MaxAvoidedPart = 3;
 
 // Excludes the workers where the unit failed, unless these are many or no
-// others could hold it.
+// others could hold it. Long-running tasks have no limited number of attempts
+// and need not wait.
 Avoided avoidanceOf(const Unit &U, const Fleet &F) {
-  if (U.m_avoid.empty())
+  if (U.m_avoid.empty() || U.m_step->m_longRunning)
     return Avoided::Allowed;
   const auto Eligible = [&](Avoided A) {
     return std::count_if(
--- a/tests/batch/worker_health_test.cc
+++ b/tests/batch/worker_health_test.cc
@@ -302,6 +302,19 @@
   EXPECT_EQ(m_outOfUse["w0"] + m_outOfUse["w2"] + m_outOfUse["w3"], 0);
 }
 
+// A service of one task cannot be compared with others of its step. It was
+// placed again on the worker that fails it, as that was the fullest.
+TEST_F(WorkerHealthTest, AServiceOfOneTaskLeavesTheWorkerThatFailsIt) {
+  m_runsAreAtWork = true;
+  addAgents(3);
+  for (int I = 0; I < 3; ++I)
+    submit("service" + std::to_string(I), jobOf({longRunningStep(1)}));
+  work(3000, failingWorkers({}, 0, 3600000));
+  const std::string Bad = m_startsOn.begin()->first;
+  work(20000, failingWorkers({Bad}, 1000, 3600000));
+  EXPECT_LE(m_startsOn[Bad], 6);
+}
+
 // Long-running tasks that fail at random, by any law, quarantine no worker for
 // long. The tasks avoided each worker on which they had failed, and waited for
 // room on the others.
