Let steps avoid a worker once for all of its new faults

Cause: each further fault of a step on a worker visited all tasks of the step.

Change: the steps that avoid a worker are found when its new faults are judged. The count of quarantined workers of a review is taken before a worker is reinstated; it could become negative.

--- a/src/batch/fault_log.cc
+++ b/src/batch/fault_log.cc
@@ -116,16 +116,27 @@
   }
 }
 
-std::size_t FaultLog::faultyTasks(const std::string &Agent,
-                                  const TaskName &OfStep) const {
-  std::set<const Spread *> Tasks;
+std::vector<TaskName> FaultLog::faultySteps(const std::string &Agent,
+                                            std::size_t MinTasks) const {
+  struct Step {
+    std::set<const Spread *> m_tasks;
+    const TaskName *m_newest = nullptr;
+  };
+  std::map<std::pair<const Spread *, int>, Step> Steps; // By job and number.
   for (const Entry &E : entriesOf(Agent)) {
+    if (isExcused(E.m_fault))
+      continue;
     const TaskName &Name = E.m_fault.m_task;
-    if (!isExcused(E.m_fault) && Name.m_step == OfStep.m_step &&
-        Name.m_job == OfStep.m_job)
-      Tasks.insert(&E.m_task->second);
+    Step &S = Steps[{&E.m_job->second, Name.m_step}];
+    S.m_tasks.insert(&E.m_task->second);
+    S.m_newest = &Name;
   }
-  return Tasks.size();
+  std::vector<TaskName> Out;
+  for (const auto &[Key, S] : Steps) {
+    if (S.m_tasks.size() >= MinTasks)
+      Out.push_back(*S.m_newest);
+  }
+  return Out;
 }
 
 std::size_t FaultLog::faultyTasksAfter(const std::string &Agent,
--- a/src/batch/fault_log.h
+++ b/src/batch/fault_log.h
@@ -50,8 +50,8 @@
 
 /// The recent faults of all workers, by agent. Tells faults of workers from
 /// faults of jobs: what fails on one worker only speaks against the worker,
-/// what fails on several against the job. Recording or
-/// judging a fault costs the same on a fleet of any size.
+/// what fails on several against the job. Recording or judging a fault costs
+/// the same on a fleet of any size.
 class FaultLog {
 public:
   void add(const std::string &Agent, RunFault F);
@@ -72,9 +72,10 @@
   /// Returns nullptr if the worker has no fault.
   const RunFault *newest(const std::string &Agent) const;
 
-  /// Number of tasks of the same step as \p OfStep with a fault on the worker.
-  std::size_t faultyTasks(const std::string &Agent,
-                          const TaskName &OfStep) const;
+  /// The steps with faults of \p MinTasks tasks or more on the worker, in any
+  /// occurrence. Each is given by the task of its newest fault.
+  std::vector<TaskName> faultySteps(const std::string &Agent,
+                                    std::size_t MinTasks) const;
 
   /// Number of tasks with a fault on the worker after \p Since.
   std::size_t faultyTasksAfter(const std::string &Agent, Millis Since) const;
--- a/src/batch/leader_health.cc
+++ b/src/batch/leader_health.cc
@@ -124,15 +124,17 @@
                          Millis Now) {
   m_faults.add(A.m_name, {Name, Now, findTask(Name)->m_placedAt, Stuck,
                           isLongRunAtWork(Name)});
-  if (m_faults.faultyTasks(A.m_name, Name) >= FaultyTasksToAvoid)
-    avoidForStep(Name, A.m_name);
   A.m_hasNewFaults = true;
 }
 
 // Runs that were placed before the last quarantine ended do not count, so only
 // a failed probation makes the next one longer.
 void Leader::judgeWorker(AgentView &A, HealthReview &Review, Millis Now) {
-  A.m_hasNewFaults = false;
+  if (std::exchange(A.m_hasNewFaults, false)) {
+    for (const TaskName &OfStep :
+         m_faults.faultySteps(A.m_name, FaultyTasksToAvoid))
+      avoidForStep(OfStep, A.m_name);
+  }
   if (Now < A.m_quarantinedUntil)
     return;
   A.m_faultsSince = A.m_quarantinedUntil;
@@ -169,6 +171,8 @@
 // A worker that fails what it starts is the first to be free again, and would
 // get all tasks of the step.
 void Leader::avoidForStep(const TaskName &OfStep, const std::string &Agent) {
+  if (findTask(OfStep) == nullptr) // The job is gone.
+    return;
   Occurrence &O =
       m_jobs.at(OfStep.m_job)
           .m_progress
@@ -221,9 +225,9 @@
     A.m_evidence = evidenceAgainst(A, Review).total();
     if (A.m_evidence >= A.m_evidenceNeeded)
       continue;
+    ServiceUse &Use = useOfService(A.m_worker.m_service, Review, Now);
     reinstate(A, Now);
-    if (isReachable(A, Now))
-      --useOfService(A.m_worker.m_service, Review, Now).m_quarantined;
+    Use.m_quarantined -= isReachable(A, Now) ? 1 : 0;
   }
 }
 
