--- a/src/batch/run_comparison.h
+++ b/src/batch/run_comparison.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "batch/fault_log.h"
-#include "batch/schedule.h"
+#include "batch/job_table.h"
 
 #include <functional>
 #include <map>
--- a/src/batch/schedule.h
+++ b/src/batch/schedule.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "batch/job.h"
+#include "batch/job_table.h"
 #include "batch/placement.h"
 
 #include <cstdint>
@@ -10,32 +10,6 @@
 
 namespace pomelokeel::batch {
 
-/// An accepted job and the leader's in-memory state of it.
-struct JobState {
-  JobSpec m_spec;
-  Progress m_progress;
-  JobPhase m_storedPhase = JobPhase::Queued; ///< Phase in the journal.
-  std::uint64_t m_batch = 0;       ///< Journal batch of its last change.
-  std::uint64_t m_acceptBatch = 0; ///< Journal batch of its acceptance.
-  bool m_specStored = false;
-  /// Acceptance, or start of a leader that loaded the job, by the leader's
-  /// clock.
-  Millis m_acceptedAt = 0;
-};
-
-using JobTable = std::map<std::string, JobState>;
-
-/// Returns nullptr if there is no such task.
-const Task *findTask(const JobTable &Jobs, const TaskName &Name);
-
-/// The jobs of a table that planning has to consider, by id.
-using OpenJobs = std::map<std::string, JobState *>;
-
-/// True if the job has not ended, or one of its tasks is still placed.
-bool isOpen(const JobState &J);
-
-OpenJobs openJobs(JobTable &Jobs);
-
 /// Guaranteed accelerators by account.
 using Guarantees = std::map<std::string, std::int64_t>;
 
