Blame no workers for the slow progress of a job

Cause: a run whose whole percent does not change for 4 s counts as standing still. It was proof against its worker if any other run of its step had progressed within 4 s, and a run that had just started counted as such.

Change: only a change of the percent counts as progress. Faults of a step prove nothing if its job has faults on more than half as many workers as the step works on; the same task elsewhere remains proof for failures, not for runs that stand still, which may have progressed by chance.

Workers on which tasks stand still are still found (AWorkerOnWhichTasksStandStillIsQuarantined).

--- a/src/batch/fault_log.cc
+++ b/src/batch/fault_log.cc
@@ -23,6 +23,10 @@
 /// go on, so one of them counts as much as this many failures.
 constexpr int StuckWeight = 2;
 
+/// A step that works on fewer than this many workers for each one on which its
+/// job has faults is the likelier cause.
+constexpr std::size_t WorkingPerFaulty = 2;
+
 /// So many jobs that fail on several workers speak against each of the workers
 /// as much as one that fails on this worker only.
 constexpr std::size_t JobsPerDoubt = 2;
@@ -212,7 +216,14 @@
         StepsThatFail.contains(Step) ||
         !Counted.insert(&E.m_task->second).second)
       continue;
-    const WorksElsewhere Works = Compare(F, Agent);
+    const RunsElsewhere Others = Compare(F, Agent);
+    WorksElsewhere Works = Others.m_works;
+    // A slow task seems to stand still now and then, on any worker. That it has
+    // just progressed on another one proves nothing.
+    const bool Widespread =
+        Job->m_agents.size() * WorkingPerFaulty > Others.m_agents;
+    if (Widespread && (Works == WorksElsewhere::Step || F.m_stuck))
+      Works = WorksElsewhere::Nothing;
     if (Works == WorksElsewhere::Nothing)
       StepsThatFail.insert(Step);
     switch (causeOf(E, Agent, Works)) {
@@ -246,7 +257,7 @@
     if (!F.m_atWork)
       continue;
     if (Out >= MaxEarlyEnds || F.m_refuted || F.m_placedAt < PlacedSince ||
-        Compare(F, Agent) == WorksElsewhere::Nothing)
+        Compare(F, Agent).m_works == WorksElsewhere::Nothing)
       break;
     ++Out;
   }
--- a/src/batch/fault_log.h
+++ b/src/batch/fault_log.h
@@ -33,9 +33,15 @@
 /// the step work if most of them have run much longer.
 enum class WorksElsewhere { Nothing, Step, Task };
 
+/// The runs of the step of a fault on other workers.
+struct RunsElsewhere {
+  WorksElsewhere m_works = WorksElsewhere::Nothing;
+  std::size_t m_agents = 0; ///< Agents on which tasks of the step work.
+};
+
 /// Compares a fault on \p Agent with the other runs of its step.
 using CompareRuns =
-    std::function<WorksElsewhere(const RunFault &F, const std::string &Agent)>;
+    std::function<RunsElsewhere(const RunFault &F, const std::string &Agent)>;
 
 /// How much speaks for the worker, rather than the jobs, as the cause.
 struct WorkerEvidence {
--- a/src/batch/run_comparison.cc
+++ b/src/batch/run_comparison.cc
@@ -1,6 +1,7 @@
 #include "batch/run_comparison.h"
 
 #include <algorithm>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -17,6 +18,11 @@
   return O[static_cast<std::size_t>(Name.m_step)];
 }
 
+// When the run last progressed, or -1 if it has not since its start.
+Millis progressedAt(const Task &T) {
+  return T.m_percent != T.m_firstPercent ? T.m_progressAt : -1;
+}
+
 } // namespace
 
 void RunComparison::Highest::add(const std::string &Agent, Millis Value) {
@@ -30,30 +36,88 @@
   }
 }
 
+// The reachability of the agent is not checked.
+bool RunComparison::isAtWork(const Task &T) const {
+  return T.m_phase == TaskPhase::Placed && T.m_running &&
+         T.m_stop == StopReason::None;
+}
+
 void RunComparison::add(const Task &T, Achievements &Out) const {
   if (T.m_phase == TaskPhase::Done)
     Out.m_done.add(T.m_agent, 0);
-  if (T.m_phase != TaskPhase::Placed || !T.m_running ||
-      T.m_stop != StopReason::None)
+  if (!isAtWork(T))
     return;
   const Millis AgeMs = m_now - T.m_placedAt;
+  const Millis ProgressAt = progressedAt(T);
   const bool Matters = Out.m_ageMs.isChangedBy(AgeMs) ||
-                       Out.m_progressAt.isChangedBy(T.m_progressAt);
+                       Out.m_progressAt.isChangedBy(ProgressAt);
   if (!Matters || !m_isReachable(T.m_agent))
     return;
   Out.m_ageMs.add(T.m_agent, AgeMs);
-  Out.m_progressAt.add(T.m_agent, T.m_progressAt);
+  Out.m_progressAt.add(T.m_agent, ProgressAt);
+}
+
+bool RunComparison::hasRecentProgress(Millis ProgressAt) const {
+  return ProgressAt >= 0 && m_now - ProgressAt < RecentProgressMs;
 }
 
 bool RunComparison::works(const Achievements &Of, const RunFault &F,
                           const std::string &Agent) const {
   if (Of.m_done.without(Agent) >= 0)
     return true;
-  const Millis ProgressAt = Of.m_progressAt.without(Agent);
-  return F.m_stuck ? ProgressAt >= 0 && m_now - ProgressAt < RecentProgressMs
+  return F.m_stuck ? hasRecentProgress(Of.m_progressAt.without(Agent))
                    : outlives(Of.m_ageMs.without(Agent), F);
 }
 
+const RunComparison::AgentsAtWork &
+RunComparison::agentsOfStep(const JobState &J, const TaskName &Name) {
+  const auto [It, New] =
+      m_agentsOfSteps.try_emplace({Name.m_job, Name.m_occurrence, Name.m_step});
+  AgentsAtWork &Out = It->second;
+  if (!New)
+    return Out;
+  struct Highest {
+    bool m_done = false;
+    Millis m_ageMs = -1;
+    Millis m_progressAt = -1;
+  };
+  std::map<std::string_view, Highest> ByAgent;
+  for (const Task &T : tasksOfStep(J, Name)) {
+    if (T.m_phase == TaskPhase::Done)
+      ByAgent[T.m_agent].m_done = true;
+    if (!isAtWork(T))
+      continue;
+    Highest &H = ByAgent[T.m_agent];
+    H.m_ageMs = std::max(H.m_ageMs, m_now - T.m_placedAt);
+    H.m_progressAt = std::max(H.m_progressAt, progressedAt(T));
+  }
+  for (const auto &[Agent, H] : ByAgent) {
+    if (H.m_done) {
+      ++Out.m_done;
+    } else if (m_isReachable(std::string(Agent))) {
+      Out.m_agesMs.push_back(H.m_ageMs);
+      Out.m_progressAt.push_back(H.m_progressAt);
+    }
+  }
+  std::sort(Out.m_agesMs.rbegin(), Out.m_agesMs.rend());
+  std::sort(Out.m_progressAt.rbegin(), Out.m_progressAt.rend());
+  return Out;
+}
+
+std::size_t RunComparison::countAgents(const AgentsAtWork &Of,
+                                       const RunFault &F) const {
+  const auto Count = [](const std::vector<Millis> &Descending, auto Works) {
+    return static_cast<std::size_t>(
+        std::partition_point(Descending.begin(), Descending.end(), Works) -
+        Descending.begin());
+  };
+  if (F.m_stuck)
+    return Of.m_done + Count(Of.m_progressAt,
+                             [&](Millis At) { return hasRecentProgress(At); });
+  return Of.m_done +
+         Count(Of.m_agesMs, [&](Millis AgeMs) { return outlives(AgeMs, F); });
+}
+
 const RunComparison::Achievements &RunComparison::ofStep(const JobState &J,
                                                          const TaskName &Name) {
   const auto [It, New] =
@@ -86,25 +150,26 @@
   return outlives(It->second, F);
 }
 
-WorksElsewhere RunComparison::compare(const RunFault &F,
-                                      const std::string &Agent) {
+RunsElsewhere RunComparison::compare(const RunFault &F,
+                                     const std::string &Agent) {
   const Task *Faulty = findTask(m_jobs, F.m_task);
   if (Faulty == nullptr)
-    return WorksElsewhere::Nothing;
+    return {};
   if (F.m_atWork)
-    return mostOutlive(F) ? WorksElsewhere::Step : WorksElsewhere::Nothing;
+    return {mostOutlive(F) ? WorksElsewhere::Step : WorksElsewhere::Nothing, 0};
   Achievements OfTask;
   add(*Faulty, OfTask);
-  if (works(OfTask, F, Agent))
-    return WorksElsewhere::Task;
   const JobState &J = m_jobs.at(F.m_task.m_job);
-  TaskName Name = F.m_task;
-  if (works(ofStep(J, Name), F, Agent))
-    return WorksElsewhere::Step;
+  if (works(OfTask, F, Agent))
+    return {WorksElsewhere::Task, countAgents(agentsOfStep(J, F.m_task), F)};
   // The occurrence before may have shown that the step works.
-  if (--Name.m_occurrence >= 0 && works(ofStep(J, Name), F, Agent))
-    return WorksElsewhere::Step;
-  return WorksElsewhere::Nothing;
+  for (TaskName Name = F.m_task;
+       Name.m_occurrence >= 0 && Name.m_occurrence + 1 >= F.m_task.m_occurrence;
+       --Name.m_occurrence) {
+    if (works(ofStep(J, Name), F, Agent))
+      return {WorksElsewhere::Step, countAgents(agentsOfStep(J, Name), F)};
+  }
+  return {};
 }
 
 } // namespace pomelokeel::batch
--- a/src/batch/run_comparison.h
+++ b/src/batch/run_comparison.h
@@ -7,6 +7,7 @@
 #include <map>
 #include <string>
 #include <tuple>
+#include <vector>
 
 namespace pomelokeel::batch {
 
@@ -21,7 +22,7 @@
   RunComparison(const JobTable &Jobs, IsReachable R, Millis Now)
       : m_jobs(Jobs), m_isReachable(std::move(R)), m_now(Now) {}
 
-  WorksElsewhere compare(const RunFault &F, const std::string &Agent);
+  RunsElsewhere compare(const RunFault &F, const std::string &Agent);
 
 private:
   /// The highest values of two agents.
@@ -45,13 +46,25 @@
   struct Achievements {
     Highest m_done;       ///< 0 for an agent on which a task is done.
     Highest m_ageMs;      ///< Of runs at work.
-    Highest m_progressAt; ///< Of runs at work.
+    Highest m_progressAt; ///< Of runs at work that have progressed.
+  };
+
+  /// The agents on which tasks of one step are done, and the highest values of
+  /// the others, in descending order.
+  struct AgentsAtWork {
+    std::size_t m_done = 0;
+    std::vector<Millis> m_agesMs;
+    std::vector<Millis> m_progressAt;
   };
 
   void add(const Task &T, Achievements &Out) const;
   bool works(const Achievements &Of, const RunFault &F,
              const std::string &Agent) const;
   const Achievements &ofStep(const JobState &J, const TaskName &Name);
+  bool isAtWork(const Task &T) const;
+  const AgentsAtWork &agentsOfStep(const JobState &J, const TaskName &Name);
+  std::size_t countAgents(const AgentsAtWork &Of, const RunFault &F) const;
+  bool hasRecentProgress(Millis ProgressAt) const;
 
   bool mostOutlive(const RunFault &F);
 
@@ -60,7 +73,8 @@
   Millis m_now;
   using StepKey = std::tuple<std::string, int, int>; ///< Job, occurrence, step.
   std::map<StepKey, Achievements> m_steps;
-  std::map<StepKey, Millis> m_medianAgesMs; ///< Of runs at work.
+  std::map<StepKey, AgentsAtWork> m_agentsOfSteps; ///< Filled when needed.
+  std::map<StepKey, Millis> m_medianAgesMs;        ///< Of runs at work.
 };
 
 } // namespace pomelokeel::batch
--- a/tests/batch/leader_fixture.h
+++ b/tests/batch/leader_fixture.h
@@ -153,9 +153,8 @@
     R.m_worker = W;
     for (auto &[Task, Run] : B.m_runs) {
       // The leader would stop a run without progress.
-      if (Name != m_frozenAgent && !isFrozen(Task))
-        Run.m_percent =
-            m_runsAreAtWork ? 100 : static_cast<int>(m_now / 200 % 100);
+      if (Name != m_frozenAgent && !isOneOf(m_frozenTasks, Task))
+        Run.m_percent = m_runsAreAtWork ? 100 : percentOf(Task);
       R.m_runs.push_back(Run);
     }
     R.m_ends = B.m_ends;
@@ -166,8 +165,18 @@
     answerAppends();
   }
 
-  bool isFrozen(const std::string &Task) const {
-    return !m_frozenTasks.empty() && Task.starts_with(m_frozenTasks);
+  static bool isOneOf(const std::string &Prefix, const std::string &Task) {
+    return !Prefix.empty() && Task.starts_with(Prefix);
+  }
+
+  /// Slow tasks gain a percent every 6 s, each at another time.
+  int percentOf(const std::string &Task) const {
+    if (!isOneOf(m_slowTasks, Task))
+      return static_cast<int>(m_now / 200 % 100);
+    Millis Phase = 0;
+    for (const char C : Task)
+      Phase = Phase * 31 + C;
+    return static_cast<int>((m_now + Phase * 550) / 6000 % 100);
   }
 
   /// Replaces the agent's process by one that has not heard from its worker.
@@ -264,6 +273,7 @@
   bool m_runsAreAtWork = false; ///< As long-running tasks report it.
   std::string m_frozenAgent;    ///< Runs of its worker make no progress.
   std::string m_frozenTasks; ///< Tasks whose names begin so make no progress.
+  std::string m_slowTasks;   ///< Tasks whose names begin so are slow.
   base::Counters m_counters;
   std::unique_ptr<Leader> m_leader;
 };
--- a/tests/batch/worker_health_test.cc
+++ b/tests/batch/worker_health_test.cc
@@ -442,6 +442,31 @@
   EXPECT_EQ(phaseOf("good"), JobPhase::Done);
 }
 
+// Runs whose whole percent changes every 6 s count as standing still, now and
+// then. That one of them had just started or progressed elsewhere counted as
+// proof against each of the other workers.
+TEST_F(WorkerHealthTest, AJobOfSlowProgressLeavesTheFleetInUse) {
+  constexpr int Workers = 11;
+  addAgents(Workers);
+  m_slowTasks = "slow";
+  Step S = step(Workers, 1);
+  S.m_perWorker = 1;
+  submit("slow", jobOf({S}));
+  for (int I = 0; I < 60; ++I) {
+    const std::string Good = "good" + std::to_string(I);
+    submit(Good, jobOf({step(4, 1)}));
+    work(1500, [&](const std::string &, const std::string &Task, Millis AgeMs) {
+      return isOf(Task, "good") && AgeMs >= 500 ? std::optional(EndKind::Done)
+                                                : std::nullopt;
+    });
+    EXPECT_EQ(phaseOf(Good), JobPhase::Done);
+    const auto OutOfUse =
+        std::count_if(m_alive.begin(), m_alive.end(),
+                      [&](const auto &Agent) { return quarantined(Agent); });
+    EXPECT_LE(OutOfUse, (Workers + 2) / 3);
+  }
+}
+
 TEST_F(WorkerHealthTest, AWorkerOnWhichTasksStandStillIsQuarantined) {
   addAgents(4);
   for (int I = 0; I < 8; ++I)
