Compute the phases of slow tasks in a test without overflow

The undefined behaviour sanitizer ended AJobOfSlowProgressLeavesTheFleetInUse on: the hash of a task's name overflowed.

--- a/tests/batch/leader_fixture.h
+++ b/tests/batch/leader_fixture.h
@@ -175,8 +175,8 @@
       return static_cast<int>(m_now / 200 % 100);
     Millis Phase = 0;
     for (const char C : Task)
-      Phase = Phase * 31 + C;
-    return static_cast<int>((m_now + Phase * 550) / 6000 % 100);
+      Phase = (Phase * 31 + C) % 6000;
+    return static_cast<int>((m_now + Phase) / 6000 % 100);
   }
 
   /// Replaces the agent's process by one that has not heard from its worker.
