--- a/src/batch/run_comparison.h
+++ b/src/batch/run_comparison.h
@@ -11,8 +11,8 @@
 
 namespace pomelokeel::batch {
 
-/// Compares faults with the other runs of their step at one moment. How often it
-/// looks at the tasks of a step does not depend on the number of its faults.
+/// Compares faults with the other runs of their step at one moment. How often
+/// it looks at the tasks of a step does not depend on the number of its faults.
 class RunComparison {
 public:
   /// True if the agent can be heard, so that its runs are at work.
