Log why units wait and which agents have become silent

A unit of a job that has waited for 5 s is logged every 5 s with the reason and how many of its tasks fit: now, without the reservations of more urgent units, and if the workers were idle. No decision changes.

--- a/src/batch/job_table.h
+++ b/src/batch/job_table.h
@@ -19,6 +19,7 @@
   /// Acceptance, or start of a leader that loaded the job, by the leader's
   /// clock.
   Millis m_acceptedAt = 0;
+  Millis m_waitLoggedAt = 0; ///< When a unitWaits line was written last.
 };
 
 using JobTable = std::map<std::string, JobState>;
--- a/src/batch/leader.cc
+++ b/src/batch/leader.cc
@@ -227,6 +227,7 @@
     const bool AcceptedWork = acceptsWork(A, Now);
     A.m_lastContactAt = Now;
     A.m_contactAttention = m_attention.now();
+    A.m_silenceLogged = false;
     A.m_unhealthy = R.m_unhealthy;
     if (R.m_worker) {
       A.m_workerReportedAt = Now;
@@ -298,6 +299,7 @@
   m_wallNow = WallNow;
   addOccurrences(WallNow);
   loseUnreachableRuns(Now, WallNow);
+  logSilentAgents(Now);
   checkRuns(Now);
   reviewWorkerHealth(Now);
   useEarlierResults(Now, WallNow);
--- a/src/batch/leader.h
+++ b/src/batch/leader.h
@@ -119,6 +119,7 @@
   Millis m_workerReportedAt = 0;
   /// The same moments on the leader's AttentionClock.
   Millis m_contactAttention = 0;
+  bool m_silenceLogged = false; ///< Of the present silence.
   Millis m_workerAttention = 0;
   std::vector<KnownRun> m_runs;
   std::map<EndKey, ReportedEnd> m_ends; ///< Reported ends.
@@ -262,6 +263,7 @@
                         Millis WallNow);
   void useEarlierResults(Millis Now, Millis WallNow);
   void loseUnreachableRuns(Millis Now, Millis WallNow);
+  void logSilentAgents(Millis Now);
   void resetTask(Task &T);
   void stopRun(Task &T, const TaskName &Name, StopReason Reason);
   void stopAllRuns(Job &J, StopReason Reason);
@@ -318,6 +320,8 @@
   // leader_schedule.cc
   void schedule(Millis Now);
   std::vector<CandidateWorker> makeCandidateWorkers(Millis Now) const;
+  void logLongWaits(const Plan &P, const std::vector<CandidateWorker> &Workers,
+                    Millis Now);
   void startUnit(const Unit &U, const Assignment &A,
                  const std::vector<CandidateWorker> &Workers, Millis Now);
 
--- a/src/batch/leader_runs.cc
+++ b/src/batch/leader_runs.cc
@@ -402,6 +402,21 @@
     loseRuns(Key.first, Key.second, Reason, Now, WallNow);
 }
 
+void Leader::logSilentAgents(Millis Now) {
+  for (auto &[Name, A] : m_agents) {
+    if (A.m_silenceLogged ||
+        m_attention.now() - A.m_contactAttention < m_timing.m_silentMs)
+      continue;
+    A.m_silenceLogged = true;
+    m_ports.event("agentSilent", "",
+                  fmt::format("agent={} runs={} ends={} draining={} "
+                              "unhealthy={} workerReportedMs={}",
+                              Name, A.m_runs.size(), A.m_ends.size(),
+                              A.m_worker.m_draining, A.m_unhealthy,
+                              Now - A.m_workerReportedAt));
+  }
+}
+
 void Leader::addOccurrences(Millis WallNow) {
   for (const auto &Entry : m_openJobs) {
     Job &J = *Entry.second;
--- a/src/batch/leader_schedule.cc
+++ b/src/batch/leader_schedule.cc
@@ -124,8 +124,35 @@
     stopRun(*findTask(Name), Name, StopReason::Preempted);
   m_counters.get("preemptions") +=
       static_cast<std::int64_t>(P.m_preempted.size());
+  logLongWaits(P, Workers, Now);
   for (const Start &S : P.m_starts)
     startUnit(S.m_unit, S.m_workers, Workers, Now);
 }
 
+void Leader::logLongWaits(const Plan &P,
+                          const std::vector<CandidateWorker> &Workers,
+                          Millis Now) {
+  if (P.m_longWaits.empty())
+    return;
+  const Fleet Before = makeFleet(Workers);
+  for (const LongWait &L : P.m_longWaits) {
+    const Unit &U = L.m_unit;
+    Job &J = m_jobs[U.m_name.m_job];
+    J.m_waitLoggedAt = Now;
+    const Resources &Each = U.m_step->m_each;
+    m_ports.event(
+        "unitWaits", U.m_name.m_job,
+        fmt::format("task={} reason={} tasks={} cores={} memMb={} "
+                    "accelerators={} gang={} rackLocal={} label={} avoided={} "
+                    "workers={} fit={} fitUnreserved={} fitIdle={} "
+                    "waitedMs={}",
+                    toString(U.m_name), base::nameOf(L.m_reason),
+                    U.m_indices.size(), Each.m_milliCores, Each.m_memoryMb,
+                    Each.m_accelerators, U.m_step->m_gang,
+                    U.m_step->m_rackLocal, U.m_step->m_label, U.m_avoid.size(),
+                    L.m_fit.m_workers, L.m_fit.m_now, fitOf(U, Before).m_now,
+                    L.m_fit.m_idle, Now - J.m_acceptedAt));
+  }
+}
+
 } // namespace pomelokeel::batch
--- a/src/batch/placement.cc
+++ b/src/batch/placement.cc
@@ -297,6 +297,20 @@
   return Best;
 }
 
+Fit fitOf(const Unit &U, const Fleet &F) {
+  const FitContext X(U, F, avoidanceOf(U, F));
+  Fit Out;
+  Out.m_workers = std::count(X.m_mayRun.begin(), X.m_mayRun.end(), true);
+  for (const Scope *S : X.m_scopes) {
+    std::int64_t Now = 0;
+    for (const std::size_t I : *S)
+      Now += tasksThatFit(X, I, freeResources(F.m_workers[I], Horizon::Now));
+    Out.m_now = std::max(Out.m_now, Now);
+    Out.m_idle = std::max(Out.m_idle, tasksWhenIdle(X, *S));
+  }
+  return Out;
+}
+
 std::optional<Assignment> placeEarliest(const Unit &U, const Fleet &F,
                                         const Releases &R) {
   const FitContext X(U, F, avoidanceOf(U, F));
--- a/src/batch/placement.h
+++ b/src/batch/placement.h
@@ -66,6 +66,17 @@
 /// it.
 std::optional<Assignment> place(const Unit &U, const Fleet &F, Horizon When);
 
+/// How many tasks of a unit fit on the workers that may run it.
+struct Fit {
+  std::int64_t m_workers = 0; ///< That may run it.
+  /// Tasks that fit on these now and if they were idle. For a rack-local gang,
+  /// on the best of the racks that it may use.
+  std::int64_t m_now = 0;
+  std::int64_t m_idle = 0;
+};
+
+Fit fitOf(const Unit &U, const Fleet &F);
+
 /// Resources that become free on a worker when a run there ends.
 struct Release {
   Millis m_inMs = 0; ///< Expected time until the run ends.
--- a/src/batch/schedule.cc
+++ b/src/batch/schedule.cc
@@ -391,6 +391,7 @@
       if (!At && R.m_class <= UrgentClass && preempt(U, R))
         At = place(U, m_fleet, Horizon::Soon);
       if (At) {
+        noteLongWait(U, WaitReason::Freeing);
         allocate(U, *At, Horizon::Soon, m_fleet);
         return std::nullopt;
       }
@@ -402,11 +403,22 @@
       Spread.m_anyRack = true;
       return tryUnit(Spread, R);
     }
-    if (U.m_step->m_gang)
-      reserve(U, R);
+    noteLongWait(U, U.m_step->m_gang ? reserve(U, R) : WaitReason::NoRoom);
     return std::nullopt;
   }
 
+  void noteLongWait(const Unit &U, WaitReason Reason) {
+    constexpr std::size_t MaxOfAPass = 8;
+    const JobState &J = *m_jobs.at(U.m_name.m_job);
+    const Millis Since = std::max(J.m_acceptedAt, J.m_waitLoggedAt);
+    if (m_now - Since < WaitLogEveryMs ||
+        m_plan.m_longWaits.size() >= MaxOfAPass ||
+        (!m_plan.m_longWaits.empty() &&
+         m_plan.m_longWaits.back().m_unit.m_name.m_job == U.m_name.m_job))
+      return;
+    m_plan.m_longWaits.push_back({U, Reason, fitOf(U, m_fleet)});
+  }
+
   // True for a guaranteed rack-local gang whose reclaim bound is near.
   bool shouldSpanRacks(const Unit &U, const Rank &R) const {
     const JobState &J = *m_jobs.at(U.m_name.m_job);
@@ -419,13 +431,13 @@
   // Reserves the workers where the gang fits soonest against later units.
   // Without a reservation small units take all resources that become free, and
   // a large gang never finds enough of them at the same time.
-  void reserve(const Unit &U, const Rank &R) {
+  WaitReason reserve(const Unit &U, const Rank &R) {
     const bool Guaranteed = R.m_class == GuaranteedClass;
     if (!Guaranteed && (m_idleBudget <= 0 || m_awaitedBudget <= 0))
-      return;
+      return WaitReason::NoReserve;
     const auto At = placeEarliest(U, m_fleet, releases(R));
     if (!At)
-      return;
+      return WaitReason::NotPossible;
     const std::set<std::size_t> Workers(At->begin(), At->end());
     if (!Guaranteed) {
       for (const std::size_t I : Workers)
@@ -435,6 +447,7 @@
     allocate(U, *At, Horizon::Later, m_fleet);
     m_awaitedBudget -= static_cast<double>(U.m_step->m_each.m_accelerators) *
                        static_cast<double>(U.m_indices.size());
+    return WaitReason::Reserved;
   }
 
   // When the runs of each worker are expected to end. Runs that a unit of this
--- a/src/batch/schedule.h
+++ b/src/batch/schedule.h
@@ -1,11 +1,14 @@
 #pragma once
 
+#include "base/names.h"
 #include "batch/job_table.h"
 #include "batch/placement.h"
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace pomelokeel::batch {
@@ -19,12 +22,33 @@
   Assignment m_workers; ///< Indices of the workers given to plan().
 };
 
+/// Why a unit was not started by a scheduling pass.
+enum class WaitReason {
+  NoRoom,     ///< It does not fit, and nothing is kept for it.
+  Freeing,    ///< Runs that make room for it are ending or preempted.
+  Reserved,   ///< It keeps the workers where it fits soonest.
+  NoReserve,  ///< Gangs before it keep all that may be reserved.
+  NotPossible ///< It would not fit even if all runs ended.
+};
+
+/// A unit that has waited for long, with what it found when it was tried.
+struct LongWait {
+  Unit m_unit;
+  WaitReason m_reason = WaitReason::NoRoom;
+  Fit m_fit; ///< Without what more urgent units have taken or reserved.
+};
+
 /// Result of a scheduling pass.
 struct Plan {
   std::vector<Start> m_starts;
+  /// Units of jobs whose wait is due to be logged, at most one for each job.
+  std::vector<LongWait> m_longWaits;
   std::vector<TaskName> m_preempted; ///< Runs to stop for more urgent units.
 };
 
+/// A job whose unit waits is logged this often.
+constexpr Millis WaitLogEveryMs = 5000;
+
 /// Estimates from the progress of a run how long it still takes, in ms.
 /// Returns -1 if the run has not started or has made no progress yet.
 Millis estimateRemainingMs(const Task &T, Millis Now);
@@ -46,3 +70,12 @@
           const Guarantees &AccountGuarantees, Millis ReclaimMs, Millis Now);
 
 } // namespace pomelokeel::batch
+
+namespace pomelokeel::base {
+
+template <> struct NameTable<batch::WaitReason> {
+  static constexpr std::array<std::string_view, 5> Names = {
+      "noRoom", "freeing", "reserved", "noReserve", "notPossible"};
+};
+
+} // namespace pomelokeel::base
