Add failing tests for runs on workers that left and for reserved idle room

The agent passes the notice of a worker that leaves to batch::Agent, which logs it with the number of runs and the lease that is left; nothing else changes yet.

--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -123,6 +123,9 @@
   /// because another program may have sent the heartbeat.
   void onWorkerInfo(const WorkerInfo &W, Millis Now);
 
+  /// Handles the notice of the worker with this id that it is shutting down.
+  void onWorkerLeft(const std::string &Id, Millis Now);
+
   /// Handles the outcome of a start order.
   void onStartResult(const std::string &Task, int Run, const OrderResult &A,
                      Millis Now);
--- a/src/batch/agent_worker.cc
+++ b/src/batch/agent_worker.cc
@@ -57,6 +57,14 @@
   advance(Now);
 }
 
+void Agent::onWorkerLeft(const std::string &Id, Millis Now) {
+  const bool Known = m_worker && m_worker->m_id == Id;
+  m_ports.event("workerLeft", "",
+                fmt::format("worker={} known={} runs={} ends={} leaseMs={}", Id,
+                            Known, m_runs.size(), m_ends.size(),
+                            std::max<Millis>(m_leaseUntil - Now, 0)));
+}
+
 // Asks the worker whether it is the candidate. The call grants no lease and
 // acknowledges no end, because the ends of each incarnation have their own
 // numbers.
--- a/src/node/agent_node.cc
+++ b/src/node/agent_node.cc
@@ -86,7 +86,7 @@
 }
 
 void AgentNode::handleWorkerLeft(const std::string &Worker) {
-  event("workerLeft", "", "worker=" + Worker);
+  m_agent->onWorkerLeft(Worker, base::bootNow());
 }
 
 void AgentNode::start(const batch::StartCall &C) {
--- a/tests/batch/agent_test.cc
+++ b/tests/batch/agent_test.cc
@@ -75,6 +75,18 @@
   EXPECT_TRUE(m_worker.reported(EndKind::LeaseExpired));
 }
 
+// Guards against accepted work that nobody runs: the runs of a worker that had
+// left counted as alive until their lease ended, and the agent ended first.
+TEST_F(AgentTest, RunsOfAWorkerThatHasLeftEndAtOnce) {
+  startA();
+  m_worker.passWithReplies(1000);
+  m_worker.m_unreachable = true;
+  m_worker.m_agent.onWorkerLeft("w-1", m_worker.m_now);
+  m_worker.passWithReplies(900);
+  m_worker.pass(50);
+  EXPECT_TRUE(m_worker.reported(EndKind::LeaseExpired));
+}
+
 TEST_F(AgentTest, GrantsNoLeaseWithoutTheLeaderAfterTheAutonomyTime) {
   startA();
   m_worker.m_leaderSilent = true;
--- a/tests/batch/schedule_test.cc
+++ b/tests/batch/schedule_test.cc
@@ -202,6 +202,21 @@
   EXPECT_TRUE(planNow().m_starts.empty());
 }
 
+// Guards against an accepted job that is never started on an idle fleet: a gang
+// that waits for many workers kept those that were idle from a smaller one.
+TEST_F(ScheduleTest, ReservationsKeepNoJobWaitingOnAnIdleFleet) {
+  addWorkers(12);
+  run(addJob("running", 0, {step(3, 8)}), {0, 3, 6}, 100);
+  for (const std::size_t I : {9, 10, 11})
+    m_workers[I].m_free.m_memoryMb = m_workers[I].m_freeSoon.m_memoryMb = 0;
+  Step Wide = gang(8, 8);
+  Wide.m_rackLocal = false;
+  addJob("wide", 0, {Wide});
+  JobState &Pair = addJob("pair", 1, {gang(2, 8)});
+  Pair.m_acceptedAt = Now - 5000;
+  EXPECT_EQ(started(planNow()), std::set<std::string>{"pair"});
+}
+
 // The number of accelerators that stand idle for gangs without a guarantee is
 // limited.
 TEST_F(ScheduleTest, GangsWithoutAGuaranteeKeepOnlyAShareOfTheFleet) {
