End the runs of a worker that has left, and tell when leases end

Callers saw an accepted job with nothing running on an idle fleet (LOST). A worker that leaves takes its runs with it, which its agent knows, but the agent only logged the notice, was told to stop a second later, and did. The leader then waited for as long as any agent may renew leases without it, 10.7 s and more. Class: what only one process knows is not handed over before it ends.

The agent now polls after the notice and ends the runs once the worker does not answer twice; a notice of an earlier incarnation ends nothing. It stops only when the leader has acknowledged ends that the worker cannot repeat. Its last report says when its leases end, for workers that are gone without notice, so the leader waits for that and not for the longest bound; an agent that stops gets no work. Leases of draining workers are 3 s.

--- a/src/batch/agent.cc
+++ b/src/batch/agent.cc
@@ -8,8 +8,6 @@
 namespace pomelokeel::batch {
 namespace {
 
-/// A lease lasts up to this many times longer on a worker whose clock is slow.
-constexpr double ClockSlowness = 1.03;
 /// Covers the transmission of the last lease renewal and late timers.
 constexpr Millis LeaseMarginMs = 300;
 
@@ -21,21 +19,28 @@
 /// not the leader answered.
 constexpr Millis ReportRetryMs = 200;
 
+/// Length of the leases of a draining worker. It may be gone without notice, so
+/// its runs must be known to have ended soon, and they have to move anyway.
+constexpr Millis DrainLeaseMs = 3000;
+
 } // namespace
 Agent::Agent(std::string Name, std::int64_t Incarnation, const AgentTiming &T,
              AgentPorts &Ports, base::Counters &Counters)
     : m_name(std::move(Name)), m_incarnation(Incarnation), m_timing(T),
       m_ports(Ports), m_counters(Counters) {}
 
-void Agent::recordLease(Millis Now) {
-  const auto LongestLeaseMs = static_cast<Millis>(
-      static_cast<double>(m_timing.m_leaseMs) * ClockSlowness);
+void Agent::recordLease(Millis LeaseMs, Millis Now) {
+  const auto LongestLeaseMs =
+      static_cast<Millis>(static_cast<double>(LeaseMs) * ClockSlowness);
   m_leaseUntil = std::max(m_leaseUntil, Now + LongestLeaseMs + LeaseMarginMs);
 }
 
 Millis Agent::extendLease(Millis Now) {
-  recordLease(Now);
-  return m_clock + (Now - m_clockAt) + m_timing.m_leaseMs;
+  const Millis LeaseMs = m_worker->m_draining
+                             ? std::min(m_timing.m_leaseMs, DrainLeaseMs)
+                             : m_timing.m_leaseMs;
+  recordLease(LeaseMs, Now);
+  return m_clock + (Now - m_clockAt) + LeaseMs;
 }
 
 void Agent::applyReply(const AgentReply &R, const OpenReport &Report,
@@ -89,7 +94,10 @@
   // report. This reply answers the report that was sent at SentAt.
   if (Now - SentAt >= m_timing.m_autonomyMs)
     return;
-  if (m_worker->m_draining)
+  // The leader repeats the order to the next process of this agent.
+  if (m_stopping)
+    return;
+  if (m_worker->m_draining || m_workerLeft)
     return endUnreportedRun(K, EndKind::NeverStarted, "draining");
   Run &R = m_runs[K];
   R.m_order = O;
@@ -236,8 +244,11 @@
     R.m_ends = m_ends;
     R.m_fence = m_answeredFence;
   }
+  if (m_stopping)
+    R.m_leasesEndInMs = std::max<Millis>(m_leaseUntil - Now, 0);
   m_changed = false;
-  m_openReports[R.m_sequence] = {Now, LongPoll, R.m_worker.has_value()};
+  m_openReports[R.m_sequence] = {Now, LongPoll, R.m_worker.has_value(),
+                                 m_stopping && R.m_worker.has_value()};
   m_ports.report(R);
 }
 
@@ -258,12 +269,13 @@
     m_reportAt = Now + AfterOrdersMs;
   if (!R->m_leads)
     m_reportAt = Now + ReportRetryMs;
+  m_lastReportAnswered = m_lastReportAnswered || (Report.m_last && R->m_leads);
   applyReply(*R, Report, Now);
   advance(Now);
 }
 
 void Agent::advance(Millis Now) {
-  if (m_stopping)
+  if (m_stopping && mayEnd())
     return;
   expireLease(Now);
   if (!m_worker)
@@ -273,7 +285,8 @@
       continue;
     if (R.m_stopWanted && !R.m_stopAnswered)
       sendStop(R, Now);
-    else if (!R.m_stopWanted && R.m_report.m_phase == RunPhase::Starting)
+    else if (!m_stopping && !R.m_stopWanted &&
+             R.m_report.m_phase == RunPhase::Starting)
       sendStart(R, Now);
   }
   if (m_waitingPoll == 0 && Now >= m_pollAt)
@@ -293,9 +306,26 @@
 }
 
 void Agent::beginStop(Millis Now) {
-  m_stopping = true;
+  m_ports.event("stopping", "",
+                fmt::format("runs={} ends={} workerLeft={} leaseMs={}",
+                            m_runs.size(), m_ends.size(), m_workerLeft,
+                            std::max<Millis>(m_leaseUntil - Now, 0)));
   if (m_worker)
     sendPoll(0, Now);
+  m_stopping = true;
+  if (m_worker)
+    sendReport(false, Now);
+}
+
+bool Agent::mayEnd() const {
+  // The next process finds out the rest from a worker that answers.
+  const bool WorkerAnswers = m_failedPolls == 0 && !m_workerLeft;
+  const bool OnlyKnownHere =
+      std::any_of(m_ends.begin(), m_ends.end(), [&](const EndReport &E) {
+        return E.m_number == 0 || !WorkerAnswers;
+      });
+  return !OnlyKnownHere &&
+         (WorkerAnswers || m_runs.empty() || m_lastReportAnswered);
 }
 
 } // namespace pomelokeel::batch
--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -124,6 +124,7 @@
   void onWorkerInfo(const WorkerInfo &W, Millis Now);
 
   /// Handles the notice of the worker with this id that it is shutting down.
+  /// Its runs end as soon as it does not answer any more.
   void onWorkerLeft(const std::string &Id, Millis Now);
 
   /// Handles the outcome of a start order.
@@ -143,9 +144,13 @@
   /// worker whose lease has run out.
   void advance(Millis Now);
 
-  /// Polls the worker a last time and stops acting. The poll renews the lease,
-  /// so that the runs are still alive when the next agent process starts.
+  /// Polls the worker a last time and carries out no further orders. The poll
+  /// renews the lease, so that the runs are still alive when the next agent
+  /// process starts. The leader is told when the last lease ends.
   void beginStop(Millis Now);
+  /// After beginStop(): whether the leader knows all that the next process of
+  /// this agent could not find out from the worker.
+  bool mayEnd() const;
 
   bool knowsWorker() const { return m_worker.has_value(); }
 
@@ -167,6 +172,7 @@
     Millis m_sentAt = 0;
     bool m_longPoll = false;
     bool m_describesWorker = false;
+    bool m_last = false; ///< Says when the leases end.
   };
   using Key = RunKey;
 
@@ -183,7 +189,7 @@
   void sendStop(Run &R, Millis Now);
   void sendReport(bool LongPoll, Millis Now);
   /// Notes that a lease granted at \p Now may be in force.
-  void recordLease(Millis Now);
+  void recordLease(Millis LeaseMs, Millis Now);
   /// Returns the end of a new lease on the worker's clock.
   Millis extendLease(Millis Now);
 
@@ -198,6 +204,7 @@
   void addEnd(const EndReport &E);
   void endUnreportedRun(const Key &K, EndKind Kind, const std::string &Detail);
   void expireLease(Millis Now);
+  void endRunsOfLeftWorker(Millis Now);
   void setClock(Millis Clock, Millis Now);
 
   /// Whether the worker may have restarted since it last answered.
@@ -221,6 +228,9 @@
   std::optional<WorkerInfo> m_candidate;
   /// The open polls that ask for a candidate: the worker's id by serial.
   std::map<std::uint64_t, std::string> m_probes;
+  /// The worker gave notice of its end and has not been found alive since.
+  bool m_workerLeft = false;
+  Millis m_workerLeftAt = 0;
   bool m_synced = false;    ///< A poll of the current incarnation was answered.
   Millis m_clock = 0;       ///< The worker's clock at m_clockAt.
   Millis m_clockAt = -1;    ///< On the agent's clock; -1: not known.
@@ -269,6 +279,7 @@
   bool m_changed = false; ///< There is news to report without delay.
   Millis m_reportAt = 0;  ///< No report is sent before this time.
   bool m_stopping = false;
+  bool m_lastReportAnswered = false; ///< By the leader.
 };
 
 } // namespace pomelokeel::batch
--- a/src/batch/agent_worker.cc
+++ b/src/batch/agent_worker.cc
@@ -16,6 +16,9 @@
 /// Pause between polls while ends are not acknowledged: the worker then answers
 /// a poll at once instead of holding it.
 constexpr Millis PollPauseMs = 250;
+/// A worker ends right after its notice. If it answers later than this, the
+/// notice was one of an earlier incarnation.
+constexpr Millis LeftWorkerAnswersMs = 1000;
 
 } // namespace
 
@@ -57,12 +60,21 @@
   advance(Now);
 }
 
+// The notice names no incarnation, so it alone proves nothing. Polls tell
+// whether the worker has ended; they grant no lease meanwhile.
 void Agent::onWorkerLeft(const std::string &Id, Millis Now) {
   const bool Known = m_worker && m_worker->m_id == Id;
   m_ports.event("workerLeft", "",
                 fmt::format("worker={} known={} runs={} ends={} leaseMs={}", Id,
                             Known, m_runs.size(), m_ends.size(),
                             std::max<Millis>(m_leaseUntil - Now, 0)));
+  if (!Known || !m_synced || m_workerLeft)
+    return;
+  m_workerLeft = true;
+  m_workerLeftAt = Now;
+  m_failedPolls = 0;
+  m_waitingPoll = 0; // An open poll may wait for its timeout.
+  sendPoll(0, Now);
 }
 
 // Asks the worker whether it is the candidate. The call grants no lease and
@@ -115,6 +127,7 @@
     R.m_retryAt = Now;
   }
   m_runs = std::move(Unsettled);
+  m_workerLeft = false;
   keepEndsAsDone();
   m_highestEnd = m_acknowledged = m_forgotten = 0;
   m_sentAcknowledgements.clear();
@@ -173,7 +186,7 @@
   // A worker that may be lost gets no new lease, so that there is a time by
   // which all leases have ended.
   if (m_synced && m_clockAt >= 0 && m_failedPolls == 0 && !inDoubt() &&
-      inContact(Now))
+      !m_workerLeft && !m_stopping && inContact(Now))
     C.m_deadline = extendLease(Now);
   if (WaitMs > 0 || m_waitingPoll == 0)
     m_waitingPoll = C.m_serial;
@@ -202,6 +215,7 @@
     if (++m_failedPolls == FailedPollsToUnhealthy) {
       m_ports.event("workerSilent", "", "polls failed");
       m_changed = true;
+      endRunsOfLeftWorker(Now);
     }
     return advance(Now);
   }
@@ -222,6 +236,13 @@
     m_changed = true;
   }
   settleCandidate(Serial);
+  if (m_workerLeft && Now - m_workerLeftAt > LeftWorkerAnswersMs) {
+    m_workerLeft = false;
+    m_ports.event("workerStays", "",
+                  fmt::format("life={} afterMs={}",
+                              m_worker->m_workerIncarnation,
+                              Now - m_workerLeftAt));
+  }
   if (m_failedPolls >= FailedPollsToUnhealthy) {
     m_ports.event("workerAnswers", "", fmt::format("after={}", m_failedPolls));
     m_changed = true;
@@ -231,7 +252,7 @@
   setClock(A.m_clock, Now);
   // An earlier process of this agent may have granted a lease until now.
   if (!m_synced)
-    recordLease(Now);
+    recordLease(m_timing.m_leaseMs, Now);
   m_changed = m_changed || !m_synced;
   m_synced = true;
   if (const auto Sent = m_sentAcknowledgements.find(Serial);
@@ -320,6 +341,24 @@
   addEnd({K.first, K.second, Kind, Checkpoint, 0, Detail});
 }
 
+// Whether a start that was not answered is carried out by the next incarnation
+// is not known, so such a run ends with the lease.
+void Agent::endRunsOfLeftWorker(Millis Now) {
+  if (!m_workerLeft)
+    return;
+  std::vector<Key> Ended;
+  for (const auto &[K, R] : m_runs) {
+    const auto Late = m_lateStarts.find(K);
+    const bool Unsettled = R.m_report.m_phase == RunPhase::Starting &&
+                           (R.m_orderPending ||
+                            (Late != m_lateStarts.end() && Late->second > Now));
+    if (!Unsettled)
+      Ended.push_back(K);
+  }
+  for (const Key &K : Ended)
+    endUnreportedRun(K, EndKind::LeaseExpired, "workerLeft");
+}
+
 // A worker kills its runs when its lease ends, also if it does not answer.
 void Agent::expireLease(Millis Now) {
   if (m_failedPolls == 0 || m_leaseUntil < 0 || Now <= m_leaseUntil)
--- a/src/batch/leader.cc
+++ b/src/batch/leader.cc
@@ -232,6 +232,7 @@
     if (R.m_worker) {
       A.m_workerReportedAt = Now;
       A.m_workerAttention = m_attention.now();
+      noteLeasesEnd(A, R.m_leasesEndInMs);
       const bool WasDraining = A.m_worker.m_draining;
       A.m_worker = *R.m_worker;
       adoptRuns(R);
--- a/src/batch/leader.h
+++ b/src/batch/leader.h
@@ -121,6 +121,9 @@
   Millis m_contactAttention = 0;
   bool m_silenceLogged = false; ///< Of the present silence.
   Millis m_workerAttention = 0;
+  /// Set while its process is stopping: all leases have ended by then, on the
+  /// AttentionClock.
+  std::optional<Millis> m_leasesEndAt;
   std::vector<KnownRun> m_runs;
   std::map<EndKey, ReportedEnd> m_ends; ///< Reported ends.
   /// Runs of a done gang whose own end is not reported yet, by task and run:
@@ -229,6 +232,7 @@
   static void stopBrokenGangs(Job &J);
   void adoptRuns(const AgentReport &R);
   void renewFence(AgentView &A, const char *Reason);
+  void noteLeasesEnd(AgentView &A, std::optional<Millis> InMs);
 
   // leader_callers.cc
   void submit(const CallerRequest &R, Millis Now, Millis WallNow,
--- a/src/batch/leader_health.cc
+++ b/src/batch/leader_health.cc
@@ -43,7 +43,7 @@
 bool Leader::isReachable(const AgentView &A, Millis Now) const {
   return !A.m_worker.m_workerIncarnation.empty() &&
          Now - A.m_workerReportedAt < m_timing.m_silentMs &&
-         !A.m_worker.m_draining && !A.m_unhealthy;
+         !A.m_worker.m_draining && !A.m_unhealthy && !A.m_leasesEndAt;
 }
 
 bool Leader::acceptsWork(const AgentView &A, Millis Now) const {
--- a/src/batch/leader_runs.cc
+++ b/src/batch/leader_runs.cc
@@ -10,9 +10,6 @@
 namespace pomelokeel::batch {
 namespace {
 
-/// A worker's clock may run slower by this factor, so that a lease lasts longer
-/// there.
-constexpr double ClockSlowness = 1.03;
 /// Allows for the delivery of the last grant and for late timers.
 constexpr Millis LeaseMarginMs = 500;
 
@@ -362,6 +359,23 @@
   }
 }
 
+// After the last report of an agent process, its leases end no later than it
+// says, even if the machine is gone before.
+void Leader::noteLeasesEnd(AgentView &A, std::optional<Millis> InMs) {
+  if (!InMs) {
+    A.m_leasesEndAt.reset();
+    return;
+  }
+  const Millis Until =
+      m_attention.now() +
+      static_cast<Millis>(static_cast<double>(*InMs) * ClockSlowness);
+  if (!A.m_leasesEndAt)
+    m_ports.event("agentStopping", "",
+                  fmt::format("agent={} runs={} leasesEndInMs={}", A.m_name,
+                              A.m_runs.size(), *InMs));
+  A.m_leasesEndAt = Until;
+}
+
 // Returns why a placed run cannot be alive or start any more, or nullptr.
 const char *Leader::reasonForLoss(const Task &T, Millis Now) const {
   const auto It = m_agents.find(T.m_agent);
@@ -373,6 +387,9 @@
     return It->second.m_fenced || Now - It->second.m_workerSeenAt > LateOrderMs
                ? "workerRestarted"
                : nullptr;
+  if (Known && It->second.m_leasesEndAt &&
+      m_attention.now() > *It->second.m_leasesEndAt + LeaseMarginMs)
+    return "agentStopped";
   // After the last report that described its worker, an agent grants leases for
   // the autonomy time. Its runs end with the last of these leases at the
   // latest. The agent may have been in contact with the previous leader until
--- a/src/batch/messages.h
+++ b/src/batch/messages.h
@@ -161,6 +161,10 @@
 /// The platform specifies seconds; 12 s have been observed.
 constexpr Millis LateOrderMs = 20000;
 
+/// A worker's clock may run slower by this factor, so that a lease lasts longer
+/// there.
+constexpr double ClockSlowness = 1.03;
+
 /// Returns the fence number of generation \p Generation in an epoch. A worker
 /// ignores calls with a lower number than the highest that it has seen, so a
 /// call with a new number makes all unanswered calls before it void. Beyond
@@ -186,6 +190,9 @@
   /// Highest fence number of a poll that this incarnation of the worker has
   /// answered; the runs and ends are at least as new as that answer.
   std::uint64_t m_fence = 0;
+  /// Set by an agent process that is stopping: it grants no further leases, and
+  /// all that it has granted end within this time in ms.
+  std::optional<Millis> m_leasesEndInMs;
 
   static constexpr auto fields() {
     return std::tuple{
@@ -197,7 +204,8 @@
         base::optional("ends", &AgentReport::m_ends),
         base::optional("waits", &AgentReport::m_longPoll),
         base::optional("unhealthy", &AgentReport::m_unhealthy),
-        base::optional("fence", &AgentReport::m_fence)};
+        base::optional("fence", &AgentReport::m_fence),
+        base::optional("leasesEndInMs", &AgentReport::m_leasesEndInMs)};
   }
 };
 
--- a/src/node/agent_node.cc
+++ b/src/node/agent_node.cc
@@ -206,7 +206,6 @@
 void AgentNode::reload(const Bounds &B) { m_agent->setLease(leaseOf(B)); }
 
 void AgentNode::beginStop() {
-  event("stopping", "", "");
   m_agent->beginStop(base::bootNow());
 }
 
--- a/src/node/agent_node.h
+++ b/src/node/agent_node.h
@@ -53,6 +53,8 @@
   void reload(const Bounds &B);
 
   void beginStop();
+  /// Whether the process may end without losing what only it knows.
+  bool mayEnd() const { return m_agent->mayEnd(); }
 
 private:
   void start(const batch::StartCall &C) override;
--- a/tests/batch/agent_test.cc
+++ b/tests/batch/agent_test.cc
@@ -87,6 +87,101 @@
   EXPECT_TRUE(m_worker.reported(EndKind::LeaseExpired));
 }
 
+// Guards against a task that runs twice: the notice may be one of an earlier
+// incarnation of the worker, which has the same id.
+TEST_F(AgentTest, ALateNoticeEndsNoRun) {
+  startA();
+  m_worker.m_agent.onWorkerLeft("w-1", m_worker.m_now);
+  m_worker.m_agent.onWorkerLeft("w-0", m_worker.m_now);
+  m_worker.passWithReplies(9000);
+  m_worker.pass(20);
+  ASSERT_FALSE(m_worker.m_reports.empty());
+  EXPECT_TRUE(m_worker.m_reports.back().m_ends.empty());
+  EXPECT_EQ(m_worker.m_runs.size(), 1u);
+}
+
+// A start that was not answered may be carried out by the next incarnation of
+// the worker, so its run has not ended for sure.
+TEST_F(AgentTest, AnUnansweredStartOutlivesANotice) {
+  m_worker.m_delaysStarts = true;
+  startA();
+  m_worker.m_unreachable = true;
+  m_worker.m_agent.onWorkerLeft("w-1", m_worker.m_now);
+  m_worker.passWithReplies(1000);
+  m_worker.pass(20);
+  EXPECT_FALSE(m_worker.reported(EndKind::LeaseExpired));
+}
+
+// Guards against an end that nobody knows of: the agent ended before it had
+// told the leader, and the worker was gone.
+TEST_F(AgentTest, ReportsTheEndsOfALeftWorkerBeforeItStops) {
+  startA();
+  m_worker.m_leaderSilent = true;
+  m_worker.reply({});
+  m_worker.m_unreachable = true;
+  m_worker.m_agent.onWorkerLeft("w-1", m_worker.m_now);
+  m_worker.pass(100);
+  m_worker.m_agent.beginStop(m_worker.m_now);
+  EXPECT_FALSE(m_worker.m_agent.mayEnd());
+  m_worker.pass(1000);
+  m_worker.m_leaderSilent = false;
+  m_worker.pass(500);
+  ASSERT_TRUE(m_worker.reported(EndKind::LeaseExpired));
+  AgentReply R;
+  R.m_acknowledged = m_worker.m_reports.back().m_ends;
+  m_worker.reply(R);
+  EXPECT_TRUE(m_worker.m_agent.mayEnd());
+}
+
+// Guards against accepted work that nobody runs: a worker was gone without
+// notice, its agent was told to stop, and the leader waited for as long as any
+// agent may go on alone.
+TEST_F(AgentTest, SaysWhenItsLeasesEndBeforeItStops) {
+  startA();
+  m_worker.passWithReplies(1000);
+  m_worker.m_unreachable = true;
+  m_worker.pass(1200);
+  m_worker.m_leaderSilent = true;
+  m_worker.reply({});
+  m_worker.m_agent.beginStop(m_worker.m_now);
+  m_worker.pass(100);
+  EXPECT_FALSE(m_worker.m_agent.mayEnd());
+  m_worker.m_leaderSilent = false;
+  m_worker.pass(300);
+  ASSERT_FALSE(m_worker.m_reports.empty());
+  const auto EndInMs = m_worker.m_reports.back().m_leasesEndInMs;
+  ASSERT_TRUE(EndInMs.has_value());
+  EXPECT_GE(m_worker.m_now + *EndInMs, m_worker.m_deadline);
+  EXPECT_LT(*EndInMs, AgentTiming{}.m_leaseMs);
+  m_worker.reply({});
+  EXPECT_TRUE(m_worker.m_agent.mayEnd());
+  EXPECT_EQ(m_worker.m_runs.size(), 1u);
+}
+
+// The runs of a draining worker must be known to have ended soon after it is
+// gone, so its leases are short.
+TEST_F(AgentTest, ADrainingWorkerGetsShortLeases) {
+  startA();
+  m_worker.m_draining = true;
+  m_worker.heartbeat();
+  m_worker.passWithReplies(8000);
+  EXPECT_GT(m_worker.m_deadline, m_worker.clock() + 1500);
+  EXPECT_LE(m_worker.m_deadline, m_worker.clock() + 3000);
+  EXPECT_EQ(m_worker.m_runs.size(), 1u);
+}
+
+// An agent whose worker goes on ends without delay, as the next one takes over.
+TEST_F(AgentTest, AStoppingAgentHandsOverALiveWorker) {
+  startA();
+  m_worker.m_agent.beginStop(m_worker.m_now);
+  EXPECT_TRUE(m_worker.m_agent.mayEnd());
+  AgentReply R;
+  R.m_starts = {order(2)};
+  m_worker.reply(R);
+  m_worker.pass(50);
+  EXPECT_EQ(m_worker.m_starts, 1);
+}
+
 TEST_F(AgentTest, GrantsNoLeaseWithoutTheLeaderAfterTheAutonomyTime) {
   startA();
   m_worker.m_leaderSilent = true;
--- a/tests/batch/leader_fixture.h
+++ b/tests/batch/leader_fixture.h
@@ -108,7 +108,8 @@
     std::vector<StopOrder> m_stops;
     std::vector<EndReport> m_acknowledged;
     std::uint64_t m_fence = 0;
-    bool m_workerSilent = false; ///< The worker answers no polls.
+    bool m_workerSilent = false;           ///< The worker answers no polls.
+    std::optional<Millis> m_leasesEndInMs; ///< Set while it is stopping.
   };
 
   void addAgent(const std::string &Name) {
@@ -159,6 +160,7 @@
     }
     R.m_ends = B.m_ends;
     R.m_fence = B.m_fence;
+    R.m_leasesEndInMs = B.m_leasesEndInMs;
     m_leader->report(
         R, m_now, wallNow(),
         [this, Name](const AgentReply &Reply) { applyReply(Name, Reply); });
