Renew no lease of a silent worker by start orders

A worker crashed for good, and its agent reported the end of its runs 9 s later instead of 6.5 s: each repetition of a start order that arrived in between counted as a renewal of the lease for all runs. UnansweredStartsRenewNoLeaseOfASilentWorker failed before.

--- a/src/batch/agent.cc
+++ b/src/batch/agent.cc
@@ -152,7 +152,9 @@
 }
 
 void Agent::sendStart(Run &R, Millis Now) {
-  if (m_clockAt < 0 || !m_synced || inDoubt()) {
+  // A start grants a lease, which a worker that may be lost must not get.
+  if (m_clockAt < 0 || !m_synced || inDoubt() ||
+      m_failedPolls >= FailedPollsToUnhealthy) {
     R.m_retryAt = Now + OrderRetryMs;
     return;
   }
--- a/tests/batch/agent_test.cc
+++ b/tests/batch/agent_test.cc
@@ -158,6 +158,21 @@
   EXPECT_EQ(m_worker.m_runs.size(), 1u);
 }
 
+// Guards against runs that seem alive for long: each repetition of a start
+// order that a lost worker did not answer counted as a renewal of the lease.
+TEST_F(AgentTest, UnansweredStartsRenewNoLeaseOfASilentWorker) {
+  startA();
+  m_worker.passWithReplies(1000);
+  m_worker.m_unreachable = true;
+  m_worker.passWithReplies(600);
+  AgentReply R;
+  R.m_starts = {{"00000000000000bb.0.0.0", 1, "payload", ""}};
+  m_worker.reply(R);
+  m_worker.passWithReplies(7000);
+  m_worker.pass(50);
+  EXPECT_TRUE(m_worker.reported(EndKind::LeaseExpired));
+}
+
 // The runs of a draining worker must be known to have ended soon after it is
 // gone, so its leases are short.
 TEST_F(AgentTest, ADrainingWorkerGetsShortLeases) {
