Hold back signals until a process handles them

A SIGHUP or SIGTERM that reached a process just after its start ended it, as handlers are installed after the servers are bound. main() now holds back these signals first, and the reactor releases them with its handlers.

--- a/src/http/reactor.cc
+++ b/src/http/reactor.cc
@@ -1,5 +1,6 @@
 #include "http/reactor.h"
 
+#include "base/signals.h"
 #include "http/reactor_impl.h"
 
 #include <boost/asio.hpp>
@@ -64,6 +65,7 @@
     }
     m_onSignal = std::move(Run);
     awaitSignal();
+    base::releaseSignals(Signals);
   }
 
   std::shared_ptr<net::io_context> m_io = std::make_shared<net::io_context>(1);
--- a/src/http/reactor.h
+++ b/src/http/reactor.h
@@ -36,7 +36,8 @@
   /// Creates a timer whose function runs on this event loop.
   virtual std::unique_ptr<Timer> timer() = 0;
 
-  /// Calls \p Run with the number of each signal of \p Signals that arrives.
+  /// Calls \p Run with the number of each signal of \p Signals that arrives, or
+  /// was held back until now.
   virtual void onSignals(const std::vector<int> &Signals,
                          std::function<void(int)> Run) = 0;
 };
--- a/src/main.cc
+++ b/src/main.cc
@@ -1,4 +1,5 @@
 #include "agent/agent.h"
+#include "base/signals.h"
 #include "ctl/ctl.h"
 #include "entry/entry.h"
 #include "platform/commands.h"
@@ -10,6 +11,8 @@
 #include <cstdio>
 #include <string>
 
+#include <signal.h>
+
 namespace {
 
 using namespace pomelokeel;
@@ -21,6 +24,8 @@
 // loading on stderr. Returns the exit code.
 template <typename Load, typename Run>
 int runProcess(const std::string &File, Load LoadSettings, Run RunSettings) {
+  // In stand-alone mode SIGHUP ends a process; it holds back the others itself.
+  base::releaseSignals({SIGHUP});
   const auto Settings = LoadSettings(File);
   if (Settings)
     return RunSettings(*Settings);
@@ -32,6 +37,9 @@
 } // namespace
 
 int main(int Argc, char **Argv) {
+  // A signal that arrives before its handler is installed must not end the
+  // process. The reactor releases these signals.
+  base::holdSignals({SIGTERM, SIGINT, SIGHUP});
   FLAGS_logtostderr = true;
   google::InitGoogleLogging(Argv[0]);
 
@@ -54,6 +62,9 @@
 
   CLI::App *Ctl = App.add_subcommand("ctl", "Publish records, read reports");
   ctl::addCommands(*Ctl, ExitCode);
+  Ctl->preparse_callback([](std::size_t) {
+    base::releaseSignals({SIGTERM, SIGINT, SIGHUP});
+  });
 
   platform::addCommands(App, ExitCode);
 
