Lend kept room only to jobs that have waited, one task at a time

Lending kept room to any job after 2 s set wide gangs back, and all tasks of a wide step took it in one pass. A job now waits for 8 s first, gets one task in kept room, and the room of urgent gangs that are about to start is not lent, as runs may have been preempted for it. A job must have a run 11 s after the last submission, which leaves 3 s.

OneTaskOfAJobUsesKeptRoom and AJobThatHasWaitedStartsOnAnIdleFleet.

--- a/src/batch/schedule.cc
+++ b/src/batch/schedule.cc
@@ -53,6 +53,9 @@
 /// How long a job must have room before it uses what others keep. They often
 /// start by then. Callers may count on 3 s, in which the task must also start.
 constexpr Millis RoomMs = 2000;
+/// How long a job waits before it may use what others keep. On most fleets the
+/// gangs before it start by then, and wide gangs would starve otherwise.
+constexpr Millis KeptRoomWaitMs = 8000;
 /// Longest time that a rack-local gang waits for a rack while others have room.
 /// It waits for its estimated time otherwise.
 constexpr Millis MaxRackWaitMs = 10000;
@@ -423,7 +426,7 @@
       if (At) {
         noteLongWait(U, WaitReason::Freeing);
         keep(U, *At, Horizon::Soon,
-             U.m_step->m_gang && !Preempts && R.m_class != GuaranteedClass);
+             U.m_step->m_gang && R.m_class > UrgentClass);
         return std::nullopt;
       }
       if (ByShape)
@@ -454,11 +457,13 @@
   std::optional<Assignment> startWithRoom(const Unit &U, Shape Wanted,
                                           bool ByShape) {
     const JobState &J = *m_jobs.at(U.m_name.m_job);
-    if (!hasMoreRoomThanWork(*U.m_spec) || hasPlacedTasks(J))
+    const Millis WaitedMs = m_now - J.m_acceptedAt;
+    if (WaitedMs < KeptRoomWaitMs || m_lentTo.contains(U.m_name.m_job) ||
+        !hasMoreRoomThanWork(*U.m_spec) || hasPlacedTasks(J))
       return std::nullopt;
     const bool MaySpan =
-        Wanted.m_oneRack && m_now - J.m_acceptedAt >=
-                                std::min(U.m_step->m_estimateMs, MaxRackWaitMs);
+        Wanted.m_oneRack &&
+        WaitedMs >= std::min(U.m_step->m_estimateMs, MaxRackWaitMs);
     Wanted.m_oneRack = Wanted.m_oneRack && !MaySpan;
     if ((!m_anyKept && !MaySpan) || isKnownNotToFit(m_notFittingKept, Wanted))
       return std::nullopt;
@@ -480,6 +485,7 @@
     m_plan.m_haveRoom.insert(U.m_name.m_job);
     if (J.m_roomSince == 0 || m_now - J.m_roomSince < RoomMs)
       return std::nullopt;
+    m_lentTo.insert(U.m_name.m_job);
     start(U, *At);
     return At;
   }
@@ -671,6 +677,7 @@
   /// Free resources that are kept for gangs and may be lent, by worker.
   std::vector<Resources> m_kept;
   bool m_anyKept = false;
+  std::set<std::string> m_lentTo; ///< Jobs with a unit that uses kept room.
   std::unordered_map<std::string_view, Load> m_loads; ///< By service.
   std::map<int, Releases> m_releases; ///< By class of the waiting unit.
   std::optional<std::vector<Stoppable>> m_stoppables; // Built on first use.
