--- a/src/batch/agent.cc
+++ b/src/batch/agent.cc
@@ -20,8 +20,13 @@
 constexpr Millis ReportRetryMs = 200;
 
 /// Length of the leases of a draining worker. It may be gone without notice, so
-/// its runs must be known to have ended soon, and they have to move anyway.
-constexpr Millis DrainLeaseMs = 3000;
+/// its runs must be known to have ended soon. Covers the wait of a poll and the
+/// restart of the agent, which then waits for a heartbeat.
+constexpr Millis DrainLeaseMs = 4500;
+
+/// How long an agent that stops waits for the acknowledgement of its ends while
+/// its worker goes on, which needs the next agent to renew its lease.
+constexpr Millis HandOverMs = 1000;
 
 } // namespace
 Agent::Agent(std::string Name, std::int64_t Incarnation, const AgentTiming &T,
@@ -271,13 +276,14 @@
     m_reportAt = Now + AfterOrdersMs;
   if (!R->m_leads)
     m_reportAt = Now + ReportRetryMs;
-  m_lastReportAnswered = m_lastReportAnswered || (Report.m_last && R->m_leads);
+  m_lastReportAnswered = m_lastReportAnswered ||
+                         (Report.m_last && R->m_leads && R->m_epoch >= m_epoch);
   applyReply(*R, Report, Now);
   advance(Now);
 }
 
 void Agent::advance(Millis Now) {
-  if (m_stopping && mayEnd())
+  if (m_stopping && mayEnd(Now))
     return;
   expireLease(Now);
   if (!m_worker)
@@ -315,19 +321,24 @@
   if (m_worker)
     sendPoll(0, Now);
   m_stopping = true;
+  m_stoppingSince = Now;
   if (m_worker)
     sendReport(false, Now);
 }
 
-bool Agent::mayEnd() const {
-  // The next process finds out the rest from a worker that answers.
-  const bool WorkerAnswers = m_failedPolls == 0 && !m_workerLeft;
-  const bool OnlyKnownHere =
-      std::any_of(m_ends.begin(), m_ends.end(), [&](const EndReport &E) {
-        return E.m_number == 0 || !WorkerAnswers;
-      });
-  return !OnlyKnownHere &&
-         (WorkerAnswers || m_runs.empty() || m_lastReportAnswered);
+bool Agent::mayEnd(Millis Now) const {
+  if (m_failedPolls == 0 && !m_workerLeft) {
+    // The next process finds out the rest from the worker.
+    const bool OnlyKnownHere =
+        std::any_of(m_ends.begin(), m_ends.end(),
+                    [](const EndReport &E) { return E.m_number == 0; });
+    return !OnlyKnownHere || Now - m_stoppingSince >= HandOverMs;
+  }
+  if (!m_ends.empty())
+    return false;
+  if (m_workerLeft && !isWorkerGone() && !m_runs.empty())
+    return false;
+  return m_runs.empty() || m_lastReportAnswered;
 }
 
 } // namespace pomelokeel::batch
--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -150,7 +150,7 @@
   void beginStop(Millis Now);
   /// After beginStop(): whether the leader knows all that the next process of
   /// this agent could not find out from the worker.
-  bool mayEnd() const;
+  bool mayEnd(Millis Now) const;
 
   bool knowsWorker() const { return m_worker.has_value(); }
 
@@ -204,6 +204,7 @@
   void addEnd(const EndReport &E);
   void endUnreportedRun(const Key &K, EndKind Kind, const std::string &Detail);
   void expireLease(Millis Now);
+  void countFailureAfterNotice(std::uint64_t Serial, Millis Now);
   void endRunsOfLeftWorker(Millis Now);
   void setClock(Millis Clock, Millis Now);
 
@@ -211,6 +212,10 @@
   bool inDoubt() const {
     return m_candidate && m_candidate->m_id == m_worker->m_id;
   }
+  /// Whether the worker has ended after its notice.
+  bool isWorkerGone() const {
+    return m_workerLeft && m_failedPollsAfterNotice >= FailedPollsToUnhealthy;
+  }
   bool inContact(Millis Now) const {
     return m_contactAt >= 0 && Now - m_contactAt < m_timing.m_autonomyMs;
   }
@@ -231,6 +236,9 @@
   /// The worker gave notice of its end and has not been found alive since.
   bool m_workerLeft = false;
   Millis m_workerLeftAt = 0;
+  int m_failedPollsAfterNotice = 0; ///< One after another.
+  /// Only polls with a later serial count as the next one.
+  std::uint64_t m_noticeSerial = 0;
   bool m_synced = false;    ///< A poll of the current incarnation was answered.
   Millis m_clock = 0;       ///< The worker's clock at m_clockAt.
   Millis m_clockAt = -1;    ///< On the agent's clock; -1: not known.
@@ -279,6 +287,7 @@
   bool m_changed = false; ///< There is news to report without delay.
   Millis m_reportAt = 0;  ///< No report is sent before this time.
   bool m_stopping = false;
+  Millis m_stoppingSince = 0;
   bool m_lastReportAnswered = false; ///< By the leader.
 };
 
--- a/src/batch/agent_worker.cc
+++ b/src/batch/agent_worker.cc
@@ -18,7 +18,7 @@
 constexpr Millis PollPauseMs = 250;
 /// A worker ends right after its notice. If it answers later than this, the
 /// notice was one of an earlier incarnation.
-constexpr Millis LeftWorkerAnswersMs = 1000;
+constexpr Millis LeftWorkerAnswersMs = 300;
 
 } // namespace
 
@@ -72,7 +72,8 @@
     return;
   m_workerLeft = true;
   m_workerLeftAt = Now;
-  m_failedPolls = 0;
+  m_failedPollsAfterNotice = 0;
+  m_noticeSerial = m_serial;
   m_waitingPoll = 0; // An open poll may wait for its timeout.
   sendPoll(0, Now);
 }
@@ -212,10 +213,10 @@
   }
   if (!A.m_answered) {
     m_sentAcknowledgements.erase(Serial);
+    countFailureAfterNotice(Serial, Now);
     if (++m_failedPolls == FailedPollsToUnhealthy) {
       m_ports.event("workerSilent", "", "polls failed");
       m_changed = true;
-      endRunsOfLeftWorker(Now);
     }
     return advance(Now);
   }
@@ -236,6 +237,7 @@
     m_changed = true;
   }
   settleCandidate(Serial);
+  m_failedPollsAfterNotice = 0;
   if (m_workerLeft && Now - m_workerLeftAt > LeftWorkerAnswersMs) {
     m_workerLeft = false;
     m_ports.event("workerStays", "",
@@ -341,18 +343,24 @@
   addEnd({K.first, K.second, Kind, Checkpoint, 0, Detail});
 }
 
+// One disturbance may fail all calls that are under way, so each failure counts
+// only for a poll that was sent after the one before had failed.
+void Agent::countFailureAfterNotice(std::uint64_t Serial, Millis Now) {
+  if (!m_workerLeft || Serial <= m_noticeSerial)
+    return;
+  m_noticeSerial = m_serial;
+  ++m_failedPollsAfterNotice;
+  if (isWorkerGone())
+    endRunsOfLeftWorker(Now);
+}
+
 // Whether a start that was not answered is carried out by the next incarnation
 // is not known, so such a run ends with the lease.
 void Agent::endRunsOfLeftWorker(Millis Now) {
-  if (!m_workerLeft)
-    return;
   std::vector<Key> Ended;
   for (const auto &[K, R] : m_runs) {
     const auto Late = m_lateStarts.find(K);
-    const bool Unsettled = R.m_report.m_phase == RunPhase::Starting &&
-                           (R.m_orderPending ||
-                            (Late != m_lateStarts.end() && Late->second > Now));
-    if (!Unsettled)
+    if (!R.m_orderPending && (Late == m_lateStarts.end() || Late->second < Now))
       Ended.push_back(K);
   }
   for (const Key &K : Ended)
@@ -361,7 +369,7 @@
 
 // A worker kills its runs when its lease ends, also if it does not answer.
 void Agent::expireLease(Millis Now) {
-  if (m_failedPolls == 0 || m_leaseUntil < 0 || Now <= m_leaseUntil)
+  if (m_failedPolls == 0 || !m_synced || Now <= m_leaseUntil)
     return;
   std::vector<Key> All;
   for (const auto &[K, R] : m_runs)
--- a/src/node/agent_node.h
+++ b/src/node/agent_node.h
@@ -54,7 +54,7 @@
 
   void beginStop();
   /// Whether the process may end without losing what only it knows.
-  bool mayEnd() const { return m_agent->mayEnd(); }
+  bool mayEnd() const { return m_agent->mayEnd(base::bootNow()); }
 
 private:
   void start(const batch::StartCall &C) override;
