Make the test of a late notice fail on the code that it guards against

The polls that one disturbance fails were not under way at the same time in its first form, which passed on.

--- a/tests/batch/agent_test.cc
+++ b/tests/batch/agent_test.cc
@@ -105,13 +105,16 @@
 TEST_F(AgentTest, OneDisturbanceAfterALateNoticeEndsNoRun) {
   startA();
   m_worker.passWithReplies(500);
-  m_worker.m_agent.onWorkerLeft("w-1", m_worker.m_now);
   m_worker.m_unreachable = true;
+  m_worker.m_agent.onWorkerLeft("w-1", m_worker.m_now);
+  ++m_worker.m_epoch; // The new leader's fence is sent with a poll at once.
+  m_worker.reply({});
   m_worker.pass(100);
   m_worker.m_unreachable = false;
   m_worker.passWithReplies(3000);
   m_worker.pass(20);
-  EXPECT_FALSE(m_worker.reported(EndKind::LeaseExpired));
+  ASSERT_FALSE(m_worker.m_reports.empty());
+  EXPECT_TRUE(m_worker.m_reports.back().m_ends.empty());
   EXPECT_EQ(m_worker.m_runs.size(), 1u);
 }
 
