--- a/src/batch/schedule.cc
+++ b/src/batch/schedule.cc
@@ -50,11 +50,11 @@
 /// How often a unit must fit into kept room to use it, so that some is left for
 /// the gang that keeps it.
 constexpr std::int64_t MinFits = 2;
-/// How long a job must have room before it uses what others keep. They often
-/// start by then. Callers may count on 3 s, in which the task must also start.
+/// How long a job must have room before it uses what others keep. Its task must
+/// have started when it has had room for 3 s.
 constexpr Millis RoomMs = 2000;
-/// How long a job waits before it may use what others keep. On most fleets the
-/// gangs before it start by then, and wide gangs would starve otherwise.
+/// How long a job waits before it may use what others keep, so that gangs that
+/// start soon are not set back.
 constexpr Millis KeptRoomWaitMs = 8000;
 /// Longest time that a rack-local gang waits for a rack while others have room.
 /// It waits for its estimated time otherwise.
@@ -420,8 +420,7 @@
       return At;
     if (!isKnownNotToFit(m_notFittingSoon, Wanted)) {
       auto At = place(U, m_fleet, Horizon::Soon);
-      const bool Preempts = !At && R.m_class <= UrgentClass && preempt(U, R);
-      if (Preempts)
+      if (!At && R.m_class <= UrgentClass && preempt(U, R))
         At = place(U, m_fleet, Horizon::Soon);
       if (At) {
         noteLongWait(U, WaitReason::Freeing);
