Serve the evacuation of a data centre

The leader places nothing there, takes back placements whose order was not sent, and places nothing at all after its election before it has read the stream again. Agents refuse orders and stop those that their worker has not answered.

--- a/src/batch/agent.cc
+++ b/src/batch/agent.cc
@@ -69,6 +69,7 @@
   if (!m_worker || R.m_workerIncarnation != m_worker->m_workerIncarnation)
     return;
   removeAcknowledgedEnds(R.m_acknowledged);
+  setEvacuated(R.m_evacuated, Now);
   for (const StopOrder &O : R.m_stops)
     handleStopOrder(O, Now);
   if (!Report.m_describesWorker)
@@ -104,12 +105,32 @@
     return;
   if (m_worker->m_draining || m_workerLeft)
     return endUnreportedRun(K, EndKind::NeverStarted, "draining");
+  if (m_evacuated)
+    return endUnreportedRun(K, EndKind::NeverStarted, "evacuated");
   Run &R = m_runs[K];
   R.m_order = O;
   R.m_report = {O.m_task, O.m_run, RunPhase::Starting, 0, "", 0};
   sendStart(R, Now);
 }
 
+// Orders that the worker has not answered may still be carried out. They are
+// stopped, so that a late copy has no effect, and are not repeated.
+void Agent::setEvacuated(bool Evacuated, Millis Now) {
+  if (std::exchange(m_evacuated, Evacuated) == Evacuated)
+    return;
+  m_ports.event("evacuation", "",
+                fmt::format("state={}", Evacuated ? "begun" : "ended"));
+  if (!Evacuated)
+    return;
+  std::vector<StopOrder> Unstarted;
+  for (const auto &[K, R] : m_runs) {
+    if (R.m_report.m_phase == RunPhase::Starting)
+      Unstarted.push_back({K.first, K.second});
+  }
+  for (const StopOrder &O : Unstarted)
+    handleStopOrder(O, Now);
+}
+
 void Agent::handleStopOrder(const StopOrder &O, Millis Now) {
   const Key K(O.m_task, O.m_run);
   if (std::any_of(m_ends.begin(), m_ends.end(), [&](const EndReport &E) {
--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -184,6 +184,7 @@
   void raiseFence(std::uint64_t Fence, Millis Now);
   void handleStartOrder(const StartOrder &O, Millis SentAt, Millis Now);
   void handleStopOrder(const StopOrder &O, Millis Now);
+  void setEvacuated(bool Evacuated, Millis Now);
   void removeAcknowledgedEnds(const std::vector<EndReport> &Acknowledged);
   void sendStart(Run &R, Millis Now);
   void sendStop(Run &R, Millis Now);
@@ -286,6 +287,8 @@
   std::map<std::uint64_t, OpenReport> m_openReports;
   bool m_changed = false; ///< There is news to report without delay.
   Millis m_reportAt = 0;  ///< No report is sent before this time.
+  /// The worker's data centre is being evacuated, as the leader said last.
+  bool m_evacuated = false;
   bool m_stopping = false;
   Millis m_stoppingSince = 0;
   bool m_lastReportAnswered = false; ///< By the leader.
--- a/src/batch/job.h
+++ b/src/batch/job.h
@@ -162,7 +162,16 @@
 
 /// Why the leader stops a placed run. Broken: another task of its gang ended or
 /// is being stopped. Stalled: it did not start in time or makes no progress.
-enum class StopReason { None, Cancelled, Preempted, Drain, Broken, Stalled };
+/// Evacuated: it had not started when its data centre was to be evacuated.
+enum class StopReason {
+  None,
+  Cancelled,
+  Preempted,
+  Drain,
+  Broken,
+  Stalled,
+  Evacuated
+};
 
 /// One task. The members in fields() are stored; the others describe the
 /// current run and are kept only in the memory of the leader.
@@ -277,8 +286,9 @@
       "queued", "running", "done", "failed", "cancelled"};
 };
 template <> struct NameTable<batch::StopReason> {
-  static constexpr std::array<std::string_view, 6> Names = {
-      "none", "cancelled", "preempted", "drain", "broken", "unwanted"};
+  static constexpr std::array<std::string_view, 7> Names = {
+      "none",   "cancelled", "preempted", "drain",
+      "broken", "unwanted",  "evacuated"};
 };
 
 } // namespace pomelokeel::base
--- a/src/batch/leader.cc
+++ b/src/batch/leader.cc
@@ -160,6 +160,16 @@
   m_scheduleDue = true;
 }
 
+void Leader::setEvacuated(std::set<std::string> DataCentres) {
+  const bool Changed = m_evacuated != DataCentres;
+  if (!std::exchange(m_awaitsEvacuations, false) && !Changed)
+    return;
+  m_evacuated = std::move(DataCentres);
+  stopUnstartedRuns();
+  m_scheduleDue = m_ordersDue = true;
+  m_ports.wakeAfter(0);
+}
+
 void Leader::setEntries(std::vector<std::string> Entries) {
   m_entries = std::move(Entries);
   ++m_entriesVersion;
@@ -402,7 +412,7 @@
   m_nextRoundAt.reset();
   m_roundAt = Now;
   m_counters.get("leader_rounds")++;
-  if (m_scheduleDue && confirmed(Now)) {
+  if (m_scheduleDue && confirmed(Now) && !m_awaitsEvacuations) {
     const Millis DueMs = m_scheduledAt + m_timing.m_passPauseMs - Now;
     if (DueMs > 0)
       requestRound(std::max(DueMs, m_timing.m_roundPauseMs), Now);
--- a/src/batch/leader.h
+++ b/src/batch/leader.h
@@ -108,6 +108,7 @@
   std::uint64_t m_fence = 0;
   std::uint64_t m_fenceGeneration = 0; ///< Of m_fence, within the epoch.
   std::uint64_t m_fenceSent = 0;       ///< Last fence sent to the agent.
+  bool m_evacuatedSent = false;        ///< AgentReply::m_evacuated, last sent.
   /// The worker has answered a poll with m_fence: no call of an earlier agent
   /// process, or to an earlier worker incarnation, takes effect any more.
   bool m_fenced = false;
@@ -189,6 +190,12 @@
   /// may have granted leases of the former length.
   void setTiming(const Timing &T);
   void configure(const Config &C);
+
+  /// Places nothing and starts no run until setEvacuated() is called.
+  void awaitEvacuations() { m_awaitsEvacuations = true; }
+  /// Sets the data centres that are being evacuated. Runs there go on, and no
+  /// run starts there.
+  void setEvacuated(std::set<std::string> DataCentres);
   void setEntries(std::vector<std::string> Entries);
 
   /// To be called when the store, or all other entries, have confirmed that
@@ -274,6 +281,7 @@
   void finishJob(Job &J, JobPhase Phase, Millis WallNow);
   void updateRuns(AgentView &A, Millis Now);
   void checkRuns(Millis Now);
+  void stopGangs(Job &J, const std::set<std::pair<int, int>> &Gangs);
   StopReason reasonToStop(const Step &Kind, Task &T, const TaskName &Name,
                           Millis Now);
   void addOccurrences(Millis WallNow);
@@ -309,6 +317,10 @@
   void resetWorkerHealth(AgentView &A);
   bool isReachable(const AgentView &A, Millis Now) const;
   bool acceptsWork(const AgentView &A, Millis Now) const;
+  bool isEvacuated(const AgentView &A) const {
+    return m_evacuated.contains(A.m_worker.m_dataCentre);
+  }
+  void stopUnstartedRuns();
 
   // leader_orders.cc
   void answerAgents(Millis Now);
@@ -349,6 +361,8 @@
   AttentionClock m_attention;
   JournalWriter m_journal;
   Guarantees m_guarantees;
+  std::set<std::string> m_evacuated; ///< Data centres.
+  bool m_awaitsEvacuations = false;
   std::vector<std::string> m_entries;
   std::uint64_t m_entriesVersion = 0;
   JobTable m_jobs;
--- a/src/batch/leader_health.cc
+++ b/src/batch/leader_health.cc
@@ -47,7 +47,7 @@
 }
 
 bool Leader::acceptsWork(const AgentView &A, Millis Now) const {
-  return isReachable(A, Now) && Now >= A.m_quarantinedUntil;
+  return isReachable(A, Now) && Now >= A.m_quarantinedUntil && !isEvacuated(A);
 }
 
 Leader::HealthReview Leader::makeReview(Millis Now) const {
--- a/src/batch/leader_orders.cc
+++ b/src/batch/leader_orders.cc
@@ -42,7 +42,8 @@
   if (T.m_batch > m_journal.durable() || !isDue(SentAt, Now))
     return;
   AgentView &A = m_agents[T.m_agent];
-  if (A.m_worker.m_workerIncarnation != T.m_workerIncarnation)
+  if (A.m_worker.m_workerIncarnation != T.m_workerIncarnation ||
+      (!Stops && (m_awaitsEvacuations || isEvacuated(A))))
     return;
   if (T.m_fullName.empty())
     T.m_fullName = toString(TaskName{J.m_spec.m_id, K, S, I});
@@ -102,6 +103,7 @@
   Out.m_leads = confirmed(Now);
   Out.m_workerIncarnation = A.m_worker.m_workerIncarnation;
   Out.m_fence = A.m_fence;
+  Out.m_evacuated = isEvacuated(A);
   if (A.m_entriesVersionSent != m_entriesVersion)
     Out.m_entries = m_entries;
   for (const auto &[Key, End] : A.m_ends) {
@@ -139,8 +141,9 @@
     if (A.m_heldReports.empty())
       continue;
     const auto Ordered = Due.find(Name);
-    const bool Urgent =
-        Ordered != Due.end() || (Leads && A.m_fence != A.m_fenceSent);
+    const bool Urgent = Ordered != Due.end() ||
+                        (Leads && (A.m_fence != A.m_fenceSent ||
+                                   isEvacuated(A) != A.m_evacuatedSent));
     const bool AllEndsStored =
         std::all_of(A.m_ends.begin(), A.m_ends.end(), [&](const auto &E) {
           return E.second.m_batch <= m_journal.durable();
@@ -158,8 +161,10 @@
     AgentReply Reply =
         Ordered == Due.end() ? AgentReply{} : std::move(Ordered->second);
     completeReply(A, Now, Reply);
-    if (Leads)
+    if (Leads) {
       A.m_fenceSent = Reply.m_fence;
+      A.m_evacuatedSent = Reply.m_evacuated;
+    }
     A.m_entriesVersionSent = m_entriesVersion;
     recordAcknowledgements(A, Reply, Now);
     Ready.emplace_back(std::move(Held->m_answer), std::move(Reply));
--- a/src/batch/leader_runs.cc
+++ b/src/batch/leader_runs.cc
@@ -485,6 +485,37 @@
   return StopReason::Stalled;
 }
 
+// Called when data centres are to be evacuated. Orders that were sent are left
+// to the agents, which know whether the worker has carried them out.
+void Leader::stopUnstartedRuns() {
+  for (const auto &Entry : m_openJobs) {
+    const std::string &Id = Entry.first;
+    Job &J = *Entry.second;
+    std::set<std::pair<int, int>> BrokenGangs;
+    forEachTask(J.m_progress, [&](int K, int S, int I, Task &T) {
+      if (T.m_phase != TaskPhase::Placed || T.m_stop != StopReason::None ||
+          T.m_reported)
+        return;
+      const auto At = m_agents.find(T.m_agent);
+      if (At == m_agents.end() || !isEvacuated(At->second))
+        return;
+      stopRun(T, {Id, K, S, I}, StopReason::Evacuated);
+      if (J.m_spec.m_steps[static_cast<std::size_t>(S)].m_gang)
+        BrokenGangs.emplace(K, S);
+    });
+    stopGangs(J, BrokenGangs);
+  }
+}
+
+void Leader::stopGangs(Job &J, const std::set<std::pair<int, int>> &Gangs) {
+  if (Gangs.empty())
+    return;
+  forEachTask(J.m_progress, [&](int K, int S, int I, Task &T) {
+    if (Gangs.contains({K, S}))
+      stopRun(T, {J.m_spec.m_id, K, S, I}, StopReason::Broken);
+  });
+}
+
 void Leader::checkRuns(Millis Now) {
   for (const auto &Entry : m_openJobs) {
     const std::string &Id = Entry.first;
@@ -501,12 +532,7 @@
       if (Kind.m_gang)
         BrokenGangs.emplace(K, S);
     });
-    if (BrokenGangs.empty())
-      continue;
-    forEachTask(J.m_progress, [&](int K, int S, int I, Task &T) {
-      if (BrokenGangs.contains({K, S}))
-        stopRun(T, {Id, K, S, I}, StopReason::Broken);
-    });
+    stopGangs(J, BrokenGangs);
   }
 }
 
--- a/src/batch/messages.h
+++ b/src/batch/messages.h
@@ -246,6 +246,8 @@
   std::vector<std::string> m_entries;
   /// Number for the calls to the worker from now on.
   std::uint64_t m_fence = 0;
+  /// The worker's data centre is being evacuated: no run may start on it.
+  bool m_evacuated = false;
 
   static constexpr auto fields() {
     return std::tuple{base::required("epoch", &AgentReply::m_epoch),
@@ -255,7 +257,8 @@
                       base::optional("stops", &AgentReply::m_stops),
                       base::optional("noted", &AgentReply::m_acknowledged),
                       base::optional("entries", &AgentReply::m_entries),
-                      base::optional("fence", &AgentReply::m_fence)};
+                      base::optional("fence", &AgentReply::m_fence),
+                      base::optional("evacuated", &AgentReply::m_evacuated)};
   }
 };
 
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -126,8 +126,9 @@
 } // namespace
 
 EntryNode::EntryNode(http::Reactor &R, const Settings &S, Store &SharedStore,
-                     ConfigReader ReadConfig, base::EventLog &Events,
-                     base::Counters &Counters)
+                     ConfigReader ReadConfig,
+                     EvacuationKeyReader ReadEvacuationKey,
+                     base::EventLog &Events, base::Counters &Counters)
     : m_reactor(R), m_settings(S), m_store(SharedStore),
       m_readConfig(std::move(ReadConfig)), m_events(Events),
       m_counters(Counters), m_tick(R.timer()), m_loadTimer(R.timer()),
@@ -175,28 +176,55 @@
     event(Name, "", Detail);
   };
   m_election = std::make_unique<Election>(R, SharedStore, E, H);
+  startFollowingOperator(std::move(ReadEvacuationKey));
+  tick();
+}
+
+EntryNode::~EntryNode() = default;
+
+void EntryNode::startFollowingOperator(EvacuationKeyReader ReadEvacuationKey) {
+  m_evacuations = std::make_unique<Evacuations>(
+      std::move(ReadEvacuationKey),
+      [this](const std::string &DataCentre, bool Begins) {
+        event("evacuation", "",
+              fmt::format("dataCentre={} state={}", DataCentre,
+                          Begins ? "begun" : "ended"));
+        m_counters.get("evacuated_data_centres") =
+            static_cast<std::int64_t>(m_evacuations->dataCentres().size());
+      });
   Follower::Handlers F;
+  F.m_snapshot = [this](const std::vector<KeyedRecord> &Records) {
+    m_evacuations->applySnapshot(Records, m_operatorFollower->end());
+  };
   F.m_record = [this](const KeyedRecord &Record) {
-    applyOperatorRecord(Record);
+    if (!m_evacuations->apply(Record, m_operatorFollower->end()))
+      applyOperatorRecord(Record);
+  };
+  F.m_caughtUp = [this](std::int64_t, Millis SentAt) {
+    handleOperatorCaughtUp(SentAt);
   };
-  F.m_caughtUp = [](std::int64_t, Millis) {};
   F.m_reachabilityChanged = [this](bool Reachable) {
     event(Reachable ? "storeRegained" : "storeLost", "", "by=operatorStream");
   };
   const auto WaitMs = static_cast<Millis>(
-      static_cast<double>(S.m_bounds.m_configApplyMs) * OperatorWaitShare);
-  m_operatorFollower =
-      std::make_unique<Follower>(R, SharedStore, Stream::Operator, WaitMs, F);
-  tick();
+      static_cast<double>(m_settings.m_bounds.m_configApplyMs) *
+      OperatorWaitShare);
+  m_operatorFollower = std::make_unique<Follower>(m_reactor, m_store,
+                                                  Stream::Operator, WaitMs, F);
 }
 
-EntryNode::~EntryNode() = default;
-
 void EntryNode::event(const std::string &Name, const std::string &Job,
                       const std::string &Detail) {
   m_events.record(Name, {Job, "", ""}, Detail);
 }
 
+// A leader places nothing before it has read the operator's stream after its
+// election, because this entry may have been cut off or suspended before.
+void EntryNode::handleOperatorCaughtUp(Millis ReadSentAt) {
+  if (m_leader && ReadSentAt >= m_electedAt)
+    m_leader->setEvacuated(m_evacuations->dataCentres());
+}
+
 void EntryNode::applyOperatorRecord(const KeyedRecord &R) {
   auto Parsed = m_readConfig(R);
   if (!Parsed) {
@@ -225,6 +253,7 @@
     return;
   m_electedEpoch = Epoch;
   m_leader.reset();
+  m_electedAt = base::bootNow();
   m_takeoverEpoch = Epoch;
   fence(Epoch);
 }
@@ -273,6 +302,8 @@
   m_leader->setEntries(m_election->addresses());
   if (m_config)
     m_leader->configure(*m_config);
+  m_leader->awaitEvacuations();
+  m_operatorFollower->restart();
   m_counters.get("leader_epoch") = Epoch;
 }
 
@@ -343,14 +374,18 @@
   if (!m_config || S.m_configVersion > m_config->m_version)
     m_peers->fetchConfig(
         Address, [this](const KeyedRecord &R) { applyOperatorRecord(R); });
+  const std::int64_t Known = m_evacuations->readUntil();
+  m_evacuations->adopt(S.m_evacuated, S.m_evacuatedAsOf);
+  if (m_leader && m_evacuations->readUntil() > Known)
+    m_leader->setEvacuated(m_evacuations->dataCentres());
   handOverIfIsolated(Address, S);
-  const LeaderRecord &Known = m_election->leader();
+  const LeaderRecord &Leader = m_election->leader();
   if (m_election->storeReachable() || !m_election->leads() ||
-      !S.m_storeReachable || S.m_leader.m_epoch != Known.m_epoch)
+      !S.m_storeReachable || S.m_leader.m_epoch != Leader.m_epoch)
     return;
   event("takeoverAsked", "",
-        fmt::format("epoch={} of={}", Known.m_epoch, Address));
-  m_peers->requestTakeover(Address, Known.m_epoch);
+        fmt::format("epoch={} of={}", Leader.m_epoch, Address));
+  m_peers->requestTakeover(Address, Leader.m_epoch);
 }
 
 void EntryNode::checkIsolation(Millis Now) {
@@ -404,6 +439,9 @@
   Out.m_configVersion = m_config ? m_config->m_version : -1;
   Out.m_leads = m_election->leads() && Now - m_confirmedAt < MembershipTtlMs;
   Out.m_agentsAsking = static_cast<std::int64_t>(m_agentsAsking.size());
+  const std::set<std::string> &Evacuated = m_evacuations->dataCentres();
+  Out.m_evacuated.assign(Evacuated.begin(), Evacuated.end());
+  Out.m_evacuatedAsOf = m_evacuations->readUntil();
   return Out;
 }
 
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -7,6 +7,7 @@
 #include "http/reactor.h"
 #include "node/arrival_clock.h"
 #include "node/election.h"
+#include "node/evacuations.h"
 #include "node/peers.h"
 #include "node/router.h"
 #include "node/settings.h"
@@ -30,8 +31,8 @@
 class EntryNode : public batch::LeaderPorts {
 public:
   EntryNode(http::Reactor &R, const Settings &S, Store &SharedStore,
-            ConfigReader ReadConfig, base::EventLog &Events,
-            base::Counters &Counters);
+            ConfigReader ReadConfig, EvacuationKeyReader ReadEvacuationKey,
+            base::EventLog &Events, base::Counters &Counters);
   ~EntryNode() override;
 
   /// Answers a call, immediately or when its outcome is known.
@@ -59,7 +60,9 @@
   void event(const std::string &Name, const std::string &Job,
              const std::string &Detail) override;
 
+  void startFollowingOperator(EvacuationKeyReader ReadEvacuationKey);
   void applyOperatorRecord(const KeyedRecord &R);
+  void handleOperatorCaughtUp(Millis ReadSentAt);
   // The steps of a takeover, in order. stepDown() ends it or the leadership.
   void handleElected(std::int64_t Epoch);
   void fence(std::int64_t Epoch);
@@ -92,12 +95,14 @@
   base::Counters &m_counters;
   std::optional<batch::Config> m_config;
   KeyedRecord m_configRecord; ///< The source of m_config.
+  std::unique_ptr<Evacuations> m_evacuations;
   std::unique_ptr<Election> m_election;
   std::unique_ptr<Follower> m_operatorFollower;
   std::unique_ptr<http::Timer> m_tick;
   std::unique_ptr<http::Timer> m_loadTimer;
   std::unique_ptr<http::Timer> m_roundTimer;
   std::shared_ptr<batch::Leader> m_leader;
+  Millis m_electedAt = 0; ///< Time of the last election of this entry.
   std::int64_t m_takeoverEpoch = 0; ///< Epoch of a takeover in progress, or 0.
   std::int64_t m_electedEpoch = 0;  ///< Newest epoch that this entry has led.
   Clients m_clients;
--- a/src/node/follower.cc
+++ b/src/node/follower.cc
@@ -37,6 +37,8 @@
     if (!R)
       return retry([this] { readSnapshot(); });
     m_nextOffset = R->m_end;
+    if (m_handlers.m_snapshot)
+      m_handlers.m_snapshot(R->m_records);
     for (const KeyedRecord &Record : R->m_records)
       m_handlers.m_record(Record);
     m_handlers.m_caughtUp(m_nextOffset, SentAt);
--- a/src/node/follower.h
+++ b/src/node/follower.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <vector>
 
 namespace pomelokeel::node {
 
@@ -14,6 +15,9 @@
 class Follower {
 public:
   struct Handlers {
+    /// Called with a whole snapshot, before its records. Keys that it does not
+    /// contain do not exist. Not called if not set.
+    std::function<void(const std::vector<KeyedRecord> &)> m_snapshot;
     /// Called for each record; the records of a key come in order.
     std::function<void(const KeyedRecord &)> m_record;
     /// All records before the given end offset of the stream were delivered.
--- a/src/node/peers.h
+++ b/src/node/peers.h
@@ -23,6 +23,10 @@
   bool m_leads = false;
   /// Agents that do not reach the leader and have asked this entry lately.
   std::int64_t m_agentsAsking = 0;
+  /// Data centres being evacuated, as of this offset of the operator's stream;
+  /// -1 if the entry has not read it.
+  std::vector<std::string> m_evacuated;
+  std::int64_t m_evacuatedAsOf = -1;
 
   static constexpr auto fields() {
     return std::tuple{
@@ -30,7 +34,9 @@
         base::required("storeReachable", &EntryStatus::m_storeReachable),
         base::optional("configVersion", &EntryStatus::m_configVersion),
         base::optional("leads", &EntryStatus::m_leads),
-        base::optional("agentsAsking", &EntryStatus::m_agentsAsking)};
+        base::optional("agentsAsking", &EntryStatus::m_agentsAsking),
+        base::optional("evacuated", &EntryStatus::m_evacuated),
+        base::optional("evacuatedAsOf", &EntryStatus::m_evacuatedAsOf)};
   }
 };
 
--- a/tests/batch/leader_fixture.h
+++ b/tests/batch/leader_fixture.h
@@ -105,6 +105,8 @@
     std::map<std::string, RunReport> m_runs; ///< By task.
     std::vector<EndReport> m_ends;
     bool m_draining = false;
+    std::string m_dataCentre;
+    bool m_evacuated = false; ///< As the leader said last.
     std::vector<StopOrder> m_stops;
     std::vector<EndReport> m_acknowledged;
     std::uint64_t m_fence = 0;
@@ -147,6 +149,7 @@
     W.m_workerIncarnation = B.m_workerIncarnation;
     W.m_startTime = B.m_startTime;
     W.m_service = "s";
+    W.m_dataCentre = B.m_dataCentre;
     W.m_rack = "r";
     W.m_capacity = {16000, 10000, 8};
     W.m_draining = B.m_draining;
@@ -207,6 +210,7 @@
       return;
     if (!B.m_workerSilent)
       B.m_fence = std::max(B.m_fence, R.m_fence);
+    B.m_evacuated = R.m_evacuated;
     for (const StartOrder &O : R.m_starts) {
       B.m_runs[O.m_task] = {O.m_task, O.m_run, RunPhase::Running, 0, "", 0};
       ++m_starts[O.m_task];
--- a/tests/node/entry_node_test.cc
+++ b/tests/node/entry_node_test.cc
@@ -33,6 +33,11 @@
   return C;
 }
 
+std::optional<std::string> readEvacuationKey(const std::string &Key) {
+  return Key.starts_with("evacuate/") ? std::optional(Key.substr(9))
+                                      : std::nullopt;
+}
+
 /// An entry with a control server on a free port.
 struct Entry {
   Entry(http::Reactor &R, const std::shared_ptr<FakeStreams> &Shared,
@@ -50,8 +55,8 @@
     Settings S;
     S.m_name = Name;
     S.m_controlListen = m_server->address();
-    m_node = std::make_unique<EntryNode>(R, S, m_store, readConfig, m_events,
-                                         m_counters);
+    m_node = std::make_unique<EntryNode>(
+        R, S, m_store, readConfig, readEvacuationKey, m_events, m_counters);
   }
 
   /// Calls with the API key of configuration \p Version. The verdict is set
@@ -246,6 +251,35 @@
       9000));
 }
 
+// Guards against tasks that start in a data centre that is being evacuated,
+// because only one of several leaders had heard of it.
+TEST_F(EntryNodeTest, TheNextLeaderKnowsOfEvacuations) {
+  ASSERT_TRUE(until([&] { return hasLeader() && other().m_node->ready(); }));
+  Entry &Next = other();
+  leader().m_store.add(Stream::Operator, {{"evacuate/dc", "{}"}});
+  leader().m_node->beginStop(1000);
+  ASSERT_TRUE(
+      until([&] { return Next.m_counters.get("leader_epoch") > 0; }, 6000));
+  EXPECT_TRUE(until(
+      [&] { return Next.m_counters.get("evacuated_data_centres") == 1; }));
+  Next.m_store.add(Stream::Operator, {{"evacuate/dc", ""}});
+  EXPECT_TRUE(until(
+      [&] { return Next.m_counters.get("evacuated_data_centres") == 0; }));
+}
+
+// Guards against an entry that may become the leader through its peers and
+// does not know what the operator has asked for while it had no store.
+TEST_F(EntryNodeTest, LearnsOfEvacuationsFromPeersWithoutTheStore) {
+  ASSERT_TRUE(until([&] { return hasLeader() && other().m_node->ready(); }));
+  ASSERT_TRUE(until([&] { return other().m_counters.get("candidates") == 2; }));
+  Entry &Disconnected = other();
+  Disconnected.m_store.m_unreachable = true;
+  leader().m_store.add(Stream::Operator, {{"evacuate/dc", "{}"}});
+  EXPECT_TRUE(until([&] {
+    return Disconnected.m_counters.get("evacuated_data_centres") == 1;
+  }));
+}
+
 TEST_F(EntryNodeTest, HandsOverLeadershipWhenItStops) {
   ASSERT_TRUE(until([&] { return hasLeader() && other().m_node->ready(); }));
   Entry &Stopping = leader();
