Close gaps in the evacuation of a data centre

- A new leader took what another entry had read for current, although the operator's last record may be newer, and began to place work.
Only its own read after the election ends its wait now.
- A run that its agent had reported as not started was left to the agent.
An agent of an earlier version, or one that the reply did not reach, went on to repeat the order.
The leader stops all runs in the data centre that have not started, at each check of the runs.
- An agent without contact to the leader repeated an unanswered start for ever, granting a new lease each time.
The leader counts such a run as lost after about 10.7 s, so a task could also run twice.
Starts now need a contact within the last 4 s, as polls that grant leases do.
- With a long bound for configurations, a read that was not woken or whose connection went silent told the leader too late.
It waits for 1.5 s at most now.
- A new leader that had not read the stream told agents that the evacuation had ended.
It now says nothing about it.

--- a/src/batch/agent.cc
+++ b/src/batch/agent.cc
@@ -69,7 +69,9 @@
   if (!m_worker || R.m_workerIncarnation != m_worker->m_workerIncarnation)
     return;
   removeAcknowledgedEnds(R.m_acknowledged);
-  setEvacuated(R.m_evacuated, Now);
+  // A leader that does not know yet sends no starts.
+  if (R.m_evacuated || !R.m_starts.empty())
+    setEvacuated(R.m_evacuated.value_or(false), Now);
   for (const StopOrder &O : R.m_stops)
     handleStopOrder(O, Now);
   if (!Report.m_describesWorker)
@@ -178,8 +180,9 @@
 }
 
 void Agent::sendStart(Run &R, Millis Now) {
-  // A start grants a lease, which a worker that may be lost must not get.
-  if (m_clockAt < 0 || !m_synced || inDoubt() ||
+  // A start grants a lease, which a worker that may be lost must not get. The
+  // leader counts a run as lost by the time since it was last in contact.
+  if (m_clockAt < 0 || !m_synced || inDoubt() || !inContact(Now) ||
       m_failedPolls >= FailedPollsToUnhealthy) {
     R.m_retryAt = Now + OrderRetryMs;
     return;
--- a/src/batch/leader.cc
+++ b/src/batch/leader.cc
@@ -160,12 +160,12 @@
   m_scheduleDue = true;
 }
 
-void Leader::setEvacuated(std::set<std::string> DataCentres) {
+void Leader::setEvacuated(std::set<std::string> DataCentres, bool Current) {
   const bool Changed = m_evacuated != DataCentres;
-  if (!std::exchange(m_awaitsEvacuations, false) && !Changed)
+  const bool Awaited = Current && std::exchange(m_awaitsEvacuations, false);
+  if (!Awaited && !Changed)
     return;
   m_evacuated = std::move(DataCentres);
-  stopUnstartedRuns();
   m_scheduleDue = m_ordersDue = true;
   m_ports.wakeAfter(0);
 }
--- a/src/batch/leader.h
+++ b/src/batch/leader.h
@@ -191,11 +191,13 @@
   void setTiming(const Timing &T);
   void configure(const Config &C);
 
-  /// Places nothing and starts no run until setEvacuated() is called.
+  /// Places nothing and starts no run until setEvacuated() is called with a
+  /// current state.
   void awaitEvacuations() { m_awaitsEvacuations = true; }
   /// Sets the data centres that are being evacuated. Runs there go on, and no
-  /// run starts there.
-  void setEvacuated(std::set<std::string> DataCentres);
+  /// run starts there. \p Current if the store was read since this leader was
+  /// elected; what another entry knows may be older.
+  void setEvacuated(std::set<std::string> DataCentres, bool Current = true);
   void setEntries(std::vector<std::string> Entries);
 
   /// To be called when the store, or all other entries, have confirmed that
@@ -320,7 +322,6 @@
   bool isEvacuated(const AgentView &A) const {
     return m_evacuated.contains(A.m_worker.m_dataCentre);
   }
-  void stopUnstartedRuns();
 
   // leader_orders.cc
   void answerAgents(Millis Now);
--- a/src/batch/leader_orders.cc
+++ b/src/batch/leader_orders.cc
@@ -103,7 +103,8 @@
   Out.m_leads = confirmed(Now);
   Out.m_workerIncarnation = A.m_worker.m_workerIncarnation;
   Out.m_fence = A.m_fence;
-  Out.m_evacuated = isEvacuated(A);
+  if (isEvacuated(A) || !m_awaitsEvacuations)
+    Out.m_evacuated = isEvacuated(A);
   if (A.m_entriesVersionSent != m_entriesVersion)
     Out.m_entries = m_entries;
   for (const auto &[Key, End] : A.m_ends) {
@@ -163,7 +164,7 @@
     completeReply(A, Now, Reply);
     if (Leads) {
       A.m_fenceSent = Reply.m_fence;
-      A.m_evacuatedSent = Reply.m_evacuated;
+      A.m_evacuatedSent = isEvacuated(A);
     }
     A.m_entriesVersionSent = m_entriesVersion;
     recordAcknowledgements(A, Reply, Now);
--- a/src/batch/leader_runs.cc
+++ b/src/batch/leader_runs.cc
@@ -468,6 +468,10 @@
   // Whether the run is lost is open until the worker has seen a higher fence.
   if (A.m_worker.m_workerIncarnation != T.m_workerIncarnation)
     return StopReason::None;
+  // The agent may be of a version that does not know of evacuations, or the
+  // reply that told it may be lost.
+  if (!T.m_running && isEvacuated(A))
+    return StopReason::Evacuated;
   if (!T.m_running)
     return T.m_startSentAt >= 0 && Now - T.m_placedAt > StartMs
                ? StopReason::Stalled
@@ -485,28 +489,6 @@
   return StopReason::Stalled;
 }
 
-// Called when data centres are to be evacuated. Orders that were sent are left
-// to the agents, which know whether the worker has carried them out.
-void Leader::stopUnstartedRuns() {
-  for (const auto &Entry : m_openJobs) {
-    const std::string &Id = Entry.first;
-    Job &J = *Entry.second;
-    std::set<std::pair<int, int>> BrokenGangs;
-    forEachTask(J.m_progress, [&](int K, int S, int I, Task &T) {
-      if (T.m_phase != TaskPhase::Placed || T.m_stop != StopReason::None ||
-          T.m_reported)
-        return;
-      const auto At = m_agents.find(T.m_agent);
-      if (At == m_agents.end() || !isEvacuated(At->second))
-        return;
-      stopRun(T, {Id, K, S, I}, StopReason::Evacuated);
-      if (J.m_spec.m_steps[static_cast<std::size_t>(S)].m_gang)
-        BrokenGangs.emplace(K, S);
-    });
-    stopGangs(J, BrokenGangs);
-  }
-}
-
 void Leader::stopGangs(Job &J, const std::set<std::pair<int, int>> &Gangs) {
   if (Gangs.empty())
     return;
--- a/src/batch/messages.h
+++ b/src/batch/messages.h
@@ -246,8 +246,9 @@
   std::vector<std::string> m_entries;
   /// Number for the calls to the worker from now on.
   std::uint64_t m_fence = 0;
-  /// The worker's data centre is being evacuated: no run may start on it.
-  bool m_evacuated = false;
+  /// The worker's data centre is being evacuated: no run may start on it. Not
+  /// set by a leader that does not know it yet, or is of an earlier version.
+  std::optional<bool> m_evacuated;
 
   static constexpr auto fields() {
     return std::tuple{base::required("epoch", &AgentReply::m_epoch),
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -24,6 +24,10 @@
 /// arrives at the moment of an append, so the following read must still be in
 /// time.
 constexpr double OperatorWaitShare = 0.8;
+/// Limit for that timeout at the leader. A read on a connection that went
+/// silent fails 1.5 s after it, and the next one must still show an evacuation
+/// well within its 5 s.
+constexpr Millis MaxLeaderOperatorWaitMs = 1500;
 
 /// Retry delay for callers while there is no leader; an election takes about
 /// this long.
@@ -206,11 +210,15 @@
   F.m_reachabilityChanged = [this](bool Reachable) {
     event(Reachable ? "storeRegained" : "storeLost", "", "by=operatorStream");
   };
+  m_operatorFollower = std::make_unique<Follower>(
+      m_reactor, m_store, Stream::Operator, operatorWaitMs(), F);
+}
+
+Millis EntryNode::operatorWaitMs() const {
   const auto WaitMs = static_cast<Millis>(
       static_cast<double>(m_settings.m_bounds.m_configApplyMs) *
       OperatorWaitShare);
-  m_operatorFollower = std::make_unique<Follower>(m_reactor, m_store,
-                                                  Stream::Operator, WaitMs, F);
+  return m_leader ? std::min(WaitMs, MaxLeaderOperatorWaitMs) : WaitMs;
 }
 
 void EntryNode::event(const std::string &Name, const std::string &Job,
@@ -303,6 +311,7 @@
   if (m_config)
     m_leader->configure(*m_config);
   m_leader->awaitEvacuations();
+  m_operatorFollower->setWait(operatorWaitMs());
   m_operatorFollower->restart();
   m_counters.get("leader_epoch") = Epoch;
 }
@@ -316,6 +325,7 @@
         fmt::format("epoch={} reason={}", m_leader->epoch(), Reason));
   m_counters.get("leader_epoch") = 0;
   const auto Old = std::exchange(m_leader, nullptr);
+  m_operatorFollower->setWait(operatorWaitMs());
   Old->resign();
 }
 
@@ -377,7 +387,7 @@
   const std::int64_t Known = m_evacuations->readUntil();
   m_evacuations->adopt(S.m_evacuated, S.m_evacuatedAsOf);
   if (m_leader && m_evacuations->readUntil() > Known)
-    m_leader->setEvacuated(m_evacuations->dataCentres());
+    m_leader->setEvacuated(m_evacuations->dataCentres(), false);
   handOverIfIsolated(Address, S);
   const LeaderRecord &Leader = m_election->leader();
   if (m_election->storeReachable() || !m_election->leads() ||
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -61,6 +61,7 @@
              const std::string &Detail) override;
 
   void startFollowingOperator(EvacuationKeyReader ReadEvacuationKey);
+  Millis operatorWaitMs() const;
   void applyOperatorRecord(const KeyedRecord &R);
   void handleOperatorCaughtUp(Millis ReadSentAt);
   // The steps of a takeover, in order. stepDown() ends it or the leadership.
--- a/tests/batch/agent_test.cc
+++ b/tests/batch/agent_test.cc
@@ -736,5 +736,25 @@
   EXPECT_EQ(m_worker.m_ends.size(), 1u);
 }
 
+// Guards against runs that start twice: an agent without contact to the leader
+// repeated an unanswered start after the leader had counted the run as lost.
+TEST(AgentContactTest, StartsAreNotRepeatedWithoutContactToTheLeader) {
+  FakeWorker W;
+  W.heartbeat();
+  W.passWithReplies(100);
+  W.m_dropsStarts = true;
+  AgentReply R;
+  R.m_starts = {order(1)};
+  W.reply(R);
+  W.m_leaderSilent = true;
+  W.pass(AgentTiming{}.m_autonomyMs + 500);
+  W.m_dropsStarts = false;
+  W.pass(1000);
+  EXPECT_EQ(W.m_starts, 0);
+  W.m_leaderSilent = false;
+  W.passWithReplies(1000);
+  EXPECT_EQ(W.m_starts, 1);
+}
+
 } // namespace
 } // namespace pomelokeel::batch::tests
--- a/tests/batch/evacuation_test.cc
+++ b/tests/batch/evacuation_test.cc
@@ -1,6 +1,9 @@
 #include "fake_worker.h"
 #include "leader_fixture.h"
 
+#include <algorithm>
+#include <string>
+
 namespace pomelokeel::batch::tests {
 namespace {
 
@@ -97,6 +100,36 @@
   EXPECT_EQ(m_starts["j.0.0.0"], 2);
 }
 
+// Guards against a new leader that counts what another entry has read as
+// current: the operator's last record may be newer.
+TEST_F(EvacuationTest, NewsOfAnotherEntryDoesNotEndTheWaitOfANewLeader) {
+  addAgentIn("a", "v");
+  m_leader->awaitEvacuations();
+  submit("j", jobOf({step(1, 1)}));
+  m_leader->setEvacuated({"b"}, false);
+  pass(1000);
+  EXPECT_EQ(m_starts["j.0.0.0"], 0);
+  m_leader->setEvacuated({"a", "b"});
+  pass(1000);
+  EXPECT_EQ(m_starts["j.0.0.0"], 0);
+}
+
+// Guards against agents of an earlier version, and such that have not received
+// the reply: they repeat an order that the worker has not answered.
+TEST_F(EvacuationTest, RunsThatHaveNotStartedAreStoppedAtTheirAgents) {
+  m_startsAreUnanswered = true;
+  addAgentIn("a", "v");
+  submit("j", jobOf({step(1, 1)}));
+  pass(300);
+  ASSERT_EQ(m_starts["j.0.0.0"], 1);
+  m_leader->setEvacuated({"a"});
+  pass(300);
+  EXPECT_EQ(m_agents["v"].m_stops.size(), 1U);
+  addAgentIn("b", "w");
+  pass(300);
+  EXPECT_TRUE(m_agents["w"].m_runs.contains("j.0.0.0"));
+}
+
 AgentReply startOf(const std::string &Task) {
   AgentReply R;
   R.m_starts = {{Task, 1, "payload", ""}};
@@ -138,6 +171,35 @@
   EXPECT_EQ(W.m_starts, 1);
 }
 
+// Guards against agents that take the silence of a new leader, which has not
+// read the operator's stream yet, for the end of an evacuation.
+TEST(EvacuationAgentTest, ALeaderThatDoesNotKnowYetEndsNoEvacuation) {
+  FakeWorker W;
+  W.heartbeat();
+  W.passWithReplies(100);
+  AgentReply Evacuated;
+  Evacuated.m_evacuated = true;
+  W.reply(Evacuated);
+  ++W.m_epoch;
+  W.passWithReplies(300);
+  EXPECT_EQ(std::count(W.m_events.begin(), W.m_events.end(), "evacuation"), 1);
+}
+
+// Guards against the same silence at the leader.
+TEST_F(EvacuationTest, ANewLeaderTellsAgentsNothingBeforeItKnows) {
+  addAgentIn("a", "v");
+  m_leader->setEvacuated({"a"});
+  pass(1500);
+  ASSERT_TRUE(m_agents["v"].m_evacuated);
+  restartLeader();
+  m_leader->awaitEvacuations();
+  pass(3000);
+  EXPECT_TRUE(m_agents["v"].m_evacuated);
+  m_leader->setEvacuated({});
+  pass(3000);
+  EXPECT_FALSE(m_agents["v"].m_evacuated);
+}
+
 TEST(EvacuationAgentTest, RunsGoOn) {
   FakeWorker W;
   W.heartbeat();
--- a/tests/batch/leader_fixture.h
+++ b/tests/batch/leader_fixture.h
@@ -210,9 +210,11 @@
       return;
     if (!B.m_workerSilent)
       B.m_fence = std::max(B.m_fence, R.m_fence);
-    B.m_evacuated = R.m_evacuated;
+    B.m_evacuated = R.m_evacuated.value_or(B.m_evacuated);
     for (const StartOrder &O : R.m_starts) {
-      B.m_runs[O.m_task] = {O.m_task, O.m_run, RunPhase::Running, 0, "", 0};
+      const RunPhase Phase =
+          m_startsAreUnanswered ? RunPhase::Starting : RunPhase::Running;
+      B.m_runs[O.m_task] = {O.m_task, O.m_run, Phase, 0, "", 0};
       ++m_starts[O.m_task];
     }
     for (const StopOrder &O : R.m_stops) {
@@ -276,8 +278,9 @@
   std::vector<std::string> m_events;
   std::int64_t m_ends = 0;
   bool m_stopsWork = true;
-  bool m_runsAreAtWork = false; ///< As long-running tasks report it.
-  std::string m_frozenAgent;    ///< Runs of its worker make no progress.
+  bool m_startsAreUnanswered = false; ///< Workers do not answer start orders.
+  bool m_runsAreAtWork = false;       ///< As long-running tasks report it.
+  std::string m_frozenAgent;          ///< Runs of its worker make no progress.
   std::string m_frozenTasks; ///< Tasks whose names begin so make no progress.
   std::string m_slowTasks;   ///< Tasks whose names begin so are slow.
   base::Counters m_counters;
--- a/tests/node/entry_node_test.cc
+++ b/tests/node/entry_node_test.cc
@@ -41,7 +41,7 @@
 /// An entry with a control server on a free port.
 struct Entry {
   Entry(http::Reactor &R, const std::shared_ptr<FakeStreams> &Shared,
-        const std::string &Name)
+        const std::string &Name, const Bounds &Limits = {})
       : m_store(R, Shared),
         m_events(Name, 100, m_clock,
                  [](const std::string &, const std::string &) {}) {
@@ -55,6 +55,7 @@
     Settings S;
     S.m_name = Name;
     S.m_controlListen = m_server->address();
+    S.m_bounds = Limits;
     m_node = std::make_unique<EntryNode>(
         R, S, m_store, readConfig, readEvacuationKey, m_events, m_counters);
   }
@@ -280,6 +281,25 @@
   }));
 }
 
+// Guards against a leader that hears of an evacuation too late, as its read was
+// not woken and the bound for configurations is a long one.
+TEST_F(EntryNodeTest, ALeaderReadsEvacuationsWithinSecondsWithoutAWakeUp) {
+  m_a.reset();
+  m_b.reset();
+  *m_shared = {};
+  m_shared->m_records[Stream::Operator] = {{"config", "1"}};
+  Bounds Limits;
+  Limits.m_configApplyMs = 60000;
+  m_a = std::make_unique<Entry>(*m_reactor, m_shared, "a", Limits);
+  ASSERT_TRUE(until([&] { return m_a->m_counters.get("leader_epoch") > 0; }));
+  m_a->m_store.m_dropsWakeUps = true;
+  until([] { return false; }, 100);
+  m_a->m_store.add(Stream::Operator, {{"evacuate/dc", "{}"}});
+  EXPECT_TRUE(
+      until([&] { return m_a->m_counters.get("evacuated_data_centres") == 1; },
+            3500));
+}
+
 TEST_F(EntryNodeTest, HandsOverLeadershipWhenItStops) {
   ASSERT_TRUE(until([&] { return hasLeader() && other().m_node->ready(); }));
   Entry &Stopping = leader();
--- a/tests/platform/decode_test.cc
+++ b/tests/platform/decode_test.cc
@@ -27,6 +27,14 @@
   EXPECT_EQ(S->m_occurrenceCount, 3);
 }
 
+// Guards against a record without a data centre, which would evacuate workers
+// whose heartbeats name none.
+TEST(EvacuatedDataCentre, IsTheRestOfTheKey) {
+  EXPECT_EQ(evacuatedDataCentre("evacuate/a/b"), "a/b");
+  EXPECT_EQ(evacuatedDataCentre("evacuate/"), std::nullopt);
+  EXPECT_EQ(evacuatedDataCentre("config"), std::nullopt);
+}
+
 TEST(DecodeJob, InvalidBodiesGiveAnErrorMessage) {
   for (const char *Body : {"", "[]", "{\"steps\":7}",
                            "{\"steps\":[{\"count\":\"x\"}]}", "\xff\xfe"}) {
