Evacuate data centres in the soak

With every second seed, the workers of the soak are in two data centres, and its operator sets and removes evacuation records on the stand-in of the store, for more than the bound or for moments only. The history checks that no run starts there later than 5 s after the record, or after the end of a fault of the store.

--- a/tests/soak/history.cc
+++ b/tests/soak/history.cc
@@ -126,11 +126,39 @@
                           Task, Worker, Now - J.m_cancelAcknowledgedAt));
 }
 
-void History::runStarted(const std::string &Worker, const std::string &Task,
-                         int Run, bool Late) {
+// The bound holds while the machines are in contact with the store. An order
+// that the worker had received in time may be carried out later.
+void History::checkStartInEvacuation(const std::string &Worker,
+                                     const std::string &DataCentre,
+                                     const std::string &Task, Millis LateMs) {
+  const auto It = m_evacuatedSince.find(DataCentre);
+  if (It == m_evacuatedSince.end())
+    return;
+  const Millis Now = base::bootNow();
+  const Millis Since = std::max(It->second, m_storeDisturbedAt + ContactMs);
+  if (Now - LateMs > Since + EvacuationMs)
+    violation(fmt::format("evacuated {}: started on {} in {} {} ms after the "
+                          "operator's record was acknowledged",
+                          Task, Worker, DataCentre, Now - It->second));
+}
+
+void History::evacuationBegun(const std::string &DataCentre) {
+  m_evacuatedSince[DataCentre] = base::bootNow();
+  log("evacuation of " + DataCentre + " begins");
+}
+
+void History::evacuationEnded(const std::string &DataCentre) {
+  m_evacuatedSince.erase(DataCentre);
+  log("evacuation of " + DataCentre + " ends");
+}
+
+void History::runStarted(const std::string &Worker,
+                         const std::string &DataCentre, const std::string &Task,
+                         int Run, Millis LateMs) {
   ++m_starts;
   log(fmt::format("start {} run={} worker={}{}", Task, Run, Worker,
-                  Late ? " late" : ""));
+                  LateMs > 0 ? " late" : ""));
+  checkStartInEvacuation(Worker, DataCentre, Task, LateMs);
   struct Run New;
   New.m_worker = Worker;
   New.m_number = Run;
@@ -148,7 +176,7 @@
   checkStarts(Task);
   if (J.m_shownDone)
     violation("twice " + Task + ": started after its job was shown as done");
-  if (!Late)
+  if (LateMs == 0)
     checkStartOfCancelledJob(Worker, Task, J);
   for (const auto &[Other, OtherRun] : m_running[Task])
     violation(fmt::format("twice {}: run {} started on {} during run {} on {}",
--- a/tests/soak/history.h
+++ b/tests/soak/history.h
@@ -16,6 +16,9 @@
 /// Failed runs of a task, or a gang, after which its job has failed.
 constexpr int Attempts = 3;
 
+/// Time from the acknowledgement of an evacuation after which no task starts.
+constexpr Millis EvacuationMs = 5000;
+
 /// Records what callers and workers observe and checks it at once. Each event
 /// is one line that is passed to \p Log. Violations are also stored.
 class History {
@@ -36,9 +39,10 @@
   /// An entry has answered a query with \p State. The job has \p Tasks tasks.
   void stateShown(const std::string &Job, const std::string &State, int Tasks);
 
-  /// \p Late if the worker carried out the order after a delay.
-  void runStarted(const std::string &Worker, const std::string &Task, int Run,
-                  bool Late);
+  /// \p LateMs is the delay after which the worker has carried out the order,
+  /// usually 0.
+  void runStarted(const std::string &Worker, const std::string &DataCentre,
+                  const std::string &Task, int Run, Millis LateMs);
   void runEnded(const std::string &Worker, const std::string &Task, int Run,
                 const std::string &EndKind);
   /// The worker was told that the end of the run has been stored, so that it no
@@ -49,6 +53,11 @@
   /// The worker has started a run beyond its capacity.
   void overCapacity(const std::string &Worker, const std::string &Task);
 
+  /// The store has acknowledged that \p DataCentre is to be evacuated.
+  void evacuationBegun(const std::string &DataCentre);
+  /// The operator is about to end the evacuation.
+  void evacuationEnded(const std::string &DataCentre);
+
   /// A process that serves \p Worker has started.
   void agentStarted(const std::string &Worker);
   /// The worker's agent does not run freely at this time.
@@ -110,6 +119,9 @@
   void checkStarts(const std::string &Task);
   void checkStartOfCancelledJob(const std::string &Worker,
                                 const std::string &Task, const Job &J);
+  void checkStartInEvacuation(const std::string &Worker,
+                              const std::string &DataCentre,
+                              const std::string &Task, Millis LateMs);
 
   std::function<void(const std::string &)> m_log;
   std::vector<std::string> m_violations;
@@ -121,6 +133,7 @@
   /// Tasks of which a run ended as done, by job.
   std::map<std::string, std::set<std::string>> m_done;
   std::map<std::string, Agent> m_agents; ///< By the first id of its worker.
+  std::map<std::string, Millis> m_evacuatedSince; ///< By data centre.
   Millis m_storeDisturbedAt = 0;
   Millis m_unplannedAt = 0;
   std::size_t m_starts = 0;
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -2,6 +2,7 @@
 #include "platform/names.h"
 #include "soak/callers.h"
 #include "soak/connections.h"
+#include "soak/evacuations.h"
 #include "soak/fleet.h"
 #include "soak/operations.h"
 #include "soak/store.h"
@@ -71,6 +72,8 @@
   /// Plays planned work, and other faults only with m_killsAll.
   bool m_planned = false;
 
+  /// Every second seed evacuates data centres, too.
+  bool evacuates() const { return m_seed % 2 == 0; }
   bool playsFaults() const { return !m_planned || m_killsAll; }
 };
 
@@ -100,6 +103,10 @@
             O.m_program, Folder, m_storeAddress,
             [this](const std::string &Text) { m_history.processFault(Text); }),
         m_workers(*m_reactor, m_history), m_connections(m_history),
+        m_evacuations(m_history, O.m_seed,
+                      [this](const std::string &Key, const std::string &Value) {
+                        m_store.put(platform::names::OperatorTopic, Key, Value);
+                      }),
         m_tick(m_reactor->timer()) {
     for (int I = 0; I < O.m_entries; ++I)
       m_fleet.addEntry(fmt::format("entry-{}", I));
@@ -107,7 +114,9 @@
       const std::string Address =
           fmt::format("127.0.0.1:{}", scenario::reservePort());
       m_fleet.addAgent(fmt::format("agent-{}", I), Address);
-      m_workers.add(workerName(static_cast<std::size_t>(I)), Address,
+      const auto Index = static_cast<std::size_t>(I);
+      m_workers.add(workerName(Index),
+                    O.evacuates() ? dataCentreOf(Index) : "a", Address,
                     m_fleet.agents().back().m_heartbeatAddress);
     }
     std::vector<std::string> Entries;
@@ -357,6 +366,10 @@
       tendConnections(Now);
     m_callers->tick();
     clearFaults(Now, Now >= FaultsEnd);
+    if (Now >= FaultsEnd)
+      m_evacuations.end();
+    else if (m_options.evacuates() && Now >= m_startedAt + WarmUpMs)
+      m_evacuations.tick(Now);
     if (Now < FaultsEnd && Now >= m_startedAt + WarmUpMs) {
       if (Now >= m_nextJobAt) {
         const Millis Usual = m_options.m_killsAll || m_options.m_planned
@@ -412,6 +425,7 @@
   Fleet m_fleet;
   Workers m_workers;
   Connections m_connections;
+  Evacuations m_evacuations;
   std::unique_ptr<http::Timer> m_tick;
   std::unique_ptr<Callers> m_callers;
   std::unique_ptr<Operations> m_operations;
--- a/tests/soak/worker.cc
+++ b/tests/soak/worker.cc
@@ -33,9 +33,10 @@
 } // namespace
 
 Worker::Worker(Workers &Owner, http::Reactor &R, std::string Name,
-               const std::string &Address, const std::string &AgentAddress)
+               std::string DataCentre, const std::string &Address,
+               const std::string &AgentAddress)
     : m_owner(Owner), m_firstName(std::move(Name)), m_name(m_firstName),
-      m_address(Address), m_reactor(R),
+      m_dataCentre(std::move(DataCentre)), m_address(Address), m_reactor(R),
       m_agent(http::AsyncClient::create(R, AgentAddress)),
       m_startTime(base::wallNow()), m_clockStart(base::bootNow()) {
   auto Started = http::Server::start(
@@ -134,7 +135,8 @@
   int Used = payloadNumber(Payload, "gpu", 1);
   for (const auto &[Other, R] : m_runs)
     Used += payloadNumber(R.m_payload, "gpu", 1);
-  m_owner.m_history.runStarted(m_name, Task, Number, Late);
+  m_owner.m_history.runStarted(m_name, m_dataCentre, Task, Number,
+                               Late ? OrderDelayMs : 0);
   if (Used > Accelerators)
     m_owner.m_history.overCapacity(m_name, Task);
   m_runs[Task] = {Number, Payload, base::bootNow(), -1, false, 0};
@@ -217,7 +219,7 @@
   R.m_body = base::dumpJson(
       {{"service", "work"},
        {"addr", m_address},
-       {"zone", "a"},
+       {"zone", m_dataCentre},
        {"version", "v1"},
        {"slots", Accelerators},
        {"state", "ready"},
@@ -284,10 +286,11 @@
     Answer(listRuns());
 }
 
-Worker &Workers::add(const std::string &Name, const std::string &Address,
+Worker &Workers::add(const std::string &Name, const std::string &DataCentre,
+                     const std::string &Address,
                      const std::string &AgentAddress) {
-  m_workers.push_back(
-      std::make_unique<Worker>(*this, m_reactor, Name, Address, AgentAddress));
+  m_workers.push_back(std::make_unique<Worker>(
+      *this, m_reactor, Name, DataCentre, Address, AgentAddress));
   return *m_workers.back();
 }
 
--- a/tests/soak/worker.h
+++ b/tests/soak/worker.h
@@ -22,7 +22,8 @@
 class Worker {
 public:
   Worker(Workers &Owner, http::Reactor &R, std::string Name,
-         const std::string &Address, const std::string &AgentAddress);
+         std::string DataCentre, const std::string &Address,
+         const std::string &AgentAddress);
 
   // Faults.
   bool m_refusesOrders = false; ///< Answers orders with 503, without effect.
@@ -78,6 +79,7 @@
   const std::string m_firstName;
   std::string m_name; ///< Its id.
   int m_replacements = 0;
+  const std::string m_dataCentre;
   const std::string m_address;
   http::Reactor &m_reactor;
   std::unique_ptr<http::Server> m_server;
@@ -104,8 +106,8 @@
   /// incarnation.
   bool m_ordersOutliveCrashes = false;
 
-  Worker &add(const std::string &Name, const std::string &Address,
-              const std::string &AgentAddress);
+  Worker &add(const std::string &Name, const std::string &DataCentre,
+              const std::string &Address, const std::string &AgentAddress);
   void tick();
   /// True if the work of a gang's run ends within \p DurationMs.
   bool gangEndsWithin(Millis DurationMs) const;
