Answer truthfully and in time around a change of leader

Some answers were "unknown" (504) although the job had certainly not run, one was a refusal although it may have, and some refusals came although a leader appeared in time.

- A leader that resigns refuses submissions that it has never sent to the store, or whose batch certainly had no effect, instead of answering "unknown".
- A submission that is in no batch when its caller must be answered is refused, also before the store counts as stalled.
All copies of a job are refused together.
- An answer of the leader that the entry cannot read leaves the outcome unknown.
It counted as "not run".
- A request that waits for a leader which has been replaced is sent to the next one at once, not after the timeout of 1.2 s, which left callers of a leader that had lost power too little time.
- While the store answers and no leader does, submissions wait for up to 2 s instead of 1.2 s, as long as 500 ms are left.
The first 4 s of a disruption count, instead of 1.5 s, and disruptions that are further apart than that are told apart.
If a leader refuses, or the store is away, the limits are as before.

--- a/src/batch/leader.cc
+++ b/src/batch/leader.cc
@@ -297,7 +297,9 @@
     m_flushedPhases.clear();
     answerWaitingCallers(Now);
   } else if (m_journal.withdrawable()) {
-    withdrawSubmissions(true);
+    detail::Withdrawal How;
+    How.m_ofCurrentBatch = true;
+    withdrawSubmissions(How);
   }
   processChanges(Now);
 }
@@ -365,21 +367,6 @@
   return {InContact, m_agents.size()};
 }
 
-void Leader::resign() {
-  for (auto &W : m_waitingCallers) {
-    CallerReply Out;
-    Out.m_verdict = Verdict::Unknown;
-    Out.m_reason = "the leader has changed";
-    W.m_answer(std::move(Out));
-  }
-  m_waitingCallers.clear();
-  for (auto &[Name, A] : m_agents) {
-    for (auto &P : A.m_heldReports)
-      P.m_answer({});
-    A.m_heldReports.clear();
-  }
-}
-
 void Leader::markChanged(Job &J) {
   J.m_batch = m_journal.nextBatch();
   m_dirty.insert(J.m_spec.m_id);
--- a/src/batch/leader.h
+++ b/src/batch/leader.h
@@ -11,6 +11,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -159,6 +160,22 @@
   CallerAnswer m_answer;
 };
 
+/// Retry-after time if the journal does not accept records. Outages last
+/// seconds, and one try after the outage is better than many during it.
+constexpr Millis RetryJournalMs = 2000;
+
+/// Which of the submissions that are certainly not stored are refused, and what
+/// their callers are told.
+struct Withdrawal {
+  /// No attempt to append the current batch can have taken effect.
+  bool m_ofCurrentBatch = false;
+  /// Only jobs with a caller who must be answered by then.
+  Millis m_dueBy = std::numeric_limits<Millis>::max();
+  const char *m_reason = "journalRefused"; ///< For the log.
+  const char *m_text = "the log does not accept records";
+  Millis m_retryAfterMs = RetryJournalMs;
+};
+
 /// How many workers of a service can receive orders, and how many of these are
 /// quarantined.
 struct ServiceUse {
@@ -226,8 +243,9 @@
   /// which the leader itself was late does not count.
   std::pair<std::size_t, std::size_t> agentsInContact() const;
 
-  /// Gives up leadership. Answers waiting callers with Verdict::Unknown and
-  /// waiting agents with an empty reply.
+  /// Gives up leadership. Refuses submissions that are certainly not stored,
+  /// and answers other waiting callers with Verdict::Unknown and waiting agents
+  /// with an empty reply.
   void resign();
 
   const JobTable &jobs() const { return m_jobs; }
@@ -256,7 +274,7 @@
   void countPending(const CallerRequest &R, const CallerAnswer &Answer) const;
   void answerWaitingCallers(Millis Now);
   CallerReply replyOnceStored(const detail::WaitingCaller &W) const;
-  void withdrawSubmissions(bool OfCurrentBatch);
+  void withdrawSubmissions(const detail::Withdrawal &How);
   void handleStall(Millis Now);
   bool refuseUnreadable(const CallerRequest &R, const CallerAnswer &Answer);
 
--- a/src/batch/leader_callers.cc
+++ b/src/batch/leader_callers.cc
@@ -12,9 +12,8 @@
 /// then refused at once, so that callers can try again later.
 constexpr Millis JournalStallMs = 600;
 
-/// Retry-after time if the journal does not accept records. Outages last
-/// seconds, and one try after the outage is better than many during it.
-constexpr Millis RetryJournalMs = 2000;
+/// Retry-after time if the leader resigns; an election takes about this long.
+constexpr Millis RetryNewLeaderMs = 1000;
 
 /// Part of a caller's remaining time that is left for delivering the answer.
 constexpr Millis AnswerMarginMs = 150;
@@ -66,7 +65,7 @@
     return false;
   m_ports.event("jobRefused", R.m_id, "reason=recordUnreadable");
   m_counters.get("jobs_refused{reason=\"record\"}")++;
-  Answer(refusal(Verdict::Unavailable, RetryJournalMs,
+  Answer(refusal(Verdict::Unavailable, detail::RetryJournalMs,
                  "the record of the job cannot be read"));
   return true;
 }
@@ -101,7 +100,7 @@
                     fmt::format("reason=journalStalled forMs={}",
                                 m_journal.pendingMs(Now)));
       m_counters.get("jobs_refused{reason=\"journal\"}")++;
-      return Answer(refusal(Verdict::Unavailable, RetryJournalMs,
+      return Answer(refusal(Verdict::Unavailable, detail::RetryJournalMs,
                             "the log does not answer"));
     }
     if (auto Checked = check(*R.m_spec); !Checked) {
@@ -172,7 +171,7 @@
       m_ports.event("cancelRefused", R.m_id,
                     fmt::format("reason=tooMany account={} ofAccount={} all={}",
                                 R.m_account, OfAccount, m_tombstones.size()));
-      return Answer(refusal(Verdict::Overloaded, RetryJournalMs,
+      return Answer(refusal(Verdict::Overloaded, detail::RetryJournalMs,
                             "too many unknown jobs were cancelled"));
     }
     addTombstone(R.m_id, R.m_account, WallNow);
@@ -213,6 +212,10 @@
 }
 
 void Leader::answerWaitingCallers(Millis Now) {
+  detail::Withdrawal Late;
+  Late.m_dueBy = Now;
+  Late.m_reason = "journalBusy";
+  withdrawSubmissions(Late);
   std::vector<std::pair<CallerAnswer, CallerReply>> Ready;
   std::erase_if(m_waitingCallers, [&](detail::WaitingCaller &W) {
     CallerReply Out;
@@ -241,33 +244,60 @@
                   fmt::format("batch={} stored={} forMs={}",
                               m_journal.nextBatch() - 1, m_journal.durable(),
                               PendingMs));
-  withdrawSubmissions(false);
+  withdrawSubmissions({});
+}
+
+// The changes of a leader that resigns are not written any more.
+void Leader::resign() {
+  detail::Withdrawal How;
+  How.m_ofCurrentBatch = m_journal.withdrawable();
+  How.m_reason = "leaderResigned";
+  How.m_text = "the leader has changed";
+  How.m_retryAfterMs = RetryNewLeaderMs;
+  withdrawSubmissions(How);
+  for (auto &W : m_waitingCallers) {
+    CallerReply Out;
+    Out.m_verdict = Verdict::Unknown;
+    Out.m_reason = How.m_text;
+    W.m_answer(std::move(Out));
+  }
+  m_waitingCallers.clear();
+  for (auto &[Name, A] : m_agents) {
+    for (auto &P : A.m_heldReports)
+      P.m_answer({});
+    A.m_heldReports.clear();
+  }
 }
 
 // Refuses jobs that are certainly not stored now instead of waiting until the
-// store answers: all new jobs if every attempt to append the current batch
-// certainly had no effect, otherwise those that are in no batch yet.
-void Leader::withdrawSubmissions(bool OfCurrentBatch) {
-  std::vector<CallerAnswer> Refused;
+// store answers: new jobs that are in no batch yet, and those of the current
+// batch if every attempt to append it certainly had no effect.
+void Leader::withdrawSubmissions(const detail::Withdrawal &How) {
   std::set<std::string> Withdrawn;
-  std::erase_if(m_waitingCallers, [&](detail::WaitingCaller &W) {
+  for (const detail::WaitingCaller &W : m_waitingCallers) {
     const auto It = m_jobs.find(W.m_job);
-    if (!W.m_submission || It == m_jobs.end() || It->second.m_specStored ||
-        (!OfCurrentBatch && W.m_batch < m_journal.nextBatch()))
+    if (W.m_submission && It != m_jobs.end() && !It->second.m_specStored &&
+        (How.m_ofCurrentBatch || W.m_batch >= m_journal.nextBatch()) &&
+        W.m_deadline <= How.m_dueBy)
+      Withdrawn.insert(W.m_job);
+  }
+  // A job with several submissions runs for all of them or for none.
+  std::vector<CallerAnswer> Refused;
+  std::erase_if(m_waitingCallers, [&](detail::WaitingCaller &W) {
+    if (!W.m_submission || !Withdrawn.contains(W.m_job))
       return false;
-    Withdrawn.insert(W.m_job);
     Refused.push_back(std::move(W.m_answer));
     return true;
   });
   for (const std::string &Id : Withdrawn) {
-    m_ports.event("jobRefused", Id, "reason=journalRefused");
+    m_ports.event("jobRefused", Id, fmt::format("reason={}", How.m_reason));
     m_counters.get("jobs_refused{reason=\"journal\"}")++;
     m_openJobs.erase(Id);
     m_jobs.erase(Id);
     m_dirty.erase(Id);
     m_flushedPhases.erase(Id);
     for (const std::string_view Kind : {SpecKey, StateKey}) {
-      if (OfCurrentBatch && m_journal.busy())
+      if (How.m_ofCurrentBatch && m_journal.busy())
         m_journal.withdraw(journalKey(Kind, Id));
     }
   }
@@ -280,8 +310,7 @@
     W.m_batch = m_tombstones[W.m_job].m_batch;
   }
   for (const CallerAnswer &Answer : Refused)
-    Answer(refusal(Verdict::Unavailable, RetryJournalMs,
-                   "the log does not accept records"));
+    Answer(refusal(Verdict::Unavailable, How.m_retryAfterMs, How.m_text));
 }
 
 } // namespace pomelokeel::batch
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -57,6 +57,13 @@
 constexpr Millis MaxLeaderChangeMs = 1500;
 /// Limit for the time that a submission waits for a new leader.
 constexpr Millis MaxLeaderWaitMs = 1200;
+/// The same limits while the store answers and no leader does. After a leader
+/// has lost power, its membership (1.2 s), the claims and the reads of the next
+/// one take up to 3 s. Callers wait 3 s.
+constexpr Millis MaxElectionMs = 4000;
+constexpr Millis MaxElectionWaitMs = 2000;
+/// Time that a submission must have left for a leader that has just taken over.
+constexpr Millis MinElectedMs = 500;
 /// Limit for the time in which a submission is handed to the leader, well
 /// within the time for which the leader remembers cancelled jobs.
 constexpr Millis MaxSubmissionMs = 30000;
@@ -149,6 +156,7 @@
   H.m_elected = [this](std::int64_t Epoch) { handleElected(Epoch); };
   H.m_leaderChanged = [this](const LeaderRecord &) {
     stepDown("anotherLeads");
+    redirectForwards();
   };
   H.m_leadershipConfirmed = [this](Millis At) {
     m_confirmedAt = At;
@@ -314,6 +322,7 @@
   m_operatorFollower->setWait(operatorWaitMs());
   m_operatorFollower->restart();
   m_counters.get("leader_epoch") = Epoch;
+  redirectForwards();
 }
 
 void EntryNode::stepDown(const char *Reason) {
@@ -517,7 +526,7 @@
     return Answer(unavailable("too little time left"));
   }
   if (m_election->leader().m_address.empty() || m_election->leads())
-    return retryOrRefuse(std::move(R), Deadline, std::move(Answer));
+    return retryOrRefuse(std::move(R), Deadline, std::move(Answer), false);
   forward(std::move(R), Deadline, std::move(Answer));
 }
 
@@ -527,37 +536,87 @@
   http::AsyncClient &Client = m_clients.at(Address);
   const Millis Left = Deadline - base::bootNow();
   auto Request = toRequest(CallerPath, R);
+  const std::uint64_t Id = ++m_newestForward;
+  m_forwards.emplace(Id, Forward{m_election->leader().m_epoch, std::move(R),
+                                 Deadline, std::move(Answer)});
   Client.call(
       std::move(Request), std::clamp<Millis>(Left, 1, ForwardTimeoutMs),
-      [this, R = std::move(R), Deadline, Answer = std::move(Answer),
-       Alive = std::weak_ptr<int>(m_alive)](http::CallResult Result) mutable {
+      [this, Id,
+       Alive = std::weak_ptr<int>(m_alive)](const http::CallResult &Result) {
         if (Alive.expired())
           return;
-        if (const auto *Got = std::get_if<http::Response>(&Result)) {
-          auto Reply = unpackMessage<CallerReply>(Got->m_body);
-          if (Got->m_status == 200 && Reply)
-            return handleReply(std::move(R), Deadline, std::move(Answer),
-                               std::move(*Reply));
+        auto Node = m_forwards.extract(Id);
+        if (!Node)
+          return; // The next leader has the request.
+        Forward &F = Node.mapped();
+        const auto *Got = std::get_if<http::Response>(&Result);
+        if (Got != nullptr && Got->m_status == 200) {
+          if (auto Reply = unpackMessage<CallerReply>(Got->m_body))
+            return handleReply(std::move(F.m_request), F.m_deadline,
+                               std::move(F.m_answer), std::move(*Reply));
         }
-        const auto *Failed = std::get_if<http::CallError>(&Result);
+        // The other statuses are those of processes that do not lead or cannot
+        // read the request. An answer of a leader that this version cannot read
+        // may be an acceptance.
         const bool MaybeDone =
-            Failed != nullptr && Failed->m_sent == http::Sent::Maybe;
-        event("forwardFailed", R.m_id,
+            Got != nullptr
+                ? Got->m_status == 200
+                : std::get<http::CallError>(Result).m_sent == http::Sent::Maybe;
+        event("forwardFailed", F.m_request.m_id,
               fmt::format("leader={} sent={}", m_election->leader().m_name,
                           MaybeDone ? "maybe" : "no"));
         m_election->refresh();
         if (MaybeDone)
-          R.m_maybeDone = true;
-        retryOrRefuse(std::move(R), Deadline, std::move(Answer));
+          F.m_request.m_maybeDone = true;
+        retryOrRefuse(std::move(F.m_request), F.m_deadline,
+                      std::move(F.m_answer), false);
       });
 }
 
-// Returns true if a leader that can serve the request is likely to be elected
-// in time.
-bool EntryNode::expectsLeaderSoon(const CallerRequest &R, Millis Now) const {
-  return m_unavailableSince >= 0 &&
-         Now - m_unavailableSince < MaxLeaderChangeMs &&
-         Now - R.m_arrivedAt < MaxLeaderWaitMs;
+// A leader that has lost power answers nothing, and the time until that is
+// noticed would be missing for the next leader. Requests can be repeated: the
+// next leader knows from the journal what the one before has accepted.
+void EntryNode::redirectForwards() {
+  const LeaderRecord &L = m_election->leader();
+  if (L.m_address.empty())
+    return;
+  std::vector<Forward> Redirected;
+  for (auto It = m_forwards.begin(); It != m_forwards.end();) {
+    if (It->second.m_epoch >= L.m_epoch) {
+      ++It;
+      continue;
+    }
+    Redirected.push_back(std::move(It->second));
+    It = m_forwards.erase(It);
+  }
+  for (Forward &F : Redirected) {
+    F.m_request.m_maybeDone = true;
+    event("forwardRedirected", F.m_request.m_id,
+          fmt::format("leader={} epoch={}", L.m_name, L.m_epoch));
+    dispatch(std::move(F.m_request), F.m_deadline, std::move(F.m_answer));
+  }
+}
+
+// Returns true if a leader that can serve the request is likely to be there in
+// time. \p LeaderAnswers if there is one, which refuses the request.
+bool EntryNode::expectsLeaderSoon(const CallerRequest &R, Millis Deadline,
+                                  Millis Now, bool LeaderAnswers) const {
+  if (m_unavailableSince < 0)
+    return false;
+  if (LeaderAnswers || !m_election->storeReachable())
+    return Now - m_unavailableSince < MaxLeaderChangeMs &&
+           Now - R.m_arrivedAt < MaxLeaderWaitMs;
+  return Now - m_unavailableSince < MaxElectionMs &&
+         Now - R.m_arrivedAt < MaxElectionWaitMs &&
+         Deadline - Now >= MinElectedMs;
+}
+
+// Requests that are far apart tell of different disruptions.
+void EntryNode::noteUnavailable(Millis Now) {
+  if (m_unavailableSince < 0 ||
+      (Now - m_unavailableAt >= MaxElectionMs && m_election->storeReachable()))
+    m_unavailableSince = Now;
+  m_unavailableAt = Now;
 }
 
 void EntryNode::handleReply(CallerRequest R, Millis Deadline,
@@ -566,15 +625,16 @@
   if (Reply.m_verdict != Verdict::Unavailable &&
       Reply.m_verdict != Verdict::Unknown)
     m_unavailableSince = -1;
-  else if (m_unavailableSince < 0)
-    m_unavailableSince = Now;
+  else
+    noteUnavailable(Now);
   if (Reply.m_verdict == Verdict::Unknown)
     R.m_maybeDone = true;
-  const bool Retry = Reply.m_verdict == Verdict::Unknown ||
-                     (Reply.m_verdict == Verdict::Unavailable &&
-                      (R.m_maybeDone || expectsLeaderSoon(R, Now)));
+  const bool Retry =
+      Reply.m_verdict == Verdict::Unknown ||
+      (Reply.m_verdict == Verdict::Unavailable &&
+       (R.m_maybeDone || expectsLeaderSoon(R, Deadline, Now, true)));
   if (Retry)
-    return retryOrRefuse(std::move(R), Deadline, std::move(Answer));
+    return retryOrRefuse(std::move(R), Deadline, std::move(Answer), true);
   Answer(std::move(Reply));
 }
 
@@ -582,14 +642,13 @@
 // retry, unless a new leader is expected soon. Any other request is sent again
 // until its outcome is known or the deadline has passed.
 void EntryNode::retryOrRefuse(CallerRequest R, Millis Deadline,
-                              batch::CallerAnswer Answer) {
+                              batch::CallerAnswer Answer, bool LeaderAnswers) {
   const bool OutcomeUnknown =
       R.m_kind == CallerRequestKind::Submit && R.m_maybeDone;
   const Millis Now = base::bootNow();
-  if (m_unavailableSince < 0)
-    m_unavailableSince = Now;
+  noteUnavailable(Now);
   if (!OutcomeUnknown && R.m_kind == CallerRequestKind::Submit &&
-      !expectsLeaderSoon(R, Now)) {
+      !expectsLeaderSoon(R, Deadline, Now, LeaderAnswers)) {
     event(
         "jobRefused", R.m_id,
         fmt::format("reason=noLeader epoch={}", m_election->leader().m_epoch));
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -13,6 +13,7 @@
 #include "node/settings.h"
 #include "node/store.h"
 
+#include <cstdint>
 #include <functional>
 #include <limits>
 #include <map>
@@ -83,10 +84,21 @@
   void handleReply(batch::CallerRequest R, Millis Deadline,
                    batch::CallerAnswer Answer, batch::CallerReply Reply);
   void retryOrRefuse(batch::CallerRequest R, Millis Deadline,
-                     batch::CallerAnswer Answer);
+                     batch::CallerAnswer Answer, bool LeaderAnswers);
+  void redirectForwards();
+  void noteUnavailable(Millis Now);
   void handlePeerStatus(const std::string &Address, const EntryStatus &S);
   void queryPeers(Millis Now);
-  bool expectsLeaderSoon(const batch::CallerRequest &R, Millis Now) const;
+  bool expectsLeaderSoon(const batch::CallerRequest &R, Millis Deadline,
+                         Millis Now, bool LeaderAnswers) const;
+
+  /// A request that was sent to the leader of \c m_epoch.
+  struct Forward {
+    std::int64_t m_epoch = 0;
+    batch::CallerRequest m_request;
+    Millis m_deadline = 0;
+    batch::CallerAnswer m_answer;
+  };
 
   http::Reactor &m_reactor;
   Settings m_settings;
@@ -112,6 +124,9 @@
   /// Time of the first request that no leader served since the last one that
   /// was served, or -1.
   Millis m_unavailableSince = -1;
+  Millis m_unavailableAt = -1; ///< Time of the last one of these requests.
+  std::map<std::uint64_t, Forward> m_forwards; ///< Without an answer yet.
+  std::uint64_t m_newestForward = 0;
   std::size_t m_inFlight = 0;
   ArrivalClock m_arrivals;
   Millis m_isolatedSince = -1;
--- a/tests/batch/leader_test.cc
+++ b/tests/batch/leader_test.cc
@@ -63,6 +63,45 @@
   EXPECT_EQ(m_starts.count("b.0.0.0"), 0u);
 }
 
+// Guards against "unknown" for a job that was in no batch when its caller had
+// to be answered: the store was slow, but had not stalled.
+TEST_F(LeaderTest, AJobInNoBatchIsRefusedAtItsDeadline) {
+  addAgent("w");
+  m_outcome.reset();
+  submit("a", jobOf({step(1, 1)}));
+  CallerRequest R = request(CallerRequestKind::Submit, "b");
+  R.m_spec = jobOf({step(1, 1)});
+  const auto Patient = ask(R);
+  R.m_remainingMs = 400;
+  const auto Reply = ask(R);
+  pass(300);
+  ASSERT_TRUE(Reply->has_value());
+  EXPECT_EQ((*Reply)->m_verdict, Verdict::Unavailable);
+  EXPECT_GT((*Reply)->m_retryAfterMs, 0);
+  ASSERT_TRUE(Patient->has_value());
+  EXPECT_EQ((*Patient)->m_verdict, Verdict::Unavailable);
+  m_outcome = AppendOutcome::Done;
+  answerAppends();
+  pass(1000);
+  EXPECT_EQ(m_starts.count("a.0.0.0"), 1u);
+  EXPECT_EQ(m_starts.count("b.0.0.0"), 0u);
+  EXPECT_FALSE(m_stored.contains("spec/b"));
+}
+
+// Guards against "unknown" for jobs that a leader which is replaced has never
+// sent to the store.
+TEST_F(LeaderTest, ALeaderThatResignsRefusesJobsThatAreInNoBatch) {
+  m_outcome.reset();
+  const auto Sent = submit("a", jobOf({step(1, 1)}));
+  const auto Unsent = submit("b", jobOf({step(1, 1)}));
+  m_leader->resign();
+  ASSERT_TRUE(Sent->has_value());
+  EXPECT_EQ((*Sent)->m_verdict, Verdict::Unknown);
+  ASSERT_TRUE(Unsent->has_value());
+  EXPECT_EQ((*Unsent)->m_verdict, Verdict::Unavailable);
+  EXPECT_GT((*Unsent)->m_retryAfterMs, 0);
+}
+
 // Guards against changes that wait for a batch which is never written: when the
 // store refused a batch of new jobs only, its number was used again, and what
 // had been marked with the next number was not acted on until another change.
--- a/tests/node/entry_node_test.cc
+++ b/tests/node/entry_node_test.cc
@@ -4,12 +4,14 @@
 #include "fake_store.h"
 #include "http/http.h"
 #include "node/control.h"
+#include "node/election.h"
 
 #include <gtest/gtest.h>
 
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace pomelokeel::node::tests {
 namespace {
@@ -118,6 +120,28 @@
     }
   }
 
+  /// Adds a record that a process at \p Address leads, which is no member.
+  void addLeader(const std::string &Address) {
+    LeaderRecord R;
+    R.m_name = "x";
+    R.m_address = Address;
+    R.m_member = memberOf(R.m_name, "1", Address);
+    R.m_epoch =
+        static_cast<std::int64_t>(m_shared->m_records[Stream::Leaders].size()) +
+        1;
+    m_a->m_store.add(Stream::Leaders,
+                     {{LeaderKey, base::dumpJson(base::encode(R))}});
+  }
+
+  /// Asks \p E to replace the leader of the last record.
+  void askToLead(Entry &E) {
+    TakeoverRequest T;
+    T.m_epoch =
+        static_cast<std::int64_t>(m_shared->m_records[Stream::Leaders].size());
+    E.m_node->control(toRequest(TakeoverPath, T),
+                      [](const http::Response &) {});
+  }
+
   Entry &leader() const {
     return m_a->m_counters.get("leader_epoch") > 0 ? *m_a : *m_b;
   }
@@ -300,6 +324,85 @@
             3500));
 }
 
+// Guards against a refusal of a job that the leader has accepted: the entry
+// could not read the answer of a leader of another version.
+TEST_F(EntryNodeTest, AnUnreadableAnswerOfTheLeaderLeavesTheOutcomeUnknown) {
+  ASSERT_TRUE(until([&] { return hasLeader() && other().m_node->ready(); }));
+  Entry &Asked = other();
+  auto Server = http::Server::start(
+      *m_reactor, "127.0.0.1:0", {},
+      [](const http::Request &, const http::Responder &Answer) {
+        Answer({200, "?", "application/msgpack", {}});
+      });
+  ASSERT_TRUE(Server.ok());
+  addLeader((*Server)->address());
+  ASSERT_TRUE(until([&] { return !hasLeader(); }));
+  const auto Submitted = Asked.call(CallerCall::Method::Submit, "1", 1000);
+  ASSERT_TRUE(until([&] { return Submitted->has_value(); }));
+  EXPECT_EQ(*Submitted, Verdict::Unknown);
+}
+
+// Guards against submissions that wait for the answer of a leader that has lost
+// power while the next one is there.
+TEST_F(EntryNodeTest, ARequestToAReplacedLeaderIsSentToTheNextOne) {
+  ASSERT_TRUE(until([&] { return hasLeader() && other().m_node->ready(); }));
+  Entry &Asked = other();
+  Entry &Next = leader();
+  std::vector<http::Responder> Unanswered;
+  auto Server = http::Server::start(
+      *m_reactor, "127.0.0.1:0", {},
+      [&](const http::Request &, const http::Responder &Answer) {
+        Unanswered.push_back(Answer);
+      });
+  ASSERT_TRUE(Server.ok());
+  addLeader((*Server)->address());
+  ASSERT_TRUE(until([&] { return !hasLeader(); }));
+  const auto Submitted = Asked.call(CallerCall::Method::Submit, "1");
+  until([] { return false; }, 100);
+  askToLead(Next);
+  ASSERT_TRUE(until([&] { return Submitted->has_value(); }, 800));
+  EXPECT_EQ(*Submitted, Verdict::Ok);
+}
+
+// Guards against submissions that are refused although a leader appears while
+// their callers wait: the wait ended after 1.2 s.
+TEST_F(EntryNodeTest, ASubmissionIsServedByALeaderThatAppearsInTime) {
+  ASSERT_TRUE(until([&] { return hasLeader() && other().m_node->ready(); }));
+  Entry &Asked = other();
+  Entry &Next = leader();
+  addLeader("127.0.0.1:1");
+  ASSERT_TRUE(until([&] { return !hasLeader(); }));
+  const auto Submitted = Asked.call(CallerCall::Method::Submit, "1");
+  until([] { return false; }, 1600);
+  EXPECT_FALSE(Submitted->has_value());
+  askToLead(Next);
+  ASSERT_TRUE(until([&] { return Submitted->has_value(); }, 1000));
+  EXPECT_EQ(*Submitted, Verdict::Ok);
+}
+
+// Guards against submissions that are refused at once because an earlier
+// request, long ago, was not served either.
+TEST_F(EntryNodeTest, AnEarlierDisruptionDoesNotShortenTheWaitForALeader) {
+  ASSERT_TRUE(until([&] { return hasLeader() && other().m_node->ready(); }));
+  Entry &Asked = other();
+  Entry &Next = leader();
+  addLeader("127.0.0.1:1");
+  ASSERT_TRUE(until([&] { return !hasLeader(); }));
+  const auto Early = Asked.call(CallerCall::Method::Submit, "1", 700);
+  ASSERT_TRUE(until([&] { return Early->has_value(); }));
+  EXPECT_EQ(*Early, Verdict::Unavailable);
+  askToLead(Next);
+  ASSERT_TRUE(until([&] { return hasLeader(); }));
+  until([] { return false; }, 4500);
+  addLeader("127.0.0.1:1");
+  ASSERT_TRUE(until([&] { return !hasLeader(); }));
+  const auto Submitted = Asked.call(CallerCall::Method::Submit, "1");
+  until([] { return false; }, 300);
+  askToLead(Next);
+  ASSERT_TRUE(until([&] { return Submitted->has_value(); }, 1000));
+  EXPECT_EQ(*Submitted, Verdict::Ok);
+}
+
 TEST_F(EntryNodeTest, HandsOverLeadershipWhenItStops) {
   ASSERT_TRUE(until([&] { return hasLeader() && other().m_node->ready(); }));
   Entry &Stopping = leader();
