Settle doubts about submissions by the epoch of the leader

- A request names the epoch of the leader that it is sent to, and a leader of another epoch does not carry it out.
A leader that refuses a job says in which epoch it has no record of it.
- A refusal as overloaded counted also while an earlier attempt at the same leader was in doubt, which may still be accepted.
Such a submission is asked again and stays "unknown" otherwise.

Both messages get one more field at their end. Processes of an earlier version ignore it, and their answers settle nothing.

--- a/src/batch/leader.h
+++ b/src/batch/leader.h
@@ -275,6 +275,7 @@
   void answerWaitingCallers(Millis Now);
   CallerReply replyOnceStored(const detail::WaitingCaller &W) const;
   void withdrawSubmissions(const detail::Withdrawal &How);
+  CallerReply refuseUnknownJob(Millis RetryAfterMs, std::string Reason) const;
   void handleStall(Millis Now);
   bool refuseUnreadable(const CallerRequest &R, const CallerAnswer &Answer);
 
--- a/src/batch/leader_callers.cc
+++ b/src/batch/leader_callers.cc
@@ -57,6 +57,14 @@
 
 } // namespace
 
+CallerReply Leader::refuseUnknownJob(Millis RetryAfterMs,
+                                     std::string Reason) const {
+  CallerReply Out =
+      refusal(Verdict::Unavailable, RetryAfterMs, std::move(Reason));
+  Out.m_unknownToEpoch = m_epoch;
+  return Out;
+}
+
 // If this version cannot read the record of a job, it can neither answer that
 // the job is gone nor accept it as a new one.
 bool Leader::refuseUnreadable(const CallerRequest &R,
@@ -86,22 +94,29 @@
     return;
   }
   if (It == m_jobs.end()) {
+    // Nothing that this leader stores now is likely to count.
+    if (!confirmed(Now)) {
+      m_ports.event("jobRefused", R.m_id, "reason=notConfirmed");
+      m_counters.get("jobs_refused{reason=\"leadership\"}")++;
+      return Answer(refuseUnknownJob(detail::RetryJournalMs,
+                                     "leadership is not confirmed"));
+    }
     // The caller would stop waiting before the job is stored and would not
     // know the outcome.
     if (R.m_remainingMs <= AnswerMarginMs) {
       m_ports.event("jobRefused", R.m_id,
                     fmt::format("reason=noTime leftMs={}", R.m_remainingMs));
       m_counters.get("jobs_refused{reason=\"time\"}")++;
-      return Answer(refusal(Verdict::Unavailable, RetryNoTimeMs,
-                            "too little time left to store the job"));
+      return Answer(refuseUnknownJob(RetryNoTimeMs,
+                                     "too little time left to store the job"));
     }
     if (m_journal.pendingMs(Now) > JournalStallMs) {
       m_ports.event("jobRefused", R.m_id,
                     fmt::format("reason=journalStalled forMs={}",
                                 m_journal.pendingMs(Now)));
       m_counters.get("jobs_refused{reason=\"journal\"}")++;
-      return Answer(refusal(Verdict::Unavailable, detail::RetryJournalMs,
-                            "the log does not answer"));
+      return Answer(
+          refuseUnknownJob(detail::RetryJournalMs, "the log does not answer"));
     }
     if (auto Checked = check(*R.m_spec); !Checked) {
       m_ports.event("jobRefused", R.m_id,
@@ -310,7 +325,7 @@
     W.m_batch = m_tombstones[W.m_job].m_batch;
   }
   for (const CallerAnswer &Answer : Refused)
-    Answer(refusal(Verdict::Unavailable, How.m_retryAfterMs, How.m_text));
+    Answer(refuseUnknownJob(How.m_retryAfterMs, How.m_text));
 }
 
 } // namespace pomelokeel::batch
--- a/src/batch/messages.h
+++ b/src/batch/messages.h
@@ -23,8 +23,13 @@
   std::string m_account;
   std::optional<JobSpec> m_spec; ///< Only for Submit.
   Millis m_remainingMs = 0;      ///< How long the caller will still wait.
+  /// Epoch of the leader that the request is sent to; no other carries it out.
+  /// 0: any.
+  std::uint64_t m_epoch = 0;
   /// Not sent. An earlier attempt may have taken effect.
   bool m_maybeDone = false;
+  /// Not sent. Highest epoch of the leaders that such an attempt was sent to.
+  std::uint64_t m_maybeDoneEpoch = 0;
   Millis m_arrivedAt = 0; ///< Not sent. Arrival time at the entry.
 
   static constexpr auto fields() {
@@ -34,7 +39,8 @@
         base::required("queue", &CallerRequest::m_queue),
         base::required("account", &CallerRequest::m_account),
         base::optional("spec", &CallerRequest::m_spec),
-        base::optional("remainingMs", &CallerRequest::m_remainingMs)};
+        base::optional("remainingMs", &CallerRequest::m_remainingMs),
+        base::optional("epoch", &CallerRequest::m_epoch)};
   }
 };
 
@@ -62,6 +68,10 @@
   std::int64_t m_pending = 0;
   Millis m_retryAfterMs = 0;
   std::string m_reason;
+  /// The leader of this epoch refuses a submission and has no record of its
+  /// job, so no attempt in an earlier epoch has taken effect or will. 0: not
+  /// said.
+  std::uint64_t m_unknownToEpoch = 0;
 
   static constexpr auto fields() {
     return std::tuple{
@@ -69,7 +79,8 @@
         base::optional("phase", &CallerReply::m_phase),
         base::optional("pending", &CallerReply::m_pending),
         base::optional("retryAfterMs", &CallerReply::m_retryAfterMs),
-        base::optional("reason", &CallerReply::m_reason)};
+        base::optional("reason", &CallerReply::m_reason),
+        base::optional("unknownToEpoch", &CallerReply::m_unknownToEpoch)};
   }
 };
 
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -127,6 +127,11 @@
   return Out;
 }
 
+void markMaybeDone(CallerRequest &R) {
+  R.m_maybeDone = true;
+  R.m_maybeDoneEpoch = std::max(R.m_maybeDoneEpoch, R.m_epoch);
+}
+
 CallerReply unknown(std::string Reason) {
   CallerReply Out;
   Out.m_verdict = Verdict::Unknown;
@@ -507,6 +512,7 @@
   Deadline = std::min(Deadline, m_answerBy);
   R.m_remainingMs = std::max<Millis>(Deadline - Now, 0);
   if (m_leader) {
+    R.m_epoch = m_leader->epoch();
     m_leader->handle(
         R, Now, base::wallNow(),
         [this, R, Deadline, Answer = std::move(Answer),
@@ -535,6 +541,7 @@
   const std::string Address = m_election->leader().m_address;
   http::AsyncClient &Client = m_clients.at(Address);
   const Millis Left = Deadline - base::bootNow();
+  R.m_epoch = static_cast<std::uint64_t>(m_election->leader().m_epoch);
   auto Request = toRequest(CallerPath, R);
   const std::uint64_t Id = ++m_newestForward;
   m_forwards.emplace(Id, Forward{m_election->leader().m_epoch, std::move(R),
@@ -567,7 +574,7 @@
                           MaybeDone ? "maybe" : "no"));
         m_election->refresh();
         if (MaybeDone)
-          F.m_request.m_maybeDone = true;
+          markMaybeDone(F.m_request);
         retryOrRefuse(std::move(F.m_request), F.m_deadline,
                       std::move(F.m_answer), false);
       });
@@ -590,7 +597,7 @@
     It = m_forwards.erase(It);
   }
   for (Forward &F : Redirected) {
-    F.m_request.m_maybeDone = true;
+    markMaybeDone(F.m_request);
     event("forwardRedirected", F.m_request.m_id,
           fmt::format("leader={} epoch={}", L.m_name, L.m_epoch));
     dispatch(std::move(F.m_request), F.m_deadline, std::move(F.m_answer));
@@ -628,11 +635,17 @@
   else
     noteUnavailable(Now);
   if (Reply.m_verdict == Verdict::Unknown)
-    R.m_maybeDone = true;
-  const bool Retry =
-      Reply.m_verdict == Verdict::Unknown ||
-      (Reply.m_verdict == Verdict::Unavailable &&
-       (R.m_maybeDone || expectsLeaderSoon(R, Deadline, Now, true)));
+    markMaybeDone(R);
+  if (isRefusal(Reply.m_verdict) && Reply.m_unknownToEpoch > R.m_maybeDoneEpoch)
+    R.m_maybeDone = false;
+  // An earlier attempt may still be accepted after this refusal.
+  const bool InDoubt =
+      R.m_maybeDone && (Reply.m_verdict == Verdict::Unavailable ||
+                        (R.m_kind == CallerRequestKind::Submit &&
+                         Reply.m_verdict == Verdict::Overloaded));
+  const bool Retry = Reply.m_verdict == Verdict::Unknown || InDoubt ||
+                     (Reply.m_verdict == Verdict::Unavailable &&
+                      expectsLeaderSoon(R, Deadline, Now, true));
   if (Retry)
     return retryOrRefuse(std::move(R), Deadline, std::move(Answer), true);
   Answer(std::move(Reply));
@@ -693,6 +706,10 @@
     const auto Request = unpackMessage<CallerRequest>(R.m_body);
     if (!Request)
       return Answer(http::errorResponse(Request.error()));
+    // A request that was delayed on its way to an earlier leader here counts as
+    // not done as soon as a later leader has refused its job.
+    if (Request->m_epoch != 0 && Request->m_epoch != m_leader->epoch())
+      return Answer({NotLeaderStatus, "", "text/plain", {}});
     return m_leader->handle(
         *Request, Now, base::wallNow(),
         [Answer](const CallerReply &Reply) { Answer(toResponse(Reply)); });
--- a/tests/batch/leader_test.cc
+++ b/tests/batch/leader_test.cc
@@ -88,6 +88,17 @@
   EXPECT_FALSE(m_stored.contains("spec/b"));
 }
 
+// Guards against "unknown" for the first job of an outage that the leader knows
+// of: the store has not confirmed it for seconds.
+TEST_F(LeaderTest, ALeaderThatIsNotConfirmedRefusesNewJobs) {
+  m_outcome.reset();
+  m_now += m_timing.m_confirmMs + 1;
+  const auto Reply = submit("a", jobOf({step(1, 1)}));
+  ASSERT_TRUE(Reply->has_value());
+  EXPECT_EQ((*Reply)->m_verdict, Verdict::Unavailable);
+  EXPECT_TRUE(m_appends.empty());
+}
+
 // Guards against "unknown" for jobs that a leader which is replaced has never
 // sent to the store.
 TEST_F(LeaderTest, ALeaderThatResignsRefusesJobsThatAreInNoBatch) {
--- a/tests/node/entry_node_test.cc
+++ b/tests/node/entry_node_test.cc
@@ -342,6 +342,75 @@
   EXPECT_EQ(*Submitted, Verdict::Unknown);
 }
 
+/// A process that takes itself for the leader. Cuts the first request, and
+/// answers the others with m_reply.
+struct StubLeader {
+  explicit StubLeader(http::Reactor &R) {
+    auto Server = http::Server::start(
+        R, "127.0.0.1:0", {},
+        [this](const http::Request &, const http::Responder &Answer) {
+          Answer(m_requests++ == 0 && m_cutsFirst ? http::noAnswer()
+                                                  : toResponse(m_reply));
+        });
+    EXPECT_TRUE(Server.ok());
+    m_server = std::move(*Server);
+  }
+
+  bool m_cutsFirst = true;
+  int m_requests = 0;
+  batch::CallerReply m_reply;
+  std::unique_ptr<http::Server> m_server;
+};
+
+// Guards against a refusal of a job whose first copy is still on its way to the
+// leader and may be accepted.
+TEST_F(EntryNodeTest, ARefusalByTheSameLeaderLeavesAnEarlierAttemptInDoubt) {
+  ASSERT_TRUE(until([&] { return hasLeader() && other().m_node->ready(); }));
+  Entry &Asked = other();
+  StubLeader Stub(*m_reactor);
+  Stub.m_reply.m_verdict = Verdict::Overloaded;
+  addLeader(Stub.m_server->address());
+  Stub.m_reply.m_unknownToEpoch = m_shared->m_records[Stream::Leaders].size();
+  ASSERT_TRUE(until([&] { return !hasLeader(); }));
+  const auto Submitted = Asked.call(CallerCall::Method::Submit, "1", 1000);
+  ASSERT_TRUE(until([&] { return Submitted->has_value(); }));
+  EXPECT_GT(Stub.m_requests, 1);
+  EXPECT_EQ(*Submitted, Verdict::Unknown);
+}
+
+// Guards against "unknown" for a job that the next leader does not know: what
+// was sent to the leader before can have no effect any more.
+TEST_F(EntryNodeTest, ARefusalByALaterLeaderEndsTheDoubt) {
+  ASSERT_TRUE(until([&] { return hasLeader() && other().m_node->ready(); }));
+  Entry &Asked = other();
+  StubLeader First(*m_reactor);
+  addLeader(First.m_server->address());
+  ASSERT_TRUE(until([&] { return !hasLeader(); }));
+  const auto Submitted = Asked.call(CallerCall::Method::Submit, "1", 1500);
+  ASSERT_TRUE(until([&] { return First.m_requests > 0; }));
+  StubLeader Next(*m_reactor);
+  Next.m_cutsFirst = false;
+  Next.m_reply.m_verdict = Verdict::Unavailable;
+  addLeader(Next.m_server->address());
+  Next.m_reply.m_unknownToEpoch = m_shared->m_records[Stream::Leaders].size();
+  ASSERT_TRUE(until([&] { return Submitted->has_value(); }));
+  EXPECT_EQ(*Submitted, Verdict::Unavailable);
+}
+
+// Guards against a delayed copy of a refused request that reaches the process
+// when it leads again.
+TEST_F(EntryNodeTest, ALeaderRefusesRequestsToAnEarlierOne) {
+  ASSERT_TRUE(until([&] { return hasLeader(); }));
+  batch::CallerRequest R;
+  R.m_epoch =
+      static_cast<std::uint64_t>(leader().m_counters.get("leader_epoch")) + 1;
+  int Status = 0;
+  leader().m_node->control(
+      toRequest(CallerPath, R),
+      [&](const http::Response &Answer) { Status = Answer.m_status; });
+  EXPECT_EQ(Status, NotLeaderStatus);
+}
+
 // Guards against submissions that wait for the answer of a leader that has lost
 // power while the next one is there.
 TEST_F(EntryNodeTest, ARequestToAReplacedLeaderIsSentToTheNextOne) {
