--- a/tests/node/entry_node_test.cc
+++ b/tests/node/entry_node_test.cc
@@ -4,12 +4,14 @@
 #include "fake_store.h"
 #include "http/http.h"
 #include "node/control.h"
+#include "node/election.h"
 
 #include <gtest/gtest.h>
 
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace pomelokeel::node::tests {
 namespace {
@@ -41,7 +43,7 @@
 /// An entry with a control server on a free port.
 struct Entry {
   Entry(http::Reactor &R, const std::shared_ptr<FakeStreams> &Shared,
-        const std::string &Name)
+        const std::string &Name, const Bounds &Limits = {})
       : m_store(R, Shared),
         m_events(Name, 100, m_clock,
                  [](const std::string &, const std::string &) {}) {
@@ -55,6 +57,7 @@
     Settings S;
     S.m_name = Name;
     S.m_controlListen = m_server->address();
+    S.m_bounds = Limits;
     m_node = std::make_unique<EntryNode>(
         R, S, m_store, readConfig, readEvacuationKey, m_events, m_counters);
   }
@@ -117,6 +120,28 @@
     }
   }
 
+  /// Adds a record that a process at \p Address leads, which is no member.
+  void addLeader(const std::string &Address) {
+    LeaderRecord R;
+    R.m_name = "x";
+    R.m_address = Address;
+    R.m_member = memberOf(R.m_name, "1", Address);
+    R.m_epoch =
+        static_cast<std::int64_t>(m_shared->m_records[Stream::Leaders].size()) +
+        1;
+    m_a->m_store.add(Stream::Leaders,
+                     {{LeaderKey, base::dumpJson(base::encode(R))}});
+  }
+
+  /// Asks \p E to replace the leader of the last record.
+  void askToLead(Entry &E) {
+    TakeoverRequest T;
+    T.m_epoch =
+        static_cast<std::int64_t>(m_shared->m_records[Stream::Leaders].size());
+    E.m_node->control(toRequest(TakeoverPath, T),
+                      [](const http::Response &) {});
+  }
+
   Entry &leader() const {
     return m_a->m_counters.get("leader_epoch") > 0 ? *m_a : *m_b;
   }
@@ -280,6 +305,173 @@
   }));
 }
 
+// Guards against a leader that hears of an evacuation too late, as its read was
+// not woken and the bound for configurations is a long one.
+TEST_F(EntryNodeTest, ALeaderReadsEvacuationsWithinSecondsWithoutAWakeUp) {
+  m_a.reset();
+  m_b.reset();
+  *m_shared = {};
+  m_shared->m_records[Stream::Operator] = {{"config", "1"}};
+  Bounds Limits;
+  Limits.m_configApplyMs = 60000;
+  m_a = std::make_unique<Entry>(*m_reactor, m_shared, "a", Limits);
+  ASSERT_TRUE(until([&] { return m_a->m_counters.get("leader_epoch") > 0; }));
+  m_a->m_store.m_dropsWakeUps = true;
+  until([] { return false; }, 100);
+  m_a->m_store.add(Stream::Operator, {{"evacuate/dc", "{}"}});
+  EXPECT_TRUE(
+      until([&] { return m_a->m_counters.get("evacuated_data_centres") == 1; },
+            3500));
+}
+
+// Guards against a refusal of a job that the leader has accepted: the entry
+// could not read the answer of a leader of another version.
+TEST_F(EntryNodeTest, AnUnreadableAnswerOfTheLeaderLeavesTheOutcomeUnknown) {
+  ASSERT_TRUE(until([&] { return hasLeader() && other().m_node->ready(); }));
+  Entry &Asked = other();
+  auto Server = http::Server::start(
+      *m_reactor, "127.0.0.1:0", {},
+      [](const http::Request &, const http::Responder &Answer) {
+        Answer({200, "?", "application/msgpack", {}});
+      });
+  ASSERT_TRUE(Server.ok());
+  addLeader((*Server)->address());
+  ASSERT_TRUE(until([&] { return !hasLeader(); }));
+  const auto Submitted = Asked.call(CallerCall::Method::Submit, "1", 1000);
+  ASSERT_TRUE(until([&] { return Submitted->has_value(); }));
+  EXPECT_EQ(*Submitted, Verdict::Unknown);
+}
+
+/// A process that takes itself for the leader. Cuts the first request, and
+/// answers the others with m_reply.
+struct StubLeader {
+  explicit StubLeader(http::Reactor &R) {
+    auto Server = http::Server::start(
+        R, "127.0.0.1:0", {},
+        [this](const http::Request &, const http::Responder &Answer) {
+          Answer(m_requests++ == 0 && m_cutsFirst ? http::noAnswer()
+                                                  : toResponse(m_reply));
+        });
+    EXPECT_TRUE(Server.ok());
+    m_server = std::move(*Server);
+  }
+
+  bool m_cutsFirst = true;
+  int m_requests = 0;
+  batch::CallerReply m_reply;
+  std::unique_ptr<http::Server> m_server;
+};
+
+// Guards against a refusal of a job whose first copy is still on its way to the
+// leader and may be accepted.
+TEST_F(EntryNodeTest, ARefusalByTheSameLeaderLeavesAnEarlierAttemptInDoubt) {
+  ASSERT_TRUE(until([&] { return hasLeader() && other().m_node->ready(); }));
+  Entry &Asked = other();
+  StubLeader Stub(*m_reactor);
+  Stub.m_reply.m_verdict = Verdict::Overloaded;
+  addLeader(Stub.m_server->address());
+  Stub.m_reply.m_unknownToEpoch = m_shared->m_records[Stream::Leaders].size();
+  ASSERT_TRUE(until([&] { return !hasLeader(); }));
+  const auto Submitted = Asked.call(CallerCall::Method::Submit, "1", 1000);
+  ASSERT_TRUE(until([&] { return Submitted->has_value(); }));
+  EXPECT_GT(Stub.m_requests, 1);
+  EXPECT_EQ(*Submitted, Verdict::Unknown);
+}
+
+// Guards against "unknown" for a job that the next leader does not know: what
+// was sent to the leader before can have no effect any more.
+TEST_F(EntryNodeTest, ARefusalByALaterLeaderEndsTheDoubt) {
+  ASSERT_TRUE(until([&] { return hasLeader() && other().m_node->ready(); }));
+  Entry &Asked = other();
+  StubLeader First(*m_reactor);
+  addLeader(First.m_server->address());
+  ASSERT_TRUE(until([&] { return !hasLeader(); }));
+  const auto Submitted = Asked.call(CallerCall::Method::Submit, "1", 1500);
+  ASSERT_TRUE(until([&] { return First.m_requests > 0; }));
+  StubLeader Next(*m_reactor);
+  Next.m_cutsFirst = false;
+  Next.m_reply.m_verdict = Verdict::Unavailable;
+  addLeader(Next.m_server->address());
+  Next.m_reply.m_unknownToEpoch = m_shared->m_records[Stream::Leaders].size();
+  ASSERT_TRUE(until([&] { return Submitted->has_value(); }));
+  EXPECT_EQ(*Submitted, Verdict::Unavailable);
+}
+
+// Guards against a delayed copy of a refused request that reaches the process
+// when it leads again.
+TEST_F(EntryNodeTest, ALeaderRefusesRequestsToAnEarlierOne) {
+  ASSERT_TRUE(until([&] { return hasLeader(); }));
+  batch::CallerRequest R;
+  R.m_epoch =
+      static_cast<std::uint64_t>(leader().m_counters.get("leader_epoch")) + 1;
+  int Status = 0;
+  leader().m_node->control(
+      toRequest(CallerPath, R),
+      [&](const http::Response &Answer) { Status = Answer.m_status; });
+  EXPECT_EQ(Status, NotLeaderStatus);
+}
+
+// Guards against submissions that wait for the answer of a leader that has lost
+// power while the next one is there.
+TEST_F(EntryNodeTest, ARequestToAReplacedLeaderIsSentToTheNextOne) {
+  ASSERT_TRUE(until([&] { return hasLeader() && other().m_node->ready(); }));
+  Entry &Asked = other();
+  Entry &Next = leader();
+  std::vector<http::Responder> Unanswered;
+  auto Server = http::Server::start(
+      *m_reactor, "127.0.0.1:0", {},
+      [&](const http::Request &, const http::Responder &Answer) {
+        Unanswered.push_back(Answer);
+      });
+  ASSERT_TRUE(Server.ok());
+  addLeader((*Server)->address());
+  ASSERT_TRUE(until([&] { return !hasLeader(); }));
+  const auto Submitted = Asked.call(CallerCall::Method::Submit, "1");
+  until([] { return false; }, 100);
+  askToLead(Next);
+  ASSERT_TRUE(until([&] { return Submitted->has_value(); }, 800));
+  EXPECT_EQ(*Submitted, Verdict::Ok);
+}
+
+// Guards against submissions that are refused although a leader appears while
+// their callers wait: the wait ended after 1.2 s.
+TEST_F(EntryNodeTest, ASubmissionIsServedByALeaderThatAppearsInTime) {
+  ASSERT_TRUE(until([&] { return hasLeader() && other().m_node->ready(); }));
+  Entry &Asked = other();
+  Entry &Next = leader();
+  addLeader("127.0.0.1:1");
+  ASSERT_TRUE(until([&] { return !hasLeader(); }));
+  const auto Submitted = Asked.call(CallerCall::Method::Submit, "1");
+  until([] { return false; }, 1600);
+  EXPECT_FALSE(Submitted->has_value());
+  askToLead(Next);
+  ASSERT_TRUE(until([&] { return Submitted->has_value(); }, 1000));
+  EXPECT_EQ(*Submitted, Verdict::Ok);
+}
+
+// Guards against submissions that are refused at once because an earlier
+// request, long ago, was not served either.
+TEST_F(EntryNodeTest, AnEarlierDisruptionDoesNotShortenTheWaitForALeader) {
+  ASSERT_TRUE(until([&] { return hasLeader() && other().m_node->ready(); }));
+  Entry &Asked = other();
+  Entry &Next = leader();
+  addLeader("127.0.0.1:1");
+  ASSERT_TRUE(until([&] { return !hasLeader(); }));
+  const auto Early = Asked.call(CallerCall::Method::Submit, "1", 700);
+  ASSERT_TRUE(until([&] { return Early->has_value(); }));
+  EXPECT_EQ(*Early, Verdict::Unavailable);
+  askToLead(Next);
+  ASSERT_TRUE(until([&] { return hasLeader(); }));
+  until([] { return false; }, 4500);
+  addLeader("127.0.0.1:1");
+  ASSERT_TRUE(until([&] { return !hasLeader(); }));
+  const auto Submitted = Asked.call(CallerCall::Method::Submit, "1");
+  until([] { return false; }, 300);
+  askToLead(Next);
+  ASSERT_TRUE(until([&] { return Submitted->has_value(); }, 1000));
+  EXPECT_EQ(*Submitted, Verdict::Ok);
+}
+
 TEST_F(EntryNodeTest, HandsOverLeadershipWhenItStops) {
   ASSERT_TRUE(until([&] { return hasLeader() && other().m_node->ready(); }));
   Entry &Stopping = leader();
