Add the setting overload.policy

The leader needs to know which policy decides when the work exceeds the capacity. The entry's settings name it: "priority" (default, as before) or "costAware". The leader keeps it; nothing depends on it yet. An unknown value is an error that names the key. It is read at the start only, as the addresses are.

--- a/src/batch/leader.cc
+++ b/src/batch/leader.cc
@@ -160,6 +160,11 @@
   m_scheduleDue = true;
 }
 
+void Leader::setPolicy(OverloadPolicy P) {
+  m_policy = P;
+  m_scheduleDue = true;
+}
+
 void Leader::setEvacuated(std::set<std::string> DataCentres) {
   const bool Changed = m_evacuated != DataCentres;
   if (!std::exchange(m_awaitsEvacuations, false) && !Changed)
--- a/src/batch/leader.h
+++ b/src/batch/leader.h
@@ -6,6 +6,7 @@
 #include "batch/job.h"
 #include "batch/journal.h"
 #include "batch/messages.h"
+#include "batch/overload.h"
 #include "batch/run_comparison.h"
 #include "batch/schedule.h"
 
@@ -190,6 +191,7 @@
   /// may have granted leases of the former length.
   void setTiming(const Timing &T);
   void configure(const Config &C);
+  void setPolicy(OverloadPolicy P);
 
   /// Places nothing and starts no run until setEvacuated() is called.
   void awaitEvacuations() { m_awaitsEvacuations = true; }
@@ -361,6 +363,7 @@
   AttentionClock m_attention;
   JournalWriter m_journal;
   Guarantees m_guarantees;
+  OverloadPolicy m_policy = OverloadPolicy::Priority;
   std::set<std::string> m_evacuated; ///< Data centres.
   bool m_awaitsEvacuations = false;
   std::vector<std::string> m_entries;
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -302,6 +302,7 @@
   m_leader->setEntries(m_election->addresses());
   if (m_config)
     m_leader->configure(*m_config);
+  m_leader->setPolicy(m_settings.m_overload.m_policy);
   m_leader->awaitEvacuations();
   m_operatorFollower->restart();
   m_counters.get("leader_epoch") = Epoch;
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/error.h"
 #include "base/fields.h"
+#include "batch/overload.h"
 
 #include <string>
 #include <vector>
@@ -32,6 +33,15 @@
   }
 };
 
+/// Behaviour of the leader when the work exceeds the capacity.
+struct Overload {
+  batch::OverloadPolicy m_policy = batch::OverloadPolicy::Priority;
+
+  static constexpr auto fields() {
+    return std::tuple{base::optional("policy", &Overload::m_policy)};
+  }
+};
+
 /// Length of the leases that agents grant and the leader relies on. It is long
 /// enough for a change of leader and a restart of an agent, and short enough
 /// that lost work restarts soon.
@@ -51,6 +61,7 @@
   Bounds m_bounds;
   int m_eventRing = 512;
   int m_maxConnections = 1500;
+  Overload m_overload; ///< Entry.
 
   static constexpr auto fields() {
     return std::tuple{
@@ -65,7 +76,8 @@
         base::optional("endpoint", &Settings::m_endpoint),
         base::optional("bounds", &Settings::m_bounds),
         base::optional("eventRing", &Settings::m_eventRing),
-        base::optional("maxConnections", &Settings::m_maxConnections)};
+        base::optional("maxConnections", &Settings::m_maxConnections),
+        base::optional("overload", &Settings::m_overload)};
   }
 };
 
--- a/tests/node/settings_test.cc
+++ b/tests/node/settings_test.cc
@@ -28,6 +28,18 @@
   EXPECT_EQ(S->m_bounds.m_configApplyMs, Bounds{}.m_configApplyMs);
 }
 
+// The deployments that do not name a policy are served as before.
+TEST(NodeSettings, TheOverloadPolicyIsPriorityUnlessNamed) {
+  const auto Default = load("{" + std::string(Entry) + "}", Role::Entry);
+  ASSERT_TRUE(Default.ok());
+  EXPECT_EQ(Default->m_overload.m_policy, batch::OverloadPolicy::Priority);
+  const auto Named = load("{" + std::string(Entry) +
+                              ",\"overload\":{\"policy\":\"costAware\"}}",
+                          Role::Entry);
+  ASSERT_TRUE(Named.ok()) << base::toString(Named.error());
+  EXPECT_EQ(Named->m_overload.m_policy, batch::OverloadPolicy::CostAware);
+}
+
 // An invalid setting must be reported at the start, since the process would
 // otherwise fail later and in an unrelated place.
 TEST(NodeSettings, ErrorsNameFileAndKey) {
@@ -39,6 +51,9 @@
       {"{}", "name"},
       {"{" + std::string(Entry) + ",\"odd\":1}", "odd"},
       {"{" + std::string(Entry) + ",\"bounds\":{\"graceS\":0}}", "bounds"},
+      {"{" + std::string(Entry) + ",\"overload\":{\"policy\":\"fair\"}}",
+       "overload.policy"},
+      {"{" + std::string(Entry) + ",\"overload\":{\"odd\":1}}", "overload.odd"},
       {R"({"name":"e","dataCentre":"a","store":"x","controlListen":"a:1"})",
        "store"},
   };
