Refuse jobs that could not be done in time

With the policy costAware the leader estimates for each new job when the work ahead of it leaves room: jobs of the same service by priority and due time, runs by their progress, workers by capacity and label. It refuses the job (429, Retry-After, reason noRoom) if that is clearly later than three times its objective. Guaranteed, recurring and long-running jobs, repeats, and jobs that no present worker could hold are accepted as before, as are all jobs in the first 4 s of a leader, which does not know the capacity yet. Declared times are corrected by a ratio that is learned for each queue.

An entry tells the leader if an earlier attempt of the submission may have been taken. Such a submission is not refused, and the entry does not pass on a refusal of it, because it might be untrue.

--- a/bench/bench.h
+++ b/bench/bench.h
@@ -9,6 +9,10 @@
 void printFigure(const std::string &Name, double Value,
                  const std::string &Unit);
 
+/// Compares what becomes of jobs under several designs when there is more work
+/// than capacity. Also writes the plot overload.svg to the working directory.
+void benchmarkOverload();
+
 /// Compares the completion times and the fragmentation of the placement
 /// policies in simulations.
 void benchmarkPolicies();
--- a/bench/main.cc
+++ b/bench/main.cc
@@ -20,7 +20,8 @@
     std::string_view m_name;
     void (*m_run)();
   };
-  constexpr Benchmark Benchmarks[] = {{"policies", benchmarkPolicies},
+  constexpr Benchmark Benchmarks[] = {{"overload", benchmarkOverload},
+                                      {"policies", benchmarkPolicies},
                                       {"scale", benchmarkScale},
                                       {"state", benchmarkState}};
   for (const Benchmark &B : Benchmarks) {
--- a/src/batch/leader.cc
+++ b/src/batch/leader.cc
@@ -170,6 +170,7 @@
   if (!std::exchange(m_awaitsEvacuations, false) && !Changed)
     return;
   m_evacuated = std::move(DataCentres);
+  m_admissions.clear();
   stopUnstartedRuns();
   m_scheduleDue = m_ordersDue = true;
   m_ports.wakeAfter(0);
--- a/src/batch/leader.h
+++ b/src/batch/leader.h
@@ -335,6 +335,15 @@
   void addStopsOfUnwantedRuns(const AgentView &A, Orders &Out) const;
   void completeReply(const AgentView &A, Millis Now, AgentReply &Out) const;
 
+  // leader_admission.cc
+  Admission &admissionTo(const std::string &Service, Millis Now,
+                         Millis WallNow);
+  bool refuseForRoom(const JobSpec &S, Millis Now, Millis WallNow,
+                     const CallerAnswer &Answer);
+  void noteAccepted(const JobSpec &S, Millis Now, Millis WallNow);
+  void observeRunTime(const Job &J, const Step &Kind, const Task &T,
+                      Millis Now);
+
   // leader_schedule.cc
   void schedule(Millis Now);
   std::vector<CandidateWorker> makeCandidateWorkers(Millis Now) const;
@@ -364,6 +373,11 @@
   JournalWriter m_journal;
   Guarantees m_guarantees;
   OverloadPolicy m_policy = OverloadPolicy::Priority;
+  RunTimeRatios m_runTimes;
+  std::map<std::string, ArrivalRates> m_arrivalRates; ///< By service.
+  /// By service. Rebuilt when too old.
+  std::map<std::string, std::unique_ptr<Admission>> m_admissions;
+  Millis m_admissionsAt = 0;         ///< When they were built.
   std::set<std::string> m_evacuated; ///< Data centres.
   bool m_awaitsEvacuations = false;
   std::vector<std::string> m_entries;
--- /dev/null
+++ b/src/batch/leader_admission.cc
@@ -0,0 +1,82 @@
+#include "batch/leader.h"
+
+#include <fmt/format.h>
+
+#include <memory>
+
+namespace pomelokeel::batch {
+namespace {
+
+/// How long the work ahead and the capacity are not read again. Jobs accepted
+/// in between are added.
+constexpr Millis AdmissionAgeMs = 100;
+
+/// After its start a leader does not know the capacity before the agents have
+/// reported. They find it within this time, and refuse nobody until then.
+constexpr Millis AgentsReportMs = 4000;
+
+std::string amountText(const Resources &R) {
+  return fmt::format("{}/{}/{}", R.m_milliCores, R.m_memoryMb,
+                     R.m_accelerators);
+}
+
+} // namespace
+
+Admission &Leader::admissionTo(const std::string &Service, Millis Now,
+                               Millis WallNow) {
+  if (Now - m_admissionsAt >= AdmissionAgeMs) {
+    m_admissions.clear();
+    m_admissionsAt = Now;
+  }
+  std::unique_ptr<Admission> &Out = m_admissions[Service];
+  if (!Out)
+    Out = std::make_unique<Admission>(
+        Service, m_openJobs, makeCandidateWorkers(Now), m_guarantees,
+        m_runTimes, m_arrivalRates[Service], Now, WallNow);
+  return *Out;
+}
+
+// Returns true if the job was refused because it could not be done in time.
+bool Leader::refuseForRoom(const JobSpec &S, Millis Now, Millis WallNow,
+                           const CallerAnswer &Answer) {
+  if (m_policy != OverloadPolicy::CostAware ||
+      Now - m_startedAt < AgentsReportMs)
+    return false;
+  const Admittance A =
+      admissionTo(S.m_queue.m_service, Now, WallNow).decide(S, Now);
+  if (A.m_accepted)
+    return false;
+  m_ports.event("jobRefused", S.m_id,
+                fmt::format("reason=noRoom queue={} account={} need={} room={} "
+                            "backlogMs={} expectedMs={} limitMs={} retryMs={}",
+                            S.m_queue.m_name, S.m_account, amountText(A.m_need),
+                            amountText(A.m_capacity), A.m_backlogMs,
+                            A.m_expectedMs, A.m_limitMs, A.m_retryAfterMs));
+  m_counters.get("jobs_refused{reason=\"room\"}")++;
+  CallerReply Out;
+  Out.m_verdict = Verdict::Overloaded;
+  Out.m_retryAfterMs = A.m_retryAfterMs;
+  Out.m_reason = "the job could not be done in time";
+  Answer(std::move(Out));
+  return true;
+}
+
+void Leader::noteAccepted(const JobSpec &S, Millis Now, Millis WallNow) {
+  if (m_policy != OverloadPolicy::CostAware)
+    return;
+  Admission &A = admissionTo(S.m_queue.m_service, Now, WallNow);
+  m_arrivalRates[S.m_queue.m_service].add(S.m_queue.m_priority,
+                                          A.fleetSeconds(S), Now);
+  A.add(S);
+}
+
+// Only first runs count: later ones may resume from a checkpoint. A run that an
+// earlier leader placed began at an unknown time.
+void Leader::observeRunTime(const Job &J, const Step &Kind, const Task &T,
+                            Millis Now) {
+  if (m_policy == OverloadPolicy::CostAware && T.m_run == 1 &&
+      T.m_phase == TaskPhase::Placed && T.m_placedAt > m_startedAt)
+    m_runTimes.observe(J.m_spec.m_queue.m_name, Kind, Now - T.m_placedAt);
+}
+
+} // namespace pomelokeel::batch
--- a/src/batch/leader_callers.cc
+++ b/src/batch/leader_callers.cc
@@ -115,10 +115,15 @@
     J.m_spec.m_queue = R.m_queue;
     J.m_spec.m_account = R.m_account;
     J.m_spec.m_acceptedMs = WallNow;
+    // An earlier attempt of this submission may still be accepted, so a refusal
+    // might be untrue.
+    if (!R.m_maybeDone && refuseForRoom(J.m_spec, Now, WallNow, Answer))
+      return;
     J.m_acceptedAt = Now;
     J.m_acceptBatch = m_journal.nextBatch();
     if (J.m_spec.m_occurrenceCount == 0)
       J.m_progress.m_occurrences.push_back(makeOccurrence(J.m_spec));
+    noteAccepted(J.m_spec, Now, WallNow);
     It = m_jobs.emplace(R.m_id, std::move(J)).first;
     m_openJobs[R.m_id] = &It->second;
     markChanged(It->second);
--- a/src/batch/leader_runs.cc
+++ b/src/batch/leader_runs.cc
@@ -260,6 +260,8 @@
   if (!Saved.empty())
     T.m_checkpoint = Saved;
   markChanged(J);
+  if (Kind == EndKind::Done)
+    observeRunTime(J, S, T, Now);
   if (S.m_gang && !S.m_longRunning) {
     endGang(J, Name, Kind, Now, WallNow);
   } else if (Kind == EndKind::Done && !S.m_longRunning) {
--- a/src/batch/messages.h
+++ b/src/batch/messages.h
@@ -23,7 +23,7 @@
   std::string m_account;
   std::optional<JobSpec> m_spec; ///< Only for Submit.
   Millis m_remainingMs = 0;      ///< How long the caller will still wait.
-  /// Not sent. An earlier attempt may have taken effect.
+  /// An earlier attempt may have taken effect.
   bool m_maybeDone = false;
   Millis m_arrivedAt = 0; ///< Not sent. Arrival time at the entry.
 
@@ -34,7 +34,8 @@
         base::required("queue", &CallerRequest::m_queue),
         base::required("account", &CallerRequest::m_account),
         base::optional("spec", &CallerRequest::m_spec),
-        base::optional("remainingMs", &CallerRequest::m_remainingMs)};
+        base::optional("remainingMs", &CallerRequest::m_remainingMs),
+        base::optional("maybeDone", &CallerRequest::m_maybeDone)};
   }
 };
 
--- /dev/null
+++ b/src/batch/overload.cc
@@ -0,0 +1,564 @@
+#include "batch/overload.h"
+
+#include "batch/schedule.h"
+
+#include <algorithm>
+#include <cmath>
+#include <functional>
+#include <iterator>
+#include <limits>
+#include <tuple>
+
+namespace pomelokeel::batch {
+namespace {
+
+constexpr double MsPerSecond = 1000;
+constexpr double MilliCoresPerCore = 1000;
+/// As for lost work in schedule.cc.
+constexpr double AcceleratorCores = 8;
+
+/// A result is of use until this many times the objective.
+constexpr double LimitFactor = 3;
+/// A late result is worth this share of one that is on time.
+constexpr double LateValue = 0.5;
+/// Weight of a priority, relative to the next more urgent one.
+constexpr double PriorityStep = 0.25;
+
+/// Longest objective in ms: 30,000 years.
+constexpr double MaxObjectiveMs = 1e15;
+
+/// Declared times may be wrong by ten.
+constexpr double MaxRatio = 10;
+/// Weight of the newest observation: after a change of the load, ten jobs
+/// correct four fifths of the error.
+constexpr double RatioWeight = 0.15;
+
+/// Time in which rates forget. Shorter bursts are in the backlog already.
+constexpr double RateForgetsS = 15;
+/// At most this share of the fleet counts as taken by later, more urgent work.
+constexpr double MaxRate = 0.6;
+
+/// An account that uses more than this multiple of its fair share has a lower
+/// limit, down to MinFairness of the limit of the others. The difference keeps
+/// room for accounts that use less.
+constexpr double FairTolerance = 1.25;
+constexpr double MinFairness = 0.7;
+
+/// A refusal of a job that could have been done costs as much as the acceptance
+/// of one that cannot, and estimates may be wrong by two.
+constexpr double Margin = 1.1;
+
+constexpr Millis MinRetryMs = 1000;
+constexpr Millis MaxRetryMs = 30000;
+/// The retries of callers refused at the same time are spread over this part of
+/// the time until there is room.
+constexpr double RetrySpread = 0.5;
+
+double share(std::int64_t Part, std::int64_t Of) {
+  return Of > 0 ? static_cast<double>(Part) / static_cast<double>(Of) : 0;
+}
+
+Shares sharesOf(const Resources &Part, const Resources &Of) {
+  return {share(Part.m_milliCores, Of.m_milliCores),
+          share(Part.m_memoryMb, Of.m_memoryMb),
+          share(Part.m_accelerators, Of.m_accelerators)};
+}
+
+bool hasLabel(const std::vector<std::string> &Labels,
+              const std::string &Label) {
+  return Label.empty() ||
+         std::find(Labels.begin(), Labels.end(), Label) != Labels.end();
+}
+
+std::int64_t acceleratorsOf(const JobSpec &S) {
+  std::int64_t Sum = 0;
+  for (const Step &Each : S.m_steps)
+    Sum += Each.m_count * Each.m_each.m_accelerators;
+  return Sum;
+}
+
+Resources times(std::int64_t Count, const Resources &R) {
+  return {Count * R.m_milliCores, Count * R.m_memoryMb,
+          Count * R.m_accelerators};
+}
+
+// Time until capacity that becomes free has done \p Queued worker-seconds per
+// worker. \p Busy is the share of the capacity in use. The runs end at an even
+// rate, \p Mean seconds from now on average.
+double drainSeconds(double Queued, double Busy, double Mean) {
+  Busy = std::min(Busy, 1.0);
+  if (Busy <= 0 || Mean <= 0)
+    return Queued;
+  const double Idle = 1 - Busy;
+  const double Last = 2 * Mean;
+  if (Queued >= Idle * Last + Busy * Mean)
+    return Queued + Busy * Mean;
+  return (std::sqrt(Idle * Idle + Busy * Queued / Mean) - Idle) * Last / Busy;
+}
+
+} // namespace
+
+Objective objectiveOf(const JobSpec &S) {
+  const double Ms =
+      S.m_queue.m_stretch * static_cast<double>(criticalPathMs(S)) +
+      static_cast<double>(S.m_queue.m_slackMs);
+  // A greater number, or one that is not a number, cannot be converted.
+  const double Bounded = Ms >= 0 && Ms < MaxObjectiveMs ? Ms : MaxObjectiveMs;
+  return {static_cast<Millis>(Bounded),
+          static_cast<Millis>(Bounded * LimitFactor)};
+}
+
+double coresOf(const Resources &R) {
+  return static_cast<double>(R.m_milliCores) / MilliCoresPerCore +
+         AcceleratorCores * static_cast<double>(R.m_accelerators);
+}
+
+double declaredWork(const JobSpec &S) {
+  double Sum = 0;
+  for (const Step &Each : S.m_steps)
+    Sum += coresOf(Each.m_each) * static_cast<double>(Each.m_count) *
+           static_cast<double>(Each.m_estimateMs) / MsPerSecond;
+  return Sum;
+}
+
+double lossAt(const JobSpec &S, Millis DoneMs) {
+  const Objective O = objectiveOf(S);
+  const double Value =
+      declaredWork(S) * std::pow(PriorityStep, S.m_queue.m_priority);
+  if (DoneMs <= O.m_onTimeMs)
+    return 0;
+  return DoneMs <= O.m_limitMs ? Value * LateValue : Value;
+}
+
+double costOfDelay(const JobSpec &S, Millis DoneMs, Millis DelayMs) {
+  return lossAt(S, DoneMs + DelayMs) - lossAt(S, DoneMs);
+}
+
+void RunTimeRatios::observe(const std::string &Queue, const Step &S,
+                            Millis TookMs) {
+  if (S.m_estimateMs <= 0 || TookMs <= 0 || S.m_longRunning)
+    return;
+  const double Ratio =
+      static_cast<double>(TookMs) / static_cast<double>(S.m_estimateMs);
+  const double Observed = std::log(std::clamp(Ratio, 1 / MaxRatio, MaxRatio));
+  // Members of a gang end together and are observed once.
+  const double Weight =
+      S.m_gang ? RatioWeight : RatioWeight / static_cast<double>(S.m_count);
+  double &Known = m_logarithms[Queue];
+  Known += Weight * (Observed - Known);
+}
+
+double RunTimeRatios::ratioOf(const std::string &Queue) const {
+  const auto It = m_logarithms.find(Queue);
+  return It == m_logarithms.end() ? 1 : std::exp(It->second);
+}
+
+void ArrivalRates::add(int Priority, const Shares &Seconds, Millis Now) {
+  Rate &R = m_byPriority[Priority];
+  const double Kept = std::exp(-static_cast<double>(Now - R.m_at) /
+                               (RateForgetsS * MsPerSecond));
+  for (std::size_t D = 0; D < Seconds.size(); ++D)
+    R.m_perSecond[D] = R.m_perSecond[D] * Kept + Seconds[D] / RateForgetsS;
+  R.m_at = Now;
+}
+
+double ArrivalRates::above(int Priority, Millis Now) const {
+  Shares Sum = {};
+  for (const auto &[Of, R] : m_byPriority) {
+    if (Of >= Priority)
+      break;
+    const double Kept = std::exp(-static_cast<double>(Now - R.m_at) /
+                                 (RateForgetsS * MsPerSecond));
+    for (std::size_t D = 0; D < Sum.size(); ++D)
+      Sum[D] += R.m_perSecond[D] * Kept;
+  }
+  return *std::max_element(Sum.begin(), Sum.end());
+}
+
+Admission::Admission(const std::string &Service, const OpenJobs &Jobs,
+                     const std::vector<CandidateWorker> &Workers,
+                     const std::map<std::string, std::int64_t> &Guarantees,
+                     const RunTimeRatios &Ratios, const ArrivalRates &Rates,
+                     Millis Now, Millis WallNow)
+    : m_ratios(Ratios), m_rates(Rates), m_wallNow(WallNow) {
+  std::vector<const JobState *> Open;
+  for (const auto &[Id, J] : Jobs) {
+    if (J->m_spec.m_queue.m_service == Service)
+      Open.push_back(J);
+  }
+  // Long-running tasks keep their part of a worker.
+  std::map<std::string_view, Resources> Kept;
+  for (const JobState *J : Open) {
+    forEachTask(J->m_progress, [&](int, int S, int, const Task &T) {
+      const Step &Kind = J->m_spec.m_steps[static_cast<std::size_t>(S)];
+      if (Kind.m_longRunning && T.m_phase == TaskPhase::Placed)
+        Kept[T.m_agent] = Kept[T.m_agent] + allocationOf(Kind);
+    });
+  }
+  std::map<std::string_view, std::size_t> ClassOf;
+  for (const CandidateWorker &W : Workers) {
+    if (!W.m_usable || W.m_service != Service)
+      continue;
+    const Resources Capacity = W.m_capacity - Kept[W.m_agent];
+    m_capacity = m_capacity + Capacity;
+    const auto It = std::find_if(
+        m_classes.begin(), m_classes.end(), [&](const WorkerClass &C) {
+          return C.m_capacity == Capacity && C.m_labels == W.m_labels;
+        });
+    ClassOf[W.m_agent] =
+        static_cast<std::size_t>(std::distance(m_classes.begin(), It));
+    if (It == m_classes.end())
+      m_classes.push_back({Capacity, W.m_labels, 1, {}, {}});
+    else
+      ++It->m_count;
+  }
+  for (const auto &[Name, Guaranteed] : Guarantees)
+    m_accounts[Name].m_guaranteeLeft = Guaranteed;
+  std::sort(Open.begin(), Open.end(), [&](const auto *A, const auto *B) {
+    const auto KeyOf = [&](const JobState *J) {
+      return std::tuple(orderOf(J->m_spec), J->m_spec.m_acceptedMs,
+                        std::string_view(J->m_spec.m_id));
+    };
+    return KeyOf(A) < KeyOf(B);
+  });
+  for (const JobState *J : Open) {
+    forEachTask(J->m_progress, [&](int, int S, int, const Task &T) {
+      const Step &Kind = J->m_spec.m_steps[static_cast<std::size_t>(S)];
+      if (!Kind.m_longRunning && T.m_phase == TaskPhase::Placed)
+        addRun(J->m_spec, Kind, T, ClassOf, Now);
+    });
+  }
+  for (const JobState *J : Open) {
+    if (!isEnded(J->m_progress.m_phase))
+      addWaitingOf(*J);
+  }
+  // In the order in which plan() uses the guarantees.
+  std::sort(Open.begin(), Open.end(), [](const auto *A, const auto *B) {
+    return std::tie(A->m_spec.m_acceptedMs, A->m_spec.m_id) <
+           std::tie(B->m_spec.m_acceptedMs, B->m_spec.m_id);
+  });
+  for (const JobState *J : Open) {
+    if (!isEnded(J->m_progress.m_phase) && isGuaranteed(J->m_spec))
+      m_accounts[J->m_spec.m_account].m_guaranteeLeft -=
+          acceleratorsOf(J->m_spec);
+  }
+}
+
+double Admission::ratioOf(const JobSpec &S) const {
+  return m_ratios.ratioOf(S.m_queue.m_name);
+}
+
+double Admission::secondsOf(const JobSpec &S, const Step &Kind) const {
+  return static_cast<double>(Kind.m_estimateMs) * ratioOf(S) / MsPerSecond;
+}
+
+bool Admission::canRun(const Step &Kind, const WorkerClass &C) const {
+  return hasLabel(C.m_labels, Kind.m_label) &&
+         fits(allocationOf(Kind), C.m_capacity);
+}
+
+Admission::Demand Admission::demandOf(const Step &Kind, const WorkerClass &C) {
+  const Shares Each = sharesOf(allocationOf(Kind), C.m_capacity);
+  constexpr double Half = 1.0 / 2;
+  constexpr double Third = 1.0 / 3;
+  Demand Out = {};
+  for (std::size_t D = 0; D < Each.size(); ++D) {
+    Out[D] = Each[D];
+    Out[Each.size() + D] = Each[D] > Half ? 1 : 0;
+    Out[2 * Each.size() + D] = Each[D] > Third ? Half : 0;
+  }
+  return Out;
+}
+
+Admission::Order Admission::orderOf(const JobSpec &S) const {
+  const Objective O = objectiveOf(S);
+  // A job without an acceptance time is the candidate.
+  const Millis Begin = S.m_acceptedMs > 0 ? S.m_acceptedMs : m_wallNow;
+  const bool Useless = m_wallNow - Begin > O.m_limitMs &&
+                       S.m_occurrenceCount == 0 && !isGuaranteed(S);
+  if (Useless)
+    return {std::numeric_limits<int>::max(), Begin + O.m_onTimeMs};
+  constexpr int GuaranteedPriority = -1;
+  return {isGuaranteed(S) ? GuaranteedPriority : S.m_queue.m_priority,
+          Begin + O.m_onTimeMs};
+}
+
+bool Admission::isGuaranteed(const JobSpec &S) const {
+  if (S.m_queue.m_priority != 0)
+    return false;
+  const auto It = m_accounts.find(S.m_account);
+  return It != m_accounts.end() && It->second.m_guaranteeLeft > 0 &&
+         acceleratorsOf(S) <= It->second.m_guaranteeLeft;
+}
+
+void Admission::addWaitingOf(const JobState &J) {
+  const Order O = orderOf(J.m_spec);
+  for (const Occurrence &Steps : J.m_progress.m_occurrences) {
+    for (std::size_t I = 0; I < Steps.size(); ++I) {
+      const auto Waiting =
+          std::count_if(Steps[I].begin(), Steps[I].end(), [](const Task &T) {
+            return T.m_phase == TaskPhase::Waiting;
+          });
+      const Step &Kind = J.m_spec.m_steps[I];
+      if (Waiting > 0 && !Kind.m_longRunning)
+        addWaiting(J.m_spec, Kind, Waiting, O);
+    }
+  }
+}
+
+// Spreads the work over the classes that can hold it, in parts, each to the
+// class that drains first.
+void Admission::addWaiting(const JobSpec &S, const Step &Kind,
+                           std::int64_t Count, const Order &O) {
+  constexpr std::int64_t Parts = 8;
+  struct Target {
+    std::size_t m_class = 0;
+    Demand m_each = {};
+    double m_work = 0;
+  };
+  std::vector<Target> Targets;
+  for (std::size_t C = 0; C < m_classes.size(); ++C) {
+    if (canRun(Kind, m_classes[C]))
+      Targets.push_back({C, demandOf(Kind, m_classes[C]), 0});
+  }
+  const double Seconds = secondsOf(S, Kind) * static_cast<double>(Count);
+  m_accounts[S.m_account].m_work += coresOf(Kind.m_each) * Seconds;
+  if (Targets.empty() || Seconds <= 0)
+    return;
+  const std::int64_t Chunks = Targets.size() == 1 ? 1 : std::min(Parts, Count);
+  const double Chunk = Seconds / static_cast<double>(Chunks);
+  const auto LevelAfter = [&](const Target &T) {
+    const WorkerClass &C = m_classes[T.m_class];
+    double Level = 0;
+    for (std::size_t D = 0; D < DimensionCount; ++D) {
+      if (T.m_each[D] > 0)
+        Level =
+            std::max(Level, (C.m_work[D] + T.m_each[D] * Chunk) / C.m_count);
+    }
+    return Level;
+  };
+  for (std::int64_t N = 0; N < Chunks; ++N) {
+    Target &Best = *std::min_element(Targets.begin(), Targets.end(),
+                                     [&](const Target &A, const Target &B) {
+                                       return LevelAfter(A) < LevelAfter(B);
+                                     });
+    Best.m_work += Chunk;
+    for (std::size_t D = 0; D < DimensionCount; ++D)
+      m_classes[Best.m_class].m_work[D] += Best.m_each[D] * Chunk;
+  }
+  for (const Target &T : Targets) {
+    if (T.m_work <= 0)
+      continue;
+    Queued Q{O, T.m_class, T.m_each};
+    for (double &Work : Q.m_work)
+      Work *= T.m_work;
+    m_queued.push_back(Q);
+  }
+}
+
+void Admission::addRun(const JobSpec &S, const Step &Kind, const Task &T,
+                       const std::map<std::string_view, std::size_t> &ClassOf,
+                       Millis Now) {
+  const auto At = ClassOf.find(T.m_agent);
+  if (At == ClassOf.end())
+    return;
+  const Millis Estimate = estimateRemainingMs(T, Now);
+  const double Declared = secondsOf(S, Kind);
+  // A run that has taken its time and reports no progress may end any moment.
+  const double Seconds =
+      Estimate >= 0
+          ? static_cast<double>(Estimate) / MsPerSecond
+          : std::max(Declared -
+                         static_cast<double>(Now - T.m_placedAt) / MsPerSecond,
+                     0.0);
+  m_accounts[S.m_account].m_work += coresOf(Kind.m_each) * Seconds;
+  WorkerClass &C = m_classes[At->second];
+  Running &R = C.m_running[S.m_queue.m_priority];
+  const Demand Each = demandOf(Kind, C);
+  for (std::size_t D = 0; D < DimensionCount; ++D) {
+    R.m_busy[D] += Each[D];
+    R.m_remaining[D] += Each[D] * Seconds;
+    C.m_work[D] += Each[D] * Seconds;
+  }
+}
+
+double Admission::waitOf(const Step &Kind, std::size_t Class,
+                         const Demand &Ahead, int Priority,
+                         double GangWorkers) const {
+  const WorkerClass &C = m_classes[Class];
+  const Demand Each = demandOf(Kind, C);
+  double Wait = 0;
+  for (std::size_t D = 0; D < DimensionCount; ++D) {
+    if (Each[D] <= 0)
+      continue;
+    double Busy = 0;
+    double Remaining = 0;
+    for (const auto &[Of, R] : C.m_running) {
+      // Jobs of priority 0 may preempt runs of lower priority.
+      if (Priority == 0 && Of > 0)
+        break;
+      Busy += R.m_busy[D];
+      Remaining += R.m_remaining[D];
+    }
+    const double Mean = Busy > 0 ? Remaining / Busy : 0;
+    const double BusyShare = std::min(Busy / C.m_count, 1.0);
+    Wait = std::max(Wait, drainSeconds(Ahead[D] / C.m_count, BusyShare, Mean));
+    // A gang begins once its share of the class is free at the same time.
+    const double Needed =
+        std::min(GangWorkers * Each[D] / C.m_count, 1.0) - (1 - BusyShare);
+    if (BusyShare > 0)
+      Wait = std::max(Wait, Needed * 2 * Mean / BusyShare);
+  }
+  return Wait;
+}
+
+// Seconds until there is room for all steps that can start at once.
+double Admission::waitOf(const JobSpec &S, const Order &O) const {
+  std::vector<Demand> Ahead(m_classes.size());
+  for (const Queued &Q : m_queued) {
+    if (O < Q.m_order)
+      continue;
+    for (std::size_t D = 0; D < DimensionCount; ++D)
+      Ahead[Q.m_class][D] += Q.m_work[D];
+  }
+  double Latest = 0;
+  for (const Step &Kind : S.m_steps) {
+    if (!Kind.m_dependencies.empty())
+      continue;
+    double Workers = 0;
+    for (const WorkerClass &C : m_classes)
+      Workers += canRun(Kind, C) ? C.m_count : 0;
+    double Soonest = std::numeric_limits<double>::max();
+    for (std::size_t C = 0; C < m_classes.size(); ++C) {
+      if (!canRun(Kind, m_classes[C]))
+        continue;
+      // The members of a gang spread over all classes that can hold them.
+      const double Members = Kind.m_gang ? static_cast<double>(Kind.m_count) *
+                                               m_classes[C].m_count / Workers
+                                         : 0;
+      Soonest =
+          std::min(Soonest, waitOf(Kind, C, Ahead[C], O.m_priority, Members));
+    }
+    Latest = std::max(Latest, Soonest);
+  }
+  return Latest;
+}
+
+double Admission::aloneSeconds(const JobSpec &S) const {
+  Demand Sum = {};
+  for (const Step &Kind : S.m_steps) {
+    // Tasks that fit at the same time, by what limits them.
+    Demand Fit = {};
+    double Workers = 0;
+    for (const WorkerClass &C : m_classes) {
+      if (!canRun(Kind, C))
+        continue;
+      const Demand Each = demandOf(Kind, C);
+      for (std::size_t D = 0; D < DimensionCount; ++D)
+        Fit[D] += Each[D] > 0 ? C.m_count / Each[D] : 0;
+      Workers += C.m_count;
+    }
+    const double Work = secondsOf(S, Kind) * static_cast<double>(Kind.m_count);
+    for (std::size_t D = 0; D < DimensionCount; ++D)
+      Sum[D] += Fit[D] > 0 ? Work / Fit[D] : 0;
+  }
+  return *std::max_element(Sum.begin(), Sum.end());
+}
+
+Shares Admission::fleetSeconds(const JobSpec &S) const {
+  Shares Sum = {};
+  for (const Step &Kind : S.m_steps) {
+    if (Kind.m_longRunning)
+      continue;
+    const Shares Each =
+        sharesOf(times(Kind.m_count, allocationOf(Kind)), m_capacity);
+    for (std::size_t D = 0; D < Sum.size(); ++D)
+      Sum[D] += Each[D] * secondsOf(S, Kind);
+  }
+  return Sum;
+}
+
+// Part of the limit that applies to an account. Its use is its open work,
+// running or not.
+double Admission::fairnessOf(const std::string &Name) const {
+  double All = 0;
+  double Users = 0;
+  for (const auto &[Other, A] : m_accounts) {
+    All += A.m_work;
+    Users += A.m_work > 0 || Other == Name ? 1 : 0;
+  }
+  const auto It = m_accounts.find(Name);
+  const double Own = It == m_accounts.end() ? 0 : It->second.m_work;
+  const double Fair = All / std::max(Users, 1.0);
+  if (Own <= Fair * FairTolerance)
+    return 1;
+  return std::max(Fair * FairTolerance / Own, MinFairness);
+}
+
+Admittance Admission::decide(const JobSpec &S, Millis Now) const {
+  Admittance Out;
+  const bool Exempt =
+      S.m_occurrenceCount > 0 || isGuaranteed(S) ||
+      std::any_of(S.m_steps.begin(), S.m_steps.end(), [&](const Step &Kind) {
+        return Kind.m_longRunning ||
+               std::none_of(
+                   m_classes.begin(), m_classes.end(),
+                   [&](const WorkerClass &C) { return canRun(Kind, C); });
+      });
+  const Objective O = objectiveOf(S);
+  if (Exempt || O.m_limitMs <= 0)
+    return Out;
+  const double Limit = static_cast<double>(O.m_limitMs) / MsPerSecond;
+  const double Drains =
+      1 - std::min(m_rates.above(S.m_queue.m_priority, Now), MaxRate);
+  const double Wait = waitOf(S, orderOf(S)) / Drains;
+  // The declared times and the width of the job itself are no reason to refuse
+  // it: alone it would be accepted, and the work ahead may take half of the
+  // limit.
+  const double Critical = static_cast<double>(criticalPathMs(S)) / MsPerSecond;
+  const double Own =
+      std::min(std::max(Critical * std::min(ratioOf(S), 1.0), aloneSeconds(S)),
+               Limit / 2);
+  const double Allowed = Limit * Margin * fairnessOf(S.m_account);
+  Out.m_backlogMs = static_cast<Millis>(Wait * MsPerSecond);
+  Out.m_expectedMs = static_cast<Millis>((Wait + Own) * MsPerSecond);
+  Out.m_limitMs = static_cast<Millis>(Allowed * MsPerSecond);
+  const auto Widest = std::max_element(
+      S.m_steps.begin(), S.m_steps.end(), [](const Step &A, const Step &B) {
+        const auto WorkOf = [](const Step &Kind) {
+          return coresOf(Kind.m_each) * static_cast<double>(Kind.m_count);
+        };
+        return WorkOf(A) < WorkOf(B);
+      });
+  Out.m_need = times(Widest->m_count, allocationOf(*Widest));
+  for (const WorkerClass &C : m_classes) {
+    if (canRun(*Widest, C))
+      Out.m_capacity =
+          Out.m_capacity +
+          times(static_cast<std::int64_t>(C.m_count), C.m_capacity);
+  }
+  if (Out.m_expectedMs <= Out.m_limitMs)
+    return Out;
+  Out.m_accepted = false;
+  // The same job always gets the same part of the spread.
+  constexpr std::size_t Steps = 1000;
+  const double Part =
+      static_cast<double>(std::hash<std::string>()(S.m_id) % Steps) / Steps;
+  const auto Excess = static_cast<double>(Out.m_expectedMs - Out.m_limitMs);
+  Out.m_retryAfterMs =
+      std::clamp(static_cast<Millis>(Excess * (1 + RetrySpread * Part)),
+                 MinRetryMs, MaxRetryMs);
+  return Out;
+}
+
+void Admission::add(const JobSpec &S) {
+  if (isGuaranteed(S))
+    m_accounts[S.m_account].m_guaranteeLeft -= acceleratorsOf(S);
+  const Order O = orderOf(S);
+  for (const Step &Kind : S.m_steps) {
+    if (!Kind.m_longRunning)
+      addWaiting(S, Kind, Kind.m_count, O);
+  }
+}
+
+} // namespace pomelokeel::batch
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -561,9 +561,15 @@
     m_unavailableSince = Now;
   if (Reply.m_verdict == Verdict::Unknown)
     R.m_maybeDone = true;
-  const bool Retry = Reply.m_verdict == Verdict::Unknown ||
-                     (Reply.m_verdict == Verdict::Unavailable &&
-                      (R.m_maybeDone || expectsLeaderSoon(R, Now)));
+  // A refusal says that the job never runs, which is not known while an earlier
+  // attempt may still be accepted.
+  const bool Untrue =
+      R.m_maybeDone && (Reply.m_verdict == Verdict::Unavailable ||
+                        (Reply.m_verdict == Verdict::Overloaded &&
+                         R.m_kind == CallerRequestKind::Submit));
+  const bool Retry =
+      Reply.m_verdict == Verdict::Unknown || Untrue ||
+      (Reply.m_verdict == Verdict::Unavailable && expectsLeaderSoon(R, Now));
   if (Retry)
     return retryOrRefuse(std::move(R), Deadline, std::move(Answer));
   Answer(std::move(Reply));
