--- a/src/batch/leader.cc
+++ b/src/batch/leader.cc
@@ -160,12 +160,18 @@
   m_scheduleDue = true;
 }
 
+void Leader::setPolicy(OverloadPolicy P) {
+  m_policy = P;
+  m_scheduleDue = true;
+}
+
 void Leader::setEvacuated(std::set<std::string> DataCentres, bool Current) {
   const bool Changed = m_evacuated != DataCentres;
   const bool Awaited = Current && std::exchange(m_awaitsEvacuations, false);
   if (!Awaited && !Changed)
     return;
   m_evacuated = std::move(DataCentres);
+  m_admissions.clear();
   m_scheduleDue = m_ordersDue = true;
   m_ports.wakeAfter(0);
 }
--- a/src/batch/leader.h
+++ b/src/batch/leader.h
@@ -6,6 +6,7 @@
 #include "batch/job.h"
 #include "batch/journal.h"
 #include "batch/messages.h"
+#include "batch/overload.h"
 #include "batch/run_comparison.h"
 #include "batch/schedule.h"
 
@@ -207,6 +208,7 @@
   /// may have granted leases of the former length.
   void setTiming(const Timing &T);
   void configure(const Config &C);
+  void setPolicy(OverloadPolicy P);
 
   /// Places nothing and starts no run until setEvacuated() is called with a
   /// current state.
@@ -353,6 +355,15 @@
   void addStopsOfUnwantedRuns(const AgentView &A, Orders &Out) const;
   void completeReply(const AgentView &A, Millis Now, AgentReply &Out) const;
 
+  // leader_admission.cc
+  Admission &admissionTo(const std::string &Service, Millis Now,
+                         Millis WallNow);
+  bool refuseForRoom(Job &J, Millis Now, Millis WallNow,
+                     const CallerAnswer &Answer);
+  void noteAccepted(const JobSpec &S, Millis Now, Millis WallNow);
+  void noteRunDone(const Job &J, const Step &Kind, const Task &T, Millis Now);
+  void noteJobDone(const Job &J, Millis WallNow);
+
   // leader_schedule.cc
   void schedule(Millis Now);
   std::vector<CandidateWorker> makeCandidateWorkers(Millis Now) const;
@@ -381,6 +392,11 @@
   AttentionClock m_attention;
   JournalWriter m_journal;
   Guarantees m_guarantees;
+  OverloadPolicy m_policy = OverloadPolicy::Priority;
+  std::map<std::string, Experience> m_experience; ///< By service.
+  /// By service. Rebuilt when too old.
+  std::map<std::string, std::unique_ptr<Admission>> m_admissions;
+  Millis m_admissionsAt = 0;         ///< When they were built.
   std::set<std::string> m_evacuated; ///< Data centres.
   bool m_awaitsEvacuations = false;
   std::vector<std::string> m_entries;
--- a/src/batch/messages.h
+++ b/src/batch/messages.h
@@ -26,7 +26,7 @@
   /// Epoch of the leader that the request is sent to; no other carries it out.
   /// 0: any.
   std::uint64_t m_epoch = 0;
-  /// Not sent. An earlier attempt may have taken effect.
+  /// An earlier attempt may have taken effect.
   bool m_maybeDone = false;
   /// Not sent. Highest epoch of the leaders that such an attempt was sent to.
   std::uint64_t m_maybeDoneEpoch = 0;
@@ -40,7 +40,8 @@
         base::required("account", &CallerRequest::m_account),
         base::optional("spec", &CallerRequest::m_spec),
         base::optional("remainingMs", &CallerRequest::m_remainingMs),
-        base::optional("epoch", &CallerRequest::m_epoch)};
+        base::optional("epoch", &CallerRequest::m_epoch),
+        base::optional("maybeDone", &CallerRequest::m_maybeDone)};
   }
 };
 
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -323,6 +323,7 @@
   m_leader->setEntries(m_election->addresses());
   if (m_config)
     m_leader->configure(*m_config);
+  m_leader->setPolicy(m_settings.m_overload.m_policy);
   m_leader->awaitEvacuations();
   m_operatorFollower->setWait(operatorWaitMs());
   m_operatorFollower->restart();
