Refuse submissions at once when the store has been away for long

The first submission at each entry waited 1.2 s for a leader also when the store had been away from all entries for seconds, so that none could be elected. An entry now refuses it at once if it has not reached the store for 1.5 s and no other entry has said within that time that it does.

--- a/src/node/election.cc
+++ b/src/node/election.cc
@@ -130,6 +130,13 @@
       m_minRoundTripMs == 0 ? TookMs : std::min(m_minRoundTripMs, TookMs);
 }
 
+void Election::setStoreReachable(bool Reachable) {
+  if (Reachable)
+    m_unreachableSince = -1;
+  else if (m_unreachableSince < 0)
+    m_unreachableSince = base::bootNow();
+}
+
 // Reads the group and joins it if it has too few members. Joins are spread out
 // in time, those near the store first, so that later ones see earlier ones.
 void Election::checkGroup(bool Delayed) {
@@ -141,12 +148,12 @@
     if (Alive.expired() || m_leaving || m_candidate)
       return;
     if (!R) {
-      ++m_joinFailures;
+      setStoreReachable(false);
       m_joinTimer->start(m_settings.m_joinMs,
                          [this, Delayed] { checkGroup(Delayed); });
       return;
     }
-    m_joinFailures = 0;
+    setStoreReachable(true);
     recordRoundTrip(SentAt);
     setMembers(*R, m_generation);
     // Names of other writers are no candidates.
@@ -186,10 +193,10 @@
 void Election::handleJoinResult(const base::Result<Membership> &M,
                                 Millis SentAt) {
   if (!M) {
-    ++m_joinFailures;
+    setStoreReachable(false);
     return;
   }
-  m_joinFailures = 0;
+  setStoreReachable(true);
   recordRoundTrip(SentAt);
   m_generation = M->m_generation;
   if (m_membersGeneration != m_generation ||
--- a/src/node/election.h
+++ b/src/node/election.h
@@ -99,7 +99,12 @@
   bool isCandidate() const { return m_candidate; }
 
   /// True unless the last join, or the last read of the group, failed.
-  bool storeReachable() const { return m_joinFailures == 0; }
+  bool storeReachable() const { return m_unreachableSince < 0; }
+
+  /// How long the store has not been reachable, in ms.
+  Millis storeUnreachableMs(Millis Now) const {
+    return storeReachable() ? 0 : Now - m_unreachableSince;
+  }
 
   /// Reads the leader's record again. Called when the known leader does not
   /// answer.
@@ -123,6 +128,7 @@
   void checkGroup(bool Delayed);
   void leaveIfUnlisted();
   void recordRoundTrip(Millis SentAt);
+  void setStoreReachable(bool Reachable);
   void join();
   void handleJoinResult(const base::Result<Membership> &M, Millis SentAt);
   void readMembers();
@@ -154,7 +160,8 @@
   bool m_leaderWasMember = false;    ///< It was a member since its record came.
   Millis m_leaderAbsentSince = -1;   ///< Time it was first missing, or -1.
   std::int64_t m_yieldingEpoch = -1; ///< Its leader asked to be replaced.
-  int m_joinFailures = 0;            ///< Since the last successful join.
+  /// Time of the first failed join since the last successful one, or -1.
+  Millis m_unreachableSince = -1;
   bool m_candidate = false;
   /// Joins only if the group has fewer members than this.
   std::size_t m_wantedMembers;
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -52,7 +52,8 @@
 constexpr Millis MinForwardMs = 200;
 /// Delay before the next attempt.
 constexpr Millis ForwardRetryMs = 150;
-/// A change of leader takes about a second. Submissions wait for the new leader
+/// A change of leader takes about a second. Nobody is elected while the store
+/// is away from all entries for as long. Submissions wait for the new leader
 /// during that time; in a longer outage they are refused immediately.
 constexpr Millis MaxLeaderChangeMs = 1500;
 /// Limit for the time that a submission waits for a new leader.
@@ -395,6 +396,8 @@
 void EntryNode::handlePeerStatus(const std::string &Address,
                                  const EntryStatus &S) {
   m_election->updateFromPeer(S.m_leader);
+  if (S.m_storeReachable)
+    m_peerReachedStoreAt = base::bootNow();
   if (!m_config || S.m_configVersion > m_config->m_version)
     m_peers->fetchConfig(
         Address, [this](const KeyedRecord &R) { applyOperatorRecord(R); });
@@ -610,6 +613,12 @@
                                   Millis Now, bool LeaderAnswers) const {
   if (m_unavailableSince < 0)
     return false;
+  const bool StoreIsAway =
+      m_election->storeUnreachableMs(Now) >= MaxLeaderChangeMs &&
+      (m_peerReachedStoreAt < 0 ||
+       Now - m_peerReachedStoreAt >= MaxLeaderChangeMs);
+  if (StoreIsAway)
+    return false;
   if (LeaderAnswers || !m_election->storeReachable())
     return Now - m_unavailableSince < MaxLeaderChangeMs &&
            Now - R.m_arrivedAt < MaxLeaderWaitMs;
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -139,6 +139,9 @@
   bool m_stopping = false;
   /// All calls are answered by this time; set by beginStop().
   Millis m_answerBy = std::numeric_limits<Millis>::max();
+  /// When another entry last said that it reaches the store, or -1. Only asked
+  /// while this one does not.
+  Millis m_peerReachedStoreAt = -1;
   /// Callbacks hold it weakly and do nothing after this object is destroyed.
   std::shared_ptr<int> m_alive = std::make_shared<int>();
 };
--- a/tests/node/entry_node_test.cc
+++ b/tests/node/entry_node_test.cc
@@ -449,6 +449,18 @@
   EXPECT_EQ(*Submitted, Verdict::Ok);
 }
 
+// Guards against submissions that wait for a leader in vain: the store has been
+// away from all entries for seconds.
+TEST_F(EntryNodeTest, ASubmissionIsRefusedAtOnceInALongOutageOfTheStore) {
+  ASSERT_TRUE(until([&] { return hasLeader() && other().m_node->ready(); }));
+  Entry &Asked = other();
+  m_a->m_store.m_unreachable = m_b->m_store.m_unreachable = true;
+  until([] { return false; }, 4000);
+  const auto Submitted = Asked.call(CallerCall::Method::Submit, "1");
+  ASSERT_TRUE(until([&] { return Submitted->has_value(); }, 500));
+  EXPECT_EQ(*Submitted, Verdict::Unavailable);
+}
+
 // Guards against submissions that are refused at once because an earlier
 // request, long ago, was not served either.
 TEST_F(EntryNodeTest, AnEarlierDisruptionDoesNotShortenTheWaitForALeader) {
