--- a/bench/overload.cc
+++ b/bench/overload.cc
@@ -366,6 +366,17 @@
       printDesign(fmt::format("overload.{}.x{}", Designs[D].m_name, Loads[L]),
                   All[D][L]);
   }
+  // Jobs have the same order under all designs.
+  for (std::size_t L = 0; L < Loads.size(); ++L) {
+    const Outcomes &Base = All.front()[L];
+    const Outcomes &Refusing = All.back()[L];
+    double Wrong = 0;
+    for (std::size_t I = 0; I < Base.size(); ++I)
+      Wrong += Refusing[I].m_refused && !Base[I].never() ? 1 : 0;
+    printFigure(
+        fmt::format("overload.costAware.x{}.refusedDoneByPriority", Loads[L]),
+        Wrong / static_cast<double>(Base.size()), "share");
+  }
   writePlot("overload.svg", All);
 }
 
