Refuse no job for lack of capacity while leadership is not confirmed

A leader that was replaced without knowing does not have the jobs that its successor accepted. A repeat of such a submission that reached it was refused with 429, which says that the job never runs.

LeaderAdmissionTest.ALeaderThatIsNotConfirmedRefusesNobody fails without the change and passes with it.

--- a/src/batch/leader_admission.cc
+++ b/src/batch/leader_admission.cc
@@ -36,11 +36,13 @@
   return *Out;
 }
 
-// Returns true if the job was refused because it could not be done in time.
+// Returns true if the job was refused because it could not be done in time. A
+// leader that may have been replaced does not know whether its successor has
+// accepted the job, so it refuses none.
 bool Leader::refuseForRoom(Job &J, Millis Now, Millis WallNow,
                            const CallerAnswer &Answer) {
   const JobSpec &S = J.m_spec;
-  if (m_policy != OverloadPolicy::CostAware ||
+  if (m_policy != OverloadPolicy::CostAware || !confirmed(Now) ||
       Now - m_startedAt < AgentsReportMs)
     return false;
   const Admission &Here = admissionTo(S.m_queue.m_service, Now, WallNow);
--- a/tests/batch/admission_test.cc
+++ b/tests/batch/admission_test.cc
@@ -418,6 +418,18 @@
   EXPECT_EQ((*submit("late", jobOf({step(1, 1)})))->m_verdict, Verdict::Ok);
 }
 
+// The successor of a leader that is cut off may have accepted the job. Its
+// refusal by the old leader would be untrue.
+TEST_F(LeaderAdmissionTest, ALeaderThatIsNotConfirmedRefusesNobody) {
+  fill();
+  m_now += m_timing.m_confirmMs;
+  report("w");
+  m_outcome = AppendOutcome::Unknown;
+  submit("late", jobOf({step(1, 1)}));
+  EXPECT_EQ(m_counters.get("jobs_refused{reason=\"room\"}"), 0);
+  EXPECT_TRUE(m_leader->jobs().contains("late"));
+}
+
 // The deployments that do not ask for the policy are served as before.
 TEST_F(LeaderAdmissionTest, ThePriorityPolicyRefusesNobody) {
   m_leader->setPolicy(OverloadPolicy::Priority);
