--- a/src/batch/overload.cc
+++ b/src/batch/overload.cc
@@ -49,9 +49,10 @@
 /// estimate and for accounts that use less. In a trial with 1.1 for all, 57% of
 /// the jobs of a burst were accepted and not done in time.
 constexpr double FairPart = 0.8;
-constexpr double PartBelowShare = 0.2;
+constexpr double PartBelowShare = 0.5;
 constexpr double PartAboveShare = 0.1;
 constexpr double MinPart = 0.4;
+constexpr double MaxPart = 1.1;
 
 /// A job's own time counts as at most this part of its limit.
 constexpr double MaxOwnShare = 0.4;
@@ -610,9 +611,9 @@
   const double Own = It == m_accounts.end() ? 0 : It->second.m_work;
   const double Fair = All / std::max(Users, 1.0);
   const double Above = Fair > 0 ? Own / Fair - 1 : -1;
-  return std::max(FairPart -
-                      Above * (Above > 0 ? PartAboveShare : PartBelowShare),
-                  MinPart);
+  return std::clamp(FairPart -
+                        Above * (Above > 0 ? PartAboveShare : PartBelowShare),
+                    MinPart, MaxPart);
 }
 
 Admittance Admission::decide(const JobSpec &S, Millis Now) const {
--- a/tests/batch/overload_test.cc
+++ b/tests/batch/overload_test.cc
@@ -212,21 +212,28 @@
 // One account asks for three times the fleet, five others together for half of
 // it. The refusals must fall on the first one.
 TEST(OverloadTest, OneGreedyAccount) {
-  OverloadLoad L = makeLoad();
-  Arrivals(L, 4).runFor(60000, 3.5, [](std::mt19937 &R) {
-    JobSpec S = jobOf("q", 1, between(R, 1, 4), 1, between(R, 1000, 4000));
-    const std::int64_t Of = between(R, 0, 34);
-    S.m_account = Of < 5 ? "modest" + std::to_string(Of) : "greedy";
-    return Drawn(std::move(S), wrongByTwo(R));
-  });
-  L.run(30000);
   const auto Greedy = [](const JobOutcome &O) {
     return O.m_account == "greedy";
   };
   const auto Modest = [&](const JobOutcome &O) { return !Greedy(O); };
-  EXPECT_GT(shareOf(L, Greedy, refused), 0.5);
-  EXPECT_LE(shareOf(L, Modest, refused), MaxFalseRefusals);
-  EXPECT_LE(shareOf(L, accepted, never), MaxNever);
+  // The share differs between seeds by a factor of ten.
+  constexpr unsigned FirstSeed = 4;
+  constexpr unsigned SeedCount = 8;
+  double ModestRefused = 0;
+  for (unsigned Seed = FirstSeed; Seed < FirstSeed + SeedCount; ++Seed) {
+    OverloadLoad L = makeLoad();
+    Arrivals(L, Seed).runFor(60000, 3.5, [](std::mt19937 &R) {
+      JobSpec S = jobOf("q", 1, between(R, 1, 4), 1, between(R, 1000, 4000));
+      const std::int64_t Of = between(R, 0, 34);
+      S.m_account = Of < 5 ? "modest" + std::to_string(Of) : "greedy";
+      return Drawn(std::move(S), wrongByTwo(R));
+    });
+    L.run(30000);
+    ModestRefused += shareOf(L, Modest, refused) / SeedCount;
+    EXPECT_GT(shareOf(L, Greedy, refused), 0.5) << Seed;
+    EXPECT_LE(shareOf(L, accepted, never), MaxNever) << Seed;
+  }
+  EXPECT_LE(ModestRefused, MaxFalseRefusals);
 }
 
 // Times that are declared ten times too long would lead to the refusal of jobs
