Learn the speed of workers and place by it

Workers differ by a factor of up to 1.3, and a gang is as slow as its slowest member, but all workers counted as equally fast.

The leader compares the run times of first runs within a step, and of gangs relative to their declared estimate within a queue, and keeps for each worker the log odds of being slow. Gangs and tasks of priority 0 prefer fast workers, other tasks from priority 2 on prefer slow ones. A gang that needs a slow worker leaves the fast ones to others. Cold workers count as slow.

--- a/src/batch/journal.h
+++ b/src/batch/journal.h
@@ -27,6 +27,8 @@
 /// Key prefix of the Tombstone of a job that was cancelled before it was
 /// submitted.
 constexpr std::string_view TombstoneKey = "cancelled/";
+/// Key prefix of the SpeedRecord of an agent's worker.
+constexpr std::string_view SpeedKey = "speed/";
 
 inline std::string journalKey(std::string_view Prefix, const std::string &Job) {
   return std::string(Prefix) + Job;
--- a/src/batch/leader.cc
+++ b/src/batch/leader.cc
@@ -84,6 +84,10 @@
         MarkUnreadable(R, S);
       continue;
     }
+    if (R.m_key.starts_with(SpeedKey)) {
+      loadSpeed(R);
+      continue;
+    }
     if (!R.m_key.starts_with(SpecKey))
       continue;
     Job J;
@@ -229,6 +233,10 @@
     if (NewWorker) {
       A.m_workerSeenAt = Now;
       resetWorkerHealth(A);
+      // The first worker that this leader sees is the one of the records, or as
+      // good as it.
+      if (!A.m_worker.m_workerIncarnation.empty())
+        m_speeds.renew(R.m_agent);
     }
     if (NewProcess || NewWorker)
       renewFence(A, NewWorker ? "newWorker" : "newAgent");
@@ -245,6 +253,9 @@
       noteLeasesEnd(A, R.m_leasesEndInMs);
       const bool WasDraining = A.m_worker.m_draining;
       A.m_worker = *R.m_worker;
+      A.m_coldUntil = A.m_worker.m_coldLeftMs > 0
+                          ? Now + A.m_worker.m_coldLeftMs
+                          : std::min(A.m_coldUntil, Now);
       adoptRuns(R);
       const bool Fenced = R.m_fence >= A.m_fence;
       if (!std::exchange(A.m_fenced, Fenced) && Fenced)
@@ -313,6 +324,7 @@
   logSilentAgents(Now);
   checkRuns(Now);
   reviewWorkerHealth(Now);
+  reviewSpeeds(Now);
   useEarlierResults(Now, WallNow);
   removeClosedJobs();
   purge(WallNow);
@@ -425,7 +437,8 @@
 }
 
 void Leader::flush(Millis Now) {
-  if (m_journal.busy() || (m_dirty.empty() && m_dropped.empty()))
+  if (m_journal.busy() ||
+      (m_dirty.empty() && m_dropped.empty() && m_dirtySpeeds.empty()))
     return;
   std::vector<KeyedRecord> Records;
   // The newest record of a key counts, and the id of a dropped job may be that
@@ -444,6 +457,7 @@
     Records.push_back({journalKey(StateKey, Id), pack(J.m_progress)});
     m_flushedPhases[Id] = J.m_progress.m_phase;
   }
+  addSpeedRecords(Records);
   m_dirty.clear();
   m_dropped.clear();
   if (!Records.empty())
--- a/src/batch/leader.h
+++ b/src/batch/leader.h
@@ -8,6 +8,7 @@
 #include "batch/messages.h"
 #include "batch/run_comparison.h"
 #include "batch/schedule.h"
+#include "batch/worker_speed.h"
 
 #include <cstdint>
 #include <functional>
@@ -42,6 +43,8 @@
   Millis m_roundPauseMs = 0;
   /// Shortest time between two scheduling passes.
   Millis m_passPauseMs = 0;
+  /// Whether to learn the speed of the workers and place by it.
+  bool m_learnSpeed = false;
 };
 
 /// Services that the process provides to its leader.
@@ -147,7 +150,13 @@
   /// Evidence without which the quarantine ends; 0 if the worker refused
   /// orders.
   int m_evidenceNeeded = 0;
-  double m_slowness = 1;
+  Millis m_coldUntil = 0; ///< Slower than usual until then.
+};
+
+/// A speed record of the journal.
+struct RecordedSpeed {
+  double m_value = 1;
+  Millis m_at = 0; ///< When it was last written.
 };
 
 /// A caller whose request is answered once \c m_batch is stored.
@@ -322,6 +331,17 @@
   }
   void stopUnstartedRuns();
 
+  // leader_speed.cc
+  void loadSpeed(const KeyedRecord &R);
+  bool isCold(const AgentView &A, Millis Now) const;
+  double slownessOf(const AgentView &A, Millis Now) const;
+  bool showsSpeed(const Task &T, const Step &Kind) const;
+  void noteRunTime(const JobState &J, const TaskName &Name, bool Done,
+                   Millis Now);
+  void reviewSpeeds(Millis Now);
+  void recordSpeeds(Millis Now);
+  void addSpeedRecords(std::vector<KeyedRecord> &Out);
+
   // leader_orders.cc
   void answerAgents(Millis Now);
   void recordAcknowledgements(AgentView &A, const AgentReply &R, Millis Now);
@@ -376,6 +396,10 @@
   bool m_journalStalled = false; ///< Was logged for the current batch.
   std::map<std::string, AgentView> m_agents;
   FaultLog m_faults;
+  WorkerSpeeds m_speeds;
+  Millis m_speedsAt = 0; ///< When the speeds were last computed.
+  std::map<std::string, detail::RecordedSpeed> m_speedRecords; ///< By agent.
+  std::set<std::string> m_dirtySpeeds; ///< Agents with a record to write.
   std::vector<detail::EarlierResult> m_earlierResults;
   std::vector<detail::WaitingCaller> m_waitingCallers;
   bool m_ordersDue = true;
--- a/src/batch/leader_runs.cc
+++ b/src/batch/leader_runs.cc
@@ -240,6 +240,8 @@
   if (Current) {
     updateWorkerHealth(A, Name, E, Now);
     Job &J = m_jobs[Name.m_job];
+    if (E.m_kind == EndKind::Done && m_timing.m_learnSpeed)
+      noteRunTime(J, Name, true, Now);
     if (E.m_kind == EndKind::Failed) {
       batch::Task &T = *findTask(Name);
       if (isLongRunAtWork(Name))
--- a/src/batch/leader_schedule.cc
+++ b/src/batch/leader_schedule.cc
@@ -36,7 +36,7 @@
     W.m_rack = A.m_worker.m_rack;
     W.m_labels = A.m_worker.m_labels;
     W.m_capacity = W.m_free = W.m_freeSoon = A.m_worker.m_capacity;
-    W.m_slowness = A.m_slowness;
+    W.m_slowness = slownessOf(A, Now);
     // Workers on probation are used last.
     W.m_failures =
         static_cast<int>(m_faults.faultyTasksAfter(Name, A.m_clearedAt)) +
--- a/src/batch/messages.h
+++ b/src/batch/messages.h
@@ -142,6 +142,8 @@
   std::string m_rack;
   bool m_draining = false;
   Millis m_remainingMs = 0; ///< Time left until a draining worker stops.
+  /// For how long it will be slower than usual after its start.
+  Millis m_coldLeftMs = 0;
 
   static constexpr auto fields() {
     return std::tuple{base::required("id", &WorkerInfo::m_id),
@@ -153,7 +155,8 @@
                       base::optional("rack", &WorkerInfo::m_rack),
                       base::optional("draining", &WorkerInfo::m_draining),
                       base::optional("remainingMs", &WorkerInfo::m_remainingMs),
-                      base::optional("born", &WorkerInfo::m_startTime)};
+                      base::optional("born", &WorkerInfo::m_startTime),
+                      base::optional("coldLeftMs", &WorkerInfo::m_coldLeftMs)};
   }
 };
 
--- a/src/batch/placement.cc
+++ b/src/batch/placement.cc
@@ -124,23 +124,57 @@
   m_scopes = scopesOf(*this);
 }
 
+/// Which workers a unit prefers by their speed.
+enum class SpeedPreference { Fast, None, Slow };
+
+/// From this priority on, tasks can wait and prefer slow workers, so that fast
+/// ones stay free for gangs and urgent tasks.
+constexpr int PatientPriority = 2;
+
+SpeedPreference speedPreferenceOf(const Unit &U) {
+  const int Priority = U.m_spec->m_queue.m_priority;
+  if (U.m_step->m_gang || Priority <= 0)
+    return SpeedPreference::Fast;
+  return Priority >= PatientPriority ? SpeedPreference::Slow
+                                     : SpeedPreference::None;
+}
+
+// Speeds are compared in two classes. Learned values differ a little between
+// all workers, and would leave no workers to choose the fullest of.
+bool isSlow(const CandidateWorker &W) { return W.m_slowness >= SlowFrom; }
+
+int speedKey(const CandidateWorker &W, SpeedPreference P) {
+  switch (P) {
+  case SpeedPreference::Fast:
+    return isSlow(W) ? 1 : 0;
+  case SpeedPreference::Slow:
+    return isSlow(W) ? 0 : 1;
+  case SpeedPreference::None:
+    break;
+  }
+  return 0;
+}
+
 // Lower is better: prefers the rack of the data, then workers where the unit
-// has not failed, then healthy workers, then the fullest. With Horizon::Soon it
-// prefers the emptiest: otherwise their free resources would go to other units,
-// and the unit would have to wait for another worker.
-auto preferenceOf(const Unit &U, const CandidateWorker &W, Horizon When) {
+// has not failed, then healthy workers, then those of the preferred speed, then
+// the fullest. With Horizon::Soon it prefers the emptiest: otherwise their free
+// resources would go to other units, and the unit would have to wait for
+// another worker.
+auto preferenceOf(const Unit &U, const CandidateWorker &W, Horizon When,
+                  SpeedPreference Speed) {
   const bool Far =
       !U.m_step->m_dataRack.empty() && U.m_step->m_dataRack != W.m_rack;
   const bool Avoided = contains(U.m_avoid, W.m_agent);
   const std::int64_t Sign = When == Horizon::Now ? 1 : -1;
-  return std::tuple(Far, Avoided, W.m_failures, W.m_slowness,
+  return std::tuple(Far, Avoided, W.m_failures, speedKey(W, Speed),
                     Sign * W.m_free.m_accelerators,
                     Sign * W.m_free.m_milliCores, Sign * W.m_free.m_memoryMb);
 }
 
 std::optional<Assignment>
 assignInOrder(const Unit &U, const std::vector<CandidateWorker> &Workers,
-              Horizon When, const TaskCounts &Counts, Scope Order) {
+              Horizon When, const TaskCounts &Counts, Scope Order,
+              SpeedPreference Speed) {
   const std::size_t Needed = U.m_indices.size();
   if (total(Counts, Order) < static_cast<std::int64_t>(Needed))
     return std::nullopt;
@@ -148,8 +182,8 @@
   std::erase_if(Order, [&](std::size_t I) { return Counts[I] == 0; });
   std::stable_sort(Order.begin(), Order.end(),
                    [&](std::size_t A, std::size_t B) {
-                     return preferenceOf(U, Workers[A], When) <
-                            preferenceOf(U, Workers[B], When);
+                     return preferenceOf(U, Workers[A], When, Speed) <
+                            preferenceOf(U, Workers[B], When, Speed);
                    });
   Assignment Out;
   for (const std::size_t I : Order) {
@@ -159,6 +193,25 @@
   return Out;
 }
 
+bool hasSlow(const Assignment &A, const std::vector<CandidateWorker> &Workers) {
+  return std::any_of(A.begin(), A.end(),
+                     [&](std::size_t I) { return isSlow(Workers[I]); });
+}
+
+std::optional<Assignment> assign(const Unit &U,
+                                 const std::vector<CandidateWorker> &Workers,
+                                 Horizon When, const TaskCounts &Counts,
+                                 const Scope &Within) {
+  auto Out =
+      assignInOrder(U, Workers, When, Counts, Within, speedPreferenceOf(U));
+  // A gang is as slow as its slowest member. If it needs a slow worker, fast
+  // ones are of no use to it.
+  if (Out && U.m_step->m_gang && hasSlow(*Out, Workers))
+    return assignInOrder(U, Workers, When, Counts, Within,
+                         SpeedPreference::Slow);
+  return Out;
+}
+
 // Lower is better. Compares the slowest worker first, since a gang waits for
 // its last member, then the free accelerators of the whole scope, fewest first.
 // With Horizon::Soon the most free accelerators on the chosen workers win:
@@ -166,18 +219,16 @@
 // the resources that runs had been preempted for.
 auto costOf(const Assignment &A, const std::vector<CandidateWorker> &Workers,
             Horizon When, const Scope &Within) {
-  double Slowest = 1;
-  for (const std::size_t I : A)
-    Slowest = std::max(Slowest, Workers[I].m_slowness);
+  const bool Slow = hasSlow(A, Workers);
   std::int64_t Free = 0;
   if (When == Horizon::Now) {
     for (const std::size_t I : Within)
       Free += Workers[I].m_free.m_accelerators;
-    return std::tuple(Slowest, Free);
+    return std::tuple(Slow, Free);
   }
   for (const std::size_t I : A)
     Free += Workers[I].m_free.m_accelerators;
-  return std::tuple(Slowest, -Free);
+  return std::tuple(Slow, -Free);
 }
 
 // Resources of one scope that become free as victims are added.
@@ -283,9 +334,9 @@
   for (std::size_t I = 0; I < Counts.size(); ++I)
     Counts[I] = tasksThatFit(X, I, freeResources(F.m_workers[I], When));
   std::optional<Assignment> Best;
-  std::tuple<double, std::int64_t> BestCost;
+  std::tuple<bool, std::int64_t> BestCost;
   for (const Scope *S : X.m_scopes) {
-    auto Found = assignInOrder(U, F.m_workers, When, Counts, *S);
+    auto Found = assign(U, F.m_workers, When, Counts, *S);
     if (!Found)
       continue;
     const auto Cost = costOf(*Found, F.m_workers, When, *S);
--- a/src/batch/placement.h
+++ b/src/batch/placement.h
@@ -10,6 +10,10 @@
 
 namespace pomelokeel::batch {
 
+/// A worker counts as slow from this run time relative to a usual worker on.
+/// It lies half way to the slowness of 1.3 that has been observed.
+constexpr double SlowFrom = 1.15;
+
 /// A worker with its capacity and free resources.
 struct CandidateWorker {
   std::string m_agent;
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -87,7 +87,7 @@
 constexpr Millis RoundPauseMs = 10;
 constexpr Millis PassPauseMs = 25;
 
-batch::Timing leaderTiming(const Bounds &B) {
+batch::Timing leaderTiming(const Bounds &B, const PlacementSettings &P) {
   constexpr double MsPerSecond = 1000;
   /// Added to the time for which callers may query an ended job.
   constexpr Millis RetentionMarginMs = 60000;
@@ -98,6 +98,7 @@
   T.m_reclaimMs = B.m_reclaimMs;
   T.m_roundPauseMs = RoundPauseMs;
   T.m_passPauseMs = PassPauseMs;
+  T.m_learnSpeed = P.m_learnSpeed;
   T.m_retentionMs =
       static_cast<Millis>(B.m_statusS * MsPerSecond) + RetentionMarginMs;
   return T;
@@ -293,8 +294,8 @@
   m_takeoverEpoch = 0;
   const Millis Now = base::bootNow();
   m_leader = std::make_shared<batch::Leader>(
-      leaderTiming(m_settings.m_bounds), *this, m_counters,
-      static_cast<std::uint64_t>(Epoch), Now, base::wallNow());
+      leaderTiming(m_settings.m_bounds, m_settings.m_placement), *this,
+      m_counters, static_cast<std::uint64_t>(Epoch), Now, base::wallNow());
   // Loading the journal may have taken longer than the confirmation lasts.
   m_leader->confirm(m_confirmedAt);
   if (auto Loaded = m_leader->load(S.m_records); !Loaded)
@@ -643,7 +644,7 @@
 void EntryNode::reload(const Bounds &B) {
   m_settings.m_bounds = B;
   if (m_leader)
-    m_leader->setTiming(leaderTiming(B));
+    m_leader->setTiming(leaderTiming(B, m_settings.m_placement));
 }
 
 void EntryNode::beginStop(Millis LimitMs) {
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -37,6 +37,16 @@
 /// that lost work restarts soon.
 Millis leaseOf(const Bounds &B);
 
+/// Where the leader places tasks.
+struct PlacementSettings {
+  bool m_learnSpeed = false; ///< Learn the speed of workers, and place by it.
+
+  static constexpr auto fields() {
+    return std::tuple{
+        base::optional("learnSpeed", &PlacementSettings::m_learnSpeed)};
+  }
+};
+
 /// JSON settings of `pomelokeel platform entry` and `... agent`.
 struct Settings {
   std::string m_name;
@@ -49,6 +59,7 @@
   double m_cores = 1;          ///< CPU share of this machine, in cores.
   std::string m_endpoint;      ///< Agent: address of its worker.
   Bounds m_bounds;
+  PlacementSettings m_placement; ///< Entry.
   int m_eventRing = 512;
   int m_maxConnections = 1500;
 
@@ -64,6 +75,7 @@
         base::optional("cores", &Settings::m_cores),
         base::optional("endpoint", &Settings::m_endpoint),
         base::optional("bounds", &Settings::m_bounds),
+        base::optional("placement", &Settings::m_placement),
         base::optional("eventRing", &Settings::m_eventRing),
         base::optional("maxConnections", &Settings::m_maxConnections)};
   }
