Bound the cost of learning speeds, and forget agents that are gone

The speeds are computed less often the more runs there are, since a leader may have an eighth of a core. Estimates of agents without a record were kept for good; they go after the retention time like the records.

--- a/src/batch/leader.h
+++ b/src/batch/leader.h
@@ -397,7 +397,7 @@
   std::map<std::string, AgentView> m_agents;
   FaultLog m_faults;
   WorkerSpeeds m_speeds;
-  Millis m_speedsAt = 0; ///< When the speeds were last computed.
+  Millis m_speedsDueAt = 0; ///< When the speeds are computed next.
   std::map<std::string, detail::RecordedSpeed> m_speedRecords; ///< By agent.
   std::set<std::string> m_dirtySpeeds; ///< Agents with a record to write.
   std::vector<detail::EarlierResult> m_earlierResults;
--- a/src/batch/leader_speed.cc
+++ b/src/batch/leader_speed.cc
@@ -12,8 +12,11 @@
 namespace pomelokeel::batch {
 namespace {
 
-/// Interval between two computations of the workers' speeds.
+/// Shortest interval between two computations of the workers' speeds. It grows
+/// by 1 ms with so many runs, so that large fleets cost the leader a limited
+/// share of its processor time.
 constexpr Millis EstimateEveryMs = 500;
+constexpr std::size_t RunsPerMs = 20;
 
 /// A record is written when the value has moved by this much, and not more
 /// often than this.
@@ -106,9 +109,10 @@
 }
 
 void Leader::reviewSpeeds(Millis Now) {
-  if (!m_timing.m_learnSpeed || Now - m_speedsAt < EstimateEveryMs)
+  if (!m_timing.m_learnSpeed || Now < m_speedsDueAt)
     return;
-  m_speedsAt = Now;
+  m_speedsDueAt = Now + EstimateEveryMs +
+                  static_cast<Millis>(m_speeds.sampleCount() / RunsPerMs);
   for (const auto &[Id, J] : m_openJobs) {
     const std::string &Job = Id;
     const JobState &State = *J;
@@ -145,15 +149,24 @@
     m_speedRecords[Agent] = {E.m_slowness, Now};
     m_dirtySpeeds.insert(Agent);
   }
-  std::erase_if(m_speedRecords, [&](const auto &Record) {
-    const auto It = m_agents.find(Record.first);
+  const auto IsGone = [&](const std::string &Agent) {
+    const auto It = m_agents.find(Agent);
     const Millis SeenAt =
         It == m_agents.end() ? m_startedAt : It->second.m_lastContactAt;
-    if (Now - SeenAt < m_timing.m_retentionMs)
+    return Now - SeenAt >= m_timing.m_retentionMs;
+  };
+  std::vector<std::string> Gone;
+  for (const auto &[Agent, E] : m_speeds.all()) {
+    if (IsGone(Agent))
+      Gone.push_back(Agent);
+  }
+  for (const std::string &Agent : Gone)
+    m_speeds.forget(Agent);
+  std::erase_if(m_speedRecords, [&](const auto &Record) {
+    if (!IsGone(Record.first))
       return false;
     m_dropped.push_back(journalKey(SpeedKey, Record.first));
     m_dirtySpeeds.erase(Record.first);
-    m_speeds.forget(Record.first);
     return true;
   });
 }
--- a/src/batch/placement.cc
+++ b/src/batch/placement.cc
@@ -378,16 +378,18 @@
   std::optional<Assignment> Best;
   Millis BestMs = std::numeric_limits<Millis>::max();
   for (const Scope *S : X.m_scopes) {
-    // For each task that fits: from when, and on which worker.
-    std::vector<std::pair<Millis, std::size_t>> Slots;
+    // For each task that fits: from when, on a worker of which speed, and on
+    // which worker.
+    std::vector<std::tuple<Millis, int, std::size_t>> Slots;
     for (const std::size_t I : *S) {
       const CandidateWorker &Here = F.m_workers[I];
+      const int Speed = speedKey(Here, speedPreferenceOf(U));
       const std::int64_t Idle =
           tasksThatFit(X, I, elementwiseMin(Here.m_free, Here.m_freeSoon));
       std::int64_t Tasks = tasksThatFit(X, I, Here.m_freeSoon);
-      Slots.insert(Slots.end(), static_cast<std::size_t>(Idle), {0, I});
+      Slots.insert(Slots.end(), static_cast<std::size_t>(Idle), {0, Speed, I});
       Slots.insert(Slots.end(), static_cast<std::size_t>(Tasks - Idle),
-                   {SoonMs, I});
+                   {SoonMs, Speed, I});
       Resources Free = Here.m_freeSoon;
       for (const Release &Next : R[I]) {
         Free = Free + Next.m_freed;
@@ -401,7 +403,7 @@
         if (More <= 0)
           continue;
         Slots.insert(Slots.end(), static_cast<std::size_t>(More),
-                     {Next.m_inMs, I});
+                     {Next.m_inMs, Speed, I});
         Tasks += More;
       }
     }
@@ -409,12 +411,13 @@
     if (Slots.size() < Needed)
       continue;
     std::stable_sort(Slots.begin(), Slots.end());
-    if (Slots[Needed - 1].first >= BestMs)
+    const Millis LastMs = std::get<0>(Slots[Needed - 1]);
+    if (LastMs >= BestMs)
       continue;
-    BestMs = Slots[Needed - 1].first;
+    BestMs = LastMs;
     Best.emplace();
     for (std::size_t N = 0; N < Needed; ++N)
-      Best->push_back(Slots[N].second);
+      Best->push_back(std::get<2>(Slots[N]));
   }
   return Best;
 }
--- a/src/batch/worker_speed.cc
+++ b/src/batch/worker_speed.cc
@@ -194,6 +194,11 @@
   m_priors.erase(Agent);
   m_odds.erase(Agent);
   m_estimates.erase(Agent);
+  for (auto &[Queue, Gangs] : m_gangs)
+    std::erase_if(Gangs, [&](const auto &G) {
+      return std::binary_search(G.second.m_agents.begin(),
+                                G.second.m_agents.end(), Agent);
+    });
   for (auto &[Key, Samples] : m_steps)
     std::erase_if(Samples,
                   [&](const auto &S) { return S.second.m_agent == Agent; });
@@ -204,6 +209,15 @@
   return It == m_estimates.end() ? SpeedEstimate{} : It->second;
 }
 
+std::size_t WorkerSpeeds::sampleCount() const {
+  std::size_t Out = 0;
+  for (const auto &[Key, Samples] : m_steps)
+    Out += Samples.size();
+  for (const auto &[Queue, Gangs] : m_gangs)
+    Out += Gangs.size();
+  return Out;
+}
+
 void WorkerSpeeds::prune(Millis Now) {
   const auto IsOld = [&](Millis At) { return Now - At > WindowMs; };
   std::erase_if(m_steps, [&](auto &Step) {
--- a/src/batch/worker_speed.h
+++ b/src/batch/worker_speed.h
@@ -69,6 +69,9 @@
 
   SpeedEstimate of(const std::string &Agent) const;
 
+  /// Number of runs and gangs that update() considers.
+  std::size_t sampleCount() const;
+
   const std::map<std::string, SpeedEstimate> &all() const {
     return m_estimates;
   }
@@ -81,7 +84,7 @@
     Millis m_at = 0;
   };
   struct GangSample {
-    std::vector<std::string> m_agents; ///< Without duplicates.
+    std::vector<std::string> m_agents; ///< Sorted, without duplicates.
     double m_logRatio = 0;
     std::string m_job;
     Millis m_at = 0;
