Compute the speeds of large fleets in less time

Workers are found by hash, and two rounds suffice, as each computation continues from the one before.

--- a/src/batch/worker_speed.cc
+++ b/src/batch/worker_speed.cc
@@ -231,7 +231,7 @@
 
 void WorkerSpeeds::addTaskEvents(Workers &All, double Offset) const {
   for (const auto &[Key, Samples] : m_steps) {
-    std::set<std::string_view> Agents;
+    std::set<const Worker *> Agents;
     struct Adjusted {
       double m_log = 0;
       const Sample *m_sample = nullptr;
@@ -240,7 +240,7 @@
     std::vector<Adjusted> Runs;
     for (const auto &[Index, S] : Samples) {
       Worker &W = All.at(S.m_agent);
-      Agents.insert(S.m_agent);
+      Agents.insert(&W);
       Runs.push_back(
           {S.m_logMs - SlowLog * (W.m_probability - Offset), &S, &W});
     }
@@ -368,7 +368,8 @@
         Add(Agent);
     }
   }
-  constexpr int Rounds = 3;
+  // Each update continues from the one before, so few rounds suffice.
+  constexpr int Rounds = 2;
   for (int Round = 0; Round < Rounds && !All.empty(); ++Round) {
     // At most half of the workers can be slower than usual.
     std::vector<double> Probabilities;
@@ -389,7 +390,8 @@
         (1 + PriorWeight);
   }
   std::vector<std::string> Changed;
-  for (const auto &[Agent, W] : All) {
+  for (const auto &[Key, W] : All) {
+    const std::string Agent(Key);
     m_odds[Agent] = W.m_odds;
     SpeedEstimate &E = m_estimates[Agent];
     // One job alone does not mark a worker.
@@ -403,6 +405,7 @@
               : std::min(Slowness, SlowFrom - BelowSlow),
          Slow, static_cast<std::int64_t>(W.m_events.size()), W.m_jobs};
   }
+  std::sort(Changed.begin(), Changed.end());
   return Changed;
 }
 
--- a/src/batch/worker_speed.h
+++ b/src/batch/worker_speed.h
@@ -6,7 +6,9 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 #include <tuple>
+#include <unordered_map>
 #include <vector>
 
 namespace pomelokeel::batch {
@@ -98,7 +100,7 @@
   };
   struct Worker;
   struct Event;
-  using Workers = std::map<std::string, Worker>;
+  using Workers = std::unordered_map<std::string_view, Worker>;
   using StepKey = std::tuple<std::string, int, int>;
 
   void prune(Millis Now);
