--- a/tests/soak/fleet.cc
+++ b/tests/soak/fleet.cc
@@ -59,7 +59,8 @@
                                {"controlListen", freeAddress()},
                                {"callerListen", CallerAddress},
                                {"readyListen", freeAddress()},
-                               {"bounds", bounds()}};
+                               {"bounds", bounds()},
+                               {"placement", {{"learnSpeed", true}}}};
   m_entries.push_back(makeProcess(Name, "entry", Settings));
   m_entries.back().m_callerAddress = CallerAddress;
 }
