--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -51,6 +51,7 @@
   Bounds m_bounds;
   int m_eventRing = 512;
   int m_maxConnections = 1500;
+  int m_memoryMb = 0; ///< Memory of this machine; 0: not known.
 
   static constexpr auto fields() {
     return std::tuple{
@@ -65,7 +66,8 @@
         base::optional("endpoint", &Settings::m_endpoint),
         base::optional("bounds", &Settings::m_bounds),
         base::optional("eventRing", &Settings::m_eventRing),
-        base::optional("maxConnections", &Settings::m_maxConnections)};
+        base::optional("maxConnections", &Settings::m_maxConnections),
+        base::optional("memoryMb", &Settings::m_memoryMb)};
   }
 };
 
