--- a/src/base/json.cc
+++ b/src/base/json.cc
@@ -7,22 +7,26 @@
 namespace pomelokeel::base {
 namespace {
 
-// A SAX handler that stops the parser at data nested deeper than MaxNesting.
-// The msgpack reader recurses, so a check after parsing would come after the
-// stack overflow.
+// A SAX handler that stops the parser at data nested deeper than MaxNesting or
+// with too many values. The msgpack reader recurses, so a check after parsing
+// would come after the stack overflow.
 class NestingChecker : public nlohmann::json_sax<Json> {
 public:
-  bool null() override { return true; }
-  bool boolean(bool) override { return true; }
-  bool number_integer(number_integer_t) override { return true; }
-  bool number_unsigned(number_unsigned_t) override { return true; }
-  bool number_float(number_float_t, const string_t &) override { return true; }
-  bool string(string_t &) override { return true; }
-  bool binary(binary_t &) override { return true; }
-  bool start_object(std::size_t) override { return ++m_levels <= MaxNesting; }
+  explicit NestingChecker(std::size_t MaxValues) : m_valuesLeft(MaxValues) {}
+
+  bool null() override { return count(); }
+  bool boolean(bool) override { return count(); }
+  bool number_integer(number_integer_t) override { return count(); }
+  bool number_unsigned(number_unsigned_t) override { return count(); }
+  bool number_float(number_float_t, const string_t &) override {
+    return count();
+  }
+  bool string(string_t &) override { return count(); }
+  bool binary(binary_t &) override { return count(); }
+  bool start_object(std::size_t) override { return enter(); }
   bool key(string_t &) override { return true; }
   bool end_object() override { return leave(); }
-  bool start_array(std::size_t) override { return ++m_levels <= MaxNesting; }
+  bool start_array(std::size_t) override { return enter(); }
   bool end_array() override { return leave(); }
   bool parse_error(std::size_t, const std::string &,
                    const nlohmann::detail::exception &) override {
@@ -30,11 +34,14 @@
   }
 
 private:
+  bool count() { return m_valuesLeft-- > 0; }
+  bool enter() { return count() && ++m_levels <= MaxNesting; }
   bool leave() {
     --m_levels;
     return true;
   }
 
+  std::size_t m_valuesLeft;
   int m_levels = 0;
 };
 
@@ -87,22 +94,56 @@
   return Out;
 }
 
+// Returns true if the text up to its first error has more than MaxLevels levels
+// of arrays and objects or more than MaxSeparators commas and opening brackets.
+bool exceeds(std::string_view Text, int MaxLevels, std::size_t MaxSeparators) {
+  int Level = 0;
+  std::size_t Separators = 0;
+  bool InString = false;
+  for (std::size_t I = 0; I < Text.size(); ++I) {
+    const char C = Text[I];
+    if (InString) {
+      if (C == '\\')
+        ++I;
+      else if (C == '"')
+        InString = false;
+      continue;
+    }
+    switch (C) {
+    case '"':
+      InString = true;
+      break;
+    case '[':
+    case '{':
+      ++Separators;
+      if (++Level > MaxLevels)
+        return true;
+      break;
+    case ']':
+    case '}':
+      --Level;
+      break;
+    case ',':
+      ++Separators;
+      break;
+    default:
+      break;
+    }
+  }
+  return Separators > MaxSeparators;
+}
+
 Json discarded() { return Json(Json::value_t::discarded); }
 
 } // namespace
 
-Json parseJson(std::string_view Text) {
-  bool TooDeep = false;
-  Json J = Json::parse(
-      Text,
-      [&](int Levels, Json::parse_event_t Event, const Json &) {
-        const bool Opens = Event == Json::parse_event_t::object_start ||
-                           Event == Json::parse_event_t::array_start;
-        TooDeep = TooDeep || (Opens && Levels >= MaxNesting);
-        return !TooDeep;
-      },
-      false);
-  return TooDeep ? discarded() : J;
+Json parseJson(std::string_view Text, std::size_t MaxSeparators) {
+  // The parser's own callback is no way to stop it: with a callback it searches
+  // the enclosing array at each end of an element, and 262,144 bytes of empty
+  // objects took seconds.
+  return exceeds(Text, MaxNesting, MaxSeparators)
+             ? discarded()
+             : Json::parse(Text, nullptr, false);
 }
 
 Json parseJsonLists(std::string_view Text) {
@@ -110,8 +151,9 @@
   return J.is_discarded() ? parseJson(replaceUnreadable(Text)) : J;
 }
 
-Json parseMsgpack(const std::uint8_t *Data, std::size_t Size) {
-  NestingChecker Checker;
+Json parseMsgpack(const std::uint8_t *Data, std::size_t Size,
+                  std::size_t MaxValues) {
+  NestingChecker Checker(MaxValues);
   if (!Json::sax_parse(Data, Data + Size, &Checker,
                        Json::input_format_t::msgpack))
     return discarded();
--- a/src/base/json.h
+++ b/src/base/json.h
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -26,8 +27,12 @@
 constexpr int MaxRecordNesting = 128;
 
 /// Parses JSON text. Returns a discarded value (is_discarded()) if the text is
-/// invalid or nested deeper than MaxNesting.
-Json parseJson(std::string_view Text);
+/// invalid, nested deeper than MaxNesting or has more than \p MaxSeparators
+/// commas and opening brackets outside of strings, of which there is at least
+/// one for each value.
+Json parseJson(
+    std::string_view Text,
+    std::size_t MaxSeparators = std::numeric_limits<std::size_t>::max());
 
 /// Like parseJson(), but an element of a list that cannot be read is null. The
 /// lists are the text itself or the members of the object that it is. For lists
@@ -35,8 +40,11 @@
 Json parseJsonLists(std::string_view Text);
 
 /// Parses \p Size bytes of msgpack. Returns a discarded value (is_discarded())
-/// if they are invalid or nested deeper than MaxNesting.
-Json parseMsgpack(const std::uint8_t *Data, std::size_t Size);
+/// if they are invalid, nested deeper than MaxNesting or have more than
+/// \p MaxValues values.
+Json parseMsgpack(
+    const std::uint8_t *Data, std::size_t Size,
+    std::size_t MaxValues = std::numeric_limits<std::size_t>::max());
 
 /// Returns the number \p J without its fraction, or std::nullopt if it is no
 /// number or not from \p Min to \p Max.
--- a/src/batch/job.cc
+++ b/src/batch/job.cc
@@ -13,7 +13,6 @@
 
 /// Limits of a job, so that its stored progress fits into one record of the
 /// journal.
-constexpr std::size_t MaxSteps = 64;
 constexpr std::int64_t MaxTasks = 2000;
 constexpr std::int64_t MaxOccurrences = 100000;
 
--- a/src/batch/job.h
+++ b/src/batch/job.h
@@ -49,6 +49,10 @@
          Need.m_accelerators <= Free.m_accelerators;
 }
 
+/// Most steps of a job, so that its stored progress fits into one record of the
+/// journal.
+constexpr std::size_t MaxSteps = 64;
+
 /// A set of identical tasks. They can start when all tasks of the steps in
 /// m_dependencies are done.
 struct Step {
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -16,6 +16,7 @@
 /// compiles slowly.
 namespace pomelokeel::http {
 
+class CallerBudget;
 class Reactor;
 
 struct Header {
@@ -73,16 +74,36 @@
 /// Handles one request. Called on the server thread; must not block.
 using Handler = std::function<void(Request, Responder)>;
 
+/// Decides by the header of a request that has a body whether the body is read:
+/// returns the largest size of the body, or the response that refuses the
+/// request. The body of \p Head is empty.
+using HeadCheck =
+    std::function<std::variant<std::size_t, Response>(const Request &Head)>;
+
 struct ServerLimits {
   std::size_t m_maxConnections = 256;
   std::size_t m_maxHeaderBytes = 16 * 1024;
+  std::size_t m_maxHeaderFields = 100;
   std::size_t m_maxBodyBytes = 1024 * 1024;
+  /// Most bytes beyond the header that are read ahead: the start of the body
+  /// and further requests.
+  std::size_t m_readAheadBytes = 16 * 1024;
   /// Applies separately to the wait for a request, to reading it and to writing
   /// the response.
   int m_idleTimeoutMs = 30000;
+  /// Time in which a request must arrive and a response be read; 0:
+  /// m_idleTimeoutMs.
+  int m_requestTimeoutMs = 0;
+  int m_writeTimeoutMs = 0;
   /// Time from a received request to its response, after which the client gets
   /// `timeout`.
   int m_responseTimeoutMs = 90000;
+  /// Bounds the memory of the connections of all servers that share it. If it
+  /// is set, a new connection over the limit takes the place of the one that
+  /// has been idle or unfinished for longest. It must outlive the server.
+  CallerBudget *m_budget = nullptr;
+  /// May be empty: then all bodies up to m_maxBodyBytes are read.
+  HeadCheck m_checkHead;
 };
 
 /// Serves on one thread of its own, or on that of a Reactor. A connection over
@@ -90,7 +111,8 @@
 /// that is malformed or does not arrive in time `badRequest`; then the
 /// connection is closed. If a client closes its side of the connection while it
 /// waits for a response, the server closes the connection without one. If it
-/// has done so before its request is read, the request is not handled.
+/// has done so before its request is read, the request is not handled. A
+/// request is handled only after the whole of it was read.
 class Server {
 public:
   /// Binds to `host:port`. For port 0 the system chooses the port. Error:
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -1,4 +1,5 @@
 #include "base/error.h"
+#include "http/caller_budget.h"
 #include "http/detail.h"
 #include "http/http.h"
 #include "http/reactor_impl.h"
@@ -29,9 +30,17 @@
 using Code = boost::system::error_code;
 using base::ErrorKind;
 
-// The read buffer is this much larger than the header limit, so that it can
-// also hold the start of the body.
-constexpr std::size_t ReadAheadBytes = 64 * 1024;
+// Sizes of reads. Most headers fit in the smaller one.
+constexpr std::size_t HeaderReadBytes = 2 * 1024;
+constexpr std::size_t BodyReadBytes = 16 * 1024;
+// Memory of a connection besides buffers: the session, its timer and socket.
+constexpr std::size_t SessionBytes = 2 * 1024;
+// Memory of a header field besides its text, in the parser and in Request.
+constexpr std::size_t FieldBytes = 192;
+// Receive buffer of an accepted connection. The kernel doubles it, so 1,500
+// connections bind 48 MB at most. It passes 256 KiB in 0.4 s over a round trip
+// of 24 ms between regions.
+constexpr int ReceiveBufferBytes = 16 * 1024;
 // How long input is discarded after an error response to a request that was not
 // read whole. Closing a socket with unread input resets the connection, and the
 // client may lose the response.
@@ -70,17 +79,31 @@
 public:
   Session(Tcp::socket Socket, SessionOwner &H, std::uint64_t Number)
       : m_socket(std::move(Socket)), m_timer(m_socket.get_executor()),
-        m_owner(H), m_connectionNumber(Number),
-        m_buffer(H.limits().m_maxHeaderBytes + ReadAheadBytes) {
+        m_owner(H), m_connectionNumber(Number), m_buffer(maxBufferBytes()) {
     Code Ignored;
     m_socket.set_option(Tcp::no_delay(true), Ignored);
   }
 
+  // Takes part in the budget until it is closed.
+  void joinBudget() {
+    CallerBudget *B = m_owner.limits().m_budget;
+    if (B == nullptr)
+      return;
+    m_budgetId = B->add(&m_owner, [Weak = weak_from_this()](CloseReason) {
+      if (const auto S = Weak.lock())
+        S->close();
+    });
+    charge();
+  }
+
   // Waits for the next request.
   void awaitRequest() {
-    m_phase = Phase::Idle;
     if (m_buffer.size() > 0)
       return readRequest();
+    m_phase = Phase::Idle;
+    releaseBuffer();
+    setActivity(CallerBudget::Activity::Idle);
+    charge();
     setDeadline(m_owner.stopping() ? StopIdleTimeoutMs
                                    : m_owner.limits().m_idleTimeoutMs);
     m_socket.async_wait(Tcp::socket::wait_read,
@@ -96,9 +119,19 @@
   // Sends an error response before a whole request was read, then closes the
   // connection.
   void refuse(ErrorKind Kind, const std::string &Message) {
+    refuse(errorResponse({Kind, Message}));
+  }
+
+  void refuse(Response R) {
     m_keepAlive = false;
     m_discardInput = true;
-    write(errorResponse({Kind, Message}));
+    m_parser.reset();
+    write(std::move(R));
+  }
+
+  void refuse(CloseReason Reason, ErrorKind Kind, const std::string &Message) {
+    countClosed(Reason);
+    refuse(Kind, Message);
   }
 
   // Responds to request \p RequestNumber, unless it already has a response.
@@ -111,6 +144,20 @@
     write(std::move(R));
   }
 
+  // True if the client has sent more requests while one is handled.
+  bool sendsAhead() const {
+    return m_phase == Phase::Handling && m_keepAlive && m_buffer.size() > 0;
+  }
+
+  // Closes the connection after the response to the request being handled. What
+  // the client has sent after it is not handled.
+  void endAfterResponse() {
+    m_keepAlive = false;
+    m_discardInput = true;
+  }
+
+  std::uint64_t number() const { return m_connectionNumber; }
+
   void shortenIdleTimeout() {
     if (m_phase == Phase::Idle)
       setDeadline(StopIdleTimeoutMs);
@@ -123,6 +170,8 @@
     Code Ignored;
     m_socket.close(Ignored);
     m_timer.cancel();
+    if (CallerBudget *B = m_owner.limits().m_budget)
+      B->remove(m_budgetId);
     m_owner.onSessionClosed(shared_from_this());
   }
 
@@ -131,6 +180,53 @@
   using Parser = beast::http::request_parser<beast::http::string_body>;
   using Message = beast::http::response<beast::http::string_body>;
 
+  std::size_t maxBufferBytes() const {
+    return m_owner.limits().m_maxHeaderBytes +
+           m_owner.limits().m_readAheadBytes;
+  }
+
+  int requestTimeoutMs() const {
+    const ServerLimits &L = m_owner.limits();
+    return L.m_requestTimeoutMs > 0 ? L.m_requestTimeoutMs : L.m_idleTimeoutMs;
+  }
+
+  int writeTimeoutMs() const {
+    const ServerLimits &L = m_owner.limits();
+    return L.m_writeTimeoutMs > 0 ? L.m_writeTimeoutMs : L.m_idleTimeoutMs;
+  }
+
+  void setActivity(CallerBudget::Activity A) {
+    if (CallerBudget *B = m_owner.limits().m_budget)
+      B->setActivity(m_budgetId, A);
+  }
+
+  void countClosed(CloseReason Reason) {
+    if (const CallerBudget *B = m_owner.limits().m_budget)
+      B->countClosed(Reason);
+  }
+
+  // Charges what the connection binds now. Returns false if this has closed the
+  // connection.
+  bool charge() {
+    CallerBudget *B = m_owner.limits().m_budget;
+    if (B == nullptr)
+      return true;
+    std::size_t Bytes = SessionBytes + m_buffer.capacity() + m_requestBytes +
+                        m_message.body().capacity();
+    if (m_parser) {
+      // The body may have reserved its declared size, which binds memory only
+      // as far as it was written.
+      const std::string &Body = m_parser->get().body();
+      Bytes += m_headerBytes + std::min(Body.capacity(), 2 * Body.size());
+    }
+    return B->charge(m_budgetId, Bytes);
+  }
+
+  void releaseBuffer() {
+    if (m_buffer.capacity() > 0 && m_buffer.size() == 0)
+      m_buffer = beast::flat_buffer(maxBufferBytes());
+  }
+
   void setDeadline(int Ms) {
     m_timer.expires_after(millis(Ms));
     m_timer.async_wait([Self = shared_from_this()](Code E) {
@@ -150,6 +246,8 @@
       m_socket.cancel(Ignored);
       return;
     }
+    if (m_phase == Phase::Writing)
+      countClosed(CloseReason::ResponseTime);
     if (m_phase == Phase::Handling)
       return write(errorResponse(
           {ErrorKind::Timeout,
@@ -160,26 +258,107 @@
 
   void readRequest() {
     m_phase = Phase::Reading;
-    setDeadline(m_owner.limits().m_idleTimeoutMs);
+    setActivity(CallerBudget::Activity::Unfinished);
+    setDeadline(requestTimeoutMs());
     m_parser.emplace();
+    m_headerBytes = 0;
     m_parser->header_limit(
         static_cast<std::uint32_t>(m_owner.limits().m_maxHeaderBytes));
     m_parser->body_limit(m_owner.limits().m_maxBodyBytes);
-    beast::http::async_read_header(
-        m_socket, m_buffer, *m_parser,
-        [Self = shared_from_this()](Code E, std::size_t) {
-          Self->onHeader(E);
+    parse();
+  }
+
+  void receive() {
+    const std::size_t Free = m_buffer.max_size() - m_buffer.size();
+    if (Free == 0)
+      return onReadError(beast::http::error::buffer_overflow);
+    const std::size_t Size =
+        m_parser->is_header_done() ? BodyReadBytes : HeaderReadBytes;
+    m_socket.async_read_some(
+        m_buffer.prepare(std::min(Size, Free)),
+        [Self = shared_from_this()](Code E, std::size_t Received) {
+          Self->onReceived(E, Received);
         });
   }
 
-  void onHeader(Code E) {
+  void onReceived(Code E, std::size_t Received) {
     if (m_phase != Phase::Reading)
       return;
-    if (E)
+    if (E || m_readTimedOut)
       return onReadError(E);
+    m_buffer.commit(Received);
+    if (CallerBudget *B = m_owner.limits().m_budget)
+      B->received(m_budgetId, Received);
+    parse();
+  }
+
+  // Parses what was received. A request is handled only when the whole of it
+  // was read, so closing the connection before means that it has no effect.
+  void parse() {
+    while (m_buffer.size() > 0 && !m_parser->is_done()) {
+      const bool HadHeader = m_parser->is_header_done();
+      Code E;
+      const std::size_t Used = m_parser->put(m_buffer.data(), E);
+      m_buffer.consume(Used);
+      if (E && E != beast::http::error::need_more)
+        return onReadError(E);
+      if (!HadHeader && m_parser->is_header_done())
+        return onHeader();
+      if (E || Used == 0)
+        break;
+    }
+    if (!charge())
+      return;
+    if (m_parser->is_done())
+      return onRequest();
+    receive();
+  }
+
+  static Request headOf(const Parser::value_type &Received) {
+    Request R;
+    R.m_method = std::string(Received.method_string());
+    R.m_target = std::string(Received.target());
+    R.m_contentType = std::string(Received[beast::http::field::content_type]);
+    for (const auto &Field : Received)
+      R.m_headers.push_back(
+          {std::string(Field.name_string()), std::string(Field.value())});
+    return R;
+  }
+
+  void onHeader() {
+    std::size_t Fields = 0;
+    std::size_t TextBytes = 0;
+    for (const auto &Field : m_parser->get()) {
+      ++Fields;
+      TextBytes += Field.name_string().size() + Field.value().size();
+    }
+    // The text is kept twice for a while, in the parser and in Request.
+    m_headerBytes = Fields * FieldBytes + 2 * TextBytes;
+    const std::size_t MaxFields = m_owner.limits().m_maxHeaderFields;
+    if (Fields > MaxFields)
+      return refuse(CloseReason::HeaderFields, ErrorKind::TooLarge,
+                    "the request has more than " + std::to_string(MaxFields) +
+                        " header fields");
+    if (m_parser->is_done())
+      return parse();
+    if (const HeadCheck &Check = m_owner.limits().m_checkHead) {
+      auto Verdict = Check(headOf(m_parser->get()));
+      if (auto *Refusal = std::get_if<Response>(&Verdict)) {
+        countClosed(CloseReason::Head);
+        return refuse(std::move(*Refusal));
+      }
+      m_maxBodyBytes = std::min(std::get<std::size_t>(Verdict),
+                                m_owner.limits().m_maxBodyBytes);
+    } else {
+      m_maxBodyBytes = m_owner.limits().m_maxBodyBytes;
+    }
+    m_parser->body_limit(m_maxBodyBytes);
+    const auto Declared = m_parser->content_length();
+    if (Declared && *Declared > m_maxBodyBytes)
+      return onReadError(beast::http::error::body_limit);
     const auto Expect = m_parser->get()[beast::http::field::expect];
     if (!beast::iequals(Expect, "100-continue"))
-      return readBody();
+      return parse();
     static const std::string Continue = "HTTP/1.1 100 Continue\r\n\r\n";
     net::async_write(m_socket, net::buffer(Continue),
                      [Self = shared_from_this()](Code Failed, std::size_t) {
@@ -187,39 +366,27 @@
                          return;
                        if (Failed)
                          return Self->close();
-                       Self->readBody();
+                       Self->parse();
                      });
   }
 
-  void readBody() {
-    beast::http::async_read(m_socket, m_buffer, *m_parser,
-                            [Self = shared_from_this()](Code E, std::size_t) {
-                              Self->onRequest(E);
-                            });
-  }
-
-  void onRequest(Code E) {
-    if (m_phase != Phase::Reading)
-      return;
-    if (E)
-      return onReadError(E);
+  void onRequest() {
     auto Received = m_parser->release();
+    m_parser.reset();
     m_keepAlive = Received.keep_alive();
     m_headOnly = Received.method() == beast::http::verb::head;
-    Request R;
-    R.m_method = std::string(Received.method_string());
-    R.m_target = std::string(Received.target());
-    R.m_contentType = std::string(Received[beast::http::field::content_type]);
+    Request R = headOf(Received);
     R.m_body = std::move(Received.body());
     R.m_connection = m_connectionNumber;
-    for (const auto &Field : Received)
-      R.m_headers.push_back(
-          {std::string(Field.name_string()), std::string(Field.value())});
+    m_requestBytes = R.m_body.size() + m_headerBytes;
+    releaseBuffer();
     // The request may have waited while this process was suspended. Its client
     // has given up and may rely on the request having had no effect.
     if (closedByClient())
       return close();
     m_phase = Phase::Handling;
+    setActivity(CallerBudget::Activity::Handled);
+    charge();
     ++m_requestNumber;
     setDeadline(m_owner.limits().m_responseTimeoutMs);
     watchForClose();
@@ -236,20 +403,18 @@
   void onReadError(Code E) {
     namespace bh = beast::http;
     if (m_readTimedOut)
-      return refuse(ErrorKind::BadRequest,
+      return refuse(CloseReason::RequestTime, ErrorKind::BadRequest,
                     "the request did not arrive within " +
-                        std::to_string(m_owner.limits().m_idleTimeoutMs) +
-                        " ms");
+                        std::to_string(requestTimeoutMs()) + " ms");
     if (E == bh::error::header_limit || E == bh::error::buffer_overflow)
-      return refuse(ErrorKind::TooLarge,
+      return refuse(CloseReason::Size, ErrorKind::TooLarge,
                     "the request header exceeds " +
                         std::to_string(m_owner.limits().m_maxHeaderBytes) +
                         " bytes");
     if (E == bh::error::body_limit)
-      return refuse(ErrorKind::TooLarge,
+      return refuse(CloseReason::Size, ErrorKind::TooLarge,
                     "the request body exceeds " +
-                        std::to_string(m_owner.limits().m_maxBodyBytes) +
-                        " bytes");
+                        std::to_string(m_maxBodyBytes) + " bytes");
     if (E.category() == bh::make_error_code(bh::error::bad_method).category() &&
         E != bh::error::end_of_stream && E != bh::error::partial_message)
       return refuse(ErrorKind::BadRequest,
@@ -275,7 +440,7 @@
 
   void write(Response R) {
     m_phase = Phase::Writing;
-    setDeadline(m_owner.limits().m_idleTimeoutMs);
+    setDeadline(writeTimeoutMs());
     m_keepAlive = m_keepAlive && !m_owner.stopping();
     m_message = Message(static_cast<beast::http::status>(R.m_status), 11);
     m_message.set(beast::http::field::content_type, R.m_contentType);
@@ -286,6 +451,10 @@
     m_message.prepare_payload();
     if (m_headOnly)
       m_message.body().clear();
+    m_requestBytes = 0;
+    setActivity(CallerBudget::Activity::Unfinished);
+    if (!charge())
+      return;
     beast::http::async_write(m_socket, m_message,
                              [Self = shared_from_this()](Code E, std::size_t) {
                                if (Self->m_phase != Phase::Writing)
@@ -297,11 +466,15 @@
   void onWritten(Code E) {
     if (E)
       return close();
+    m_message = {};
     if (m_keepAlive)
       return awaitRequest();
     if (!m_discardInput)
       return close();
     m_phase = Phase::Discarding;
+    m_buffer.clear();
+    releaseBuffer();
+    charge();
     Code Ignored;
     m_socket.shutdown(Tcp::socket::shutdown_send, Ignored);
     setDeadline(DiscardTimeoutMs);
@@ -310,7 +483,7 @@
 
   void discardInput() {
     m_buffer.clear();
-    m_socket.async_read_some(m_buffer.prepare(ReadAheadBytes),
+    m_socket.async_read_some(m_buffer.prepare(HeaderReadBytes),
                              [Self = shared_from_this()](Code E, std::size_t) {
                                if (E)
                                  return Self->close();
@@ -326,6 +499,10 @@
   beast::flat_buffer m_buffer;
   std::optional<Parser> m_parser;
   Message m_message;
+  CallerBudget::Id m_budgetId = 0;
+  std::size_t m_headerBytes = 0;  // Of the request that is being read.
+  std::size_t m_maxBodyBytes = 0; // Of the request that is being read.
+  std::size_t m_requestBytes = 0; // Of the request that is being handled.
 
   Phase m_phase = Phase::Idle;
   std::uint64_t m_requestNumber = 0; // Requests read so far.
@@ -370,10 +547,10 @@
 class ServerImpl final : public Server, public SessionOwner {
 public:
   ServerImpl(ServerLimits Limits, Handler H)
-      : m_limits(Limits), m_handler(std::move(H)) {}
+      : m_limits(std::move(Limits)), m_handler(std::move(H)) {}
   ServerImpl(std::shared_ptr<net::io_context> Io, ServerLimits Limits,
              Handler H)
-      : m_io(std::move(Io)), m_onReactor(true), m_limits(Limits),
+      : m_io(std::move(Io)), m_onReactor(true), m_limits(std::move(Limits)),
         m_handler(std::move(H)) {}
   ~ServerImpl() override {
     if (m_onReactor)
@@ -435,6 +612,11 @@
     m_acceptor.open(Endpoint.protocol(), E);
     if (!E)
       m_acceptor.set_option(net::socket_base::reuse_address(true), E);
+    // Accepted connections inherit it. Set later, it would not bound the window
+    // that the kernel has announced.
+    if (!E && m_limits.m_budget != nullptr)
+      m_acceptor.set_option(
+          net::socket_base::receive_buffer_size(ReceiveBufferBytes), E);
     if (!E)
       m_acceptor.bind(Endpoint, E);
     if (!E)
@@ -463,12 +645,21 @@
 
   void addSession(Tcp::socket Socket) {
     const std::size_t Open = m_sessions.size() - m_refused.size();
-    const bool Refuse = Open >= m_limits.m_maxConnections;
+    CallerBudget *Budget = m_limits.m_budget;
+    const bool Refuse =
+        Open >= m_limits.m_maxConnections &&
+        (m_stopping || Budget == nullptr ||
+         !(Budget->makeRoom(static_cast<SessionOwner *>(this)) ||
+           (Open < m_limits.m_maxConnections + MaxRefusedSessions &&
+            endOneThatSendsAhead())));
+    if (Refuse && Budget != nullptr)
+      Budget->countClosed(CloseReason::Refused);
     if (Refuse && m_refused.size() >= MaxRefusedSessions)
       return;
     const auto S = std::make_shared<Session>(std::move(Socket), *this,
                                              ++m_connectionCount);
     m_sessions.insert(S);
+    S->joinBudget();
     if (!Refuse)
       return S->awaitRequest();
     m_refused.insert(S.get());
@@ -477,6 +668,23 @@
                   " connections is reached");
   }
 
+  // While all connections have a request that is being handled, those that send
+  // further ones without waiting would keep all others out. Ends the oldest of
+  // them after its response; until then a new one exceeds the limit.
+  bool endOneThatSendsAhead() {
+    Session *Oldest = nullptr;
+    for (const auto &S : m_sessions) {
+      if (S->sendsAhead() &&
+          (Oldest == nullptr || S->number() < Oldest->number()))
+        Oldest = S.get();
+    }
+    if (Oldest == nullptr)
+      return false;
+    Oldest->endAfterResponse();
+    m_limits.m_budget->countClosed(CloseReason::Connections);
+    return true;
+  }
+
   void beginStop(int GraceMs) {
     if (m_stopping && GraceMs > 0)
       return;
@@ -573,8 +781,8 @@
 
 base::Result<std::unique_ptr<Server>>
 Server::start(const std::string &Address, ServerLimits Limits, Handler H) {
-  return listenAndRun(std::make_unique<ServerImpl>(Limits, std::move(H)),
-                      Address);
+  return listenAndRun(
+      std::make_unique<ServerImpl>(std::move(Limits), std::move(H)), Address);
 }
 
 base::Result<std::unique_ptr<Server>> Server::start(Reactor &R,
@@ -582,7 +790,8 @@
                                                     ServerLimits Limits,
                                                     Handler H) {
   return listenAndRun(std::make_unique<ServerImpl>(detail::ioContextOf(R),
-                                                   Limits, std::move(H)),
+                                                   std::move(Limits),
+                                                   std::move(H)),
                       Address);
 }
 
--- a/src/node/control.h
+++ b/src/node/control.h
@@ -31,6 +31,11 @@
                                                 const base::EventLog &Events,
                                                 const base::Counters &Counters);
 
+/// Most values in a message. An empty array is one byte and takes 80 bytes of
+/// memory when parsed, so the size of a body bounds the memory too loosely. The
+/// messages themselves have far fewer: a report with 500 ends has 3,000.
+constexpr std::size_t MaxMessageValues = 200000;
+
 /// HTTP status of a process that is not the leader.
 constexpr int NotLeaderStatus = 421;
 
@@ -41,8 +46,9 @@
 
 /// Error: badRequest and the kinds of decodeCompact().
 template <typename T> base::Result<T> unpackMessage(const std::string &Body) {
-  const base::Json J = base::parseMsgpack(
-      reinterpret_cast<const std::uint8_t *>(Body.data()), Body.size());
+  const base::Json J =
+      base::parseMsgpack(reinterpret_cast<const std::uint8_t *>(Body.data()),
+                         Body.size(), MaxMessageValues);
   if (J.is_discarded())
     return base::Error{base::ErrorKind::BadRequest, "not valid msgpack"};
   T Out{};
--- a/src/node/entry_node.cc
+++ b/src/node/entry_node.cc
@@ -471,10 +471,7 @@
     Answer(std::move(R));
   };
   if (auto *Rejected = std::get_if<CallerReply>(&Routed)) {
-    event("callRejected", "",
-          fmt::format("verdict={} config={} reason=\"{}\"",
-                      base::nameOf(Rejected->m_verdict),
-                      m_config ? m_config->m_version : -1, Rejected->m_reason));
+    recordRejection(*Rejected);
     return Finish(std::move(*Rejected));
   }
   auto &Request = std::get<CallerRequest>(Routed);
@@ -482,6 +479,24 @@
   dispatch(std::move(Request), Deadline, Finish);
 }
 
+void EntryNode::recordRejection(const CallerReply &R) {
+  event("callRejected", "",
+        fmt::format("verdict={} config={} reason=\"{}\"",
+                    base::nameOf(R.m_verdict),
+                    m_config ? m_config->m_version : -1, R.m_reason));
+}
+
+std::variant<std::size_t, CallerReply>
+EntryNode::checkHead(const CallerCall &Call) {
+  auto Rejected = rejectionOf(m_config, Call);
+  if (!Rejected)
+    return m_config->m_maxBodyBytes;
+  recordRejection(*Rejected);
+  m_counters.get(fmt::format("caller_answers{{verdict=\"{}\"}}",
+                             base::nameOf(Rejected->m_verdict)))++;
+  return std::move(*Rejected);
+}
+
 void EntryNode::dispatch(CallerRequest R, Millis Deadline,
                          batch::CallerAnswer Answer) {
   const Millis Now = base::bootNow();
--- a/src/node/entry_node.h
+++ b/src/node/entry_node.h
@@ -19,6 +19,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <variant>
 
 namespace pomelokeel::node {
 
@@ -38,6 +39,11 @@
   /// Answers a call, immediately or when its outcome is known.
   void answer(CallerCall Call, batch::CallerAnswer Answer);
 
+  /// Checks a call whose body was not read yet. Returns the reply that rejects
+  /// it, or the largest size of its body (0: no limit in the configuration).
+  std::variant<std::size_t, batch::CallerReply>
+  checkHead(const CallerCall &Call);
+
   /// True if the load balancer should send new connections here.
   bool ready() const { return m_config.has_value() && !m_stopping; }
 
@@ -79,6 +85,7 @@
                 batch::CallerAnswer Answer);
   void forward(batch::CallerRequest R, Millis Deadline,
                batch::CallerAnswer Answer);
+  void recordRejection(const batch::CallerReply &R);
   void handleReply(batch::CallerRequest R, Millis Deadline,
                    batch::CallerAnswer Answer, batch::CallerReply Reply);
   void retryOrRefuse(batch::CallerRequest R, Millis Deadline,
--- a/src/node/router.cc
+++ b/src/node/router.cc
@@ -33,8 +33,8 @@
 
 } // namespace
 
-std::variant<CallerRequest, CallerReply>
-route(const std::optional<batch::Config> &C, CallerCall Call) {
+std::optional<CallerReply> rejectionOf(const std::optional<batch::Config> &C,
+                                       const CallerCall &Call) {
   if (!C) {
     CallerReply Out = rejection(Verdict::Unavailable, "no configuration yet");
     Out.m_retryAfterMs = NoConfigRetryMs;
@@ -43,20 +43,30 @@
   const batch::Route *R = findRoute(*C, Call.m_host, Call.m_path);
   if (R == nullptr)
     return rejection(Verdict::NoQueue, "no such queue");
-  const batch::Account *A = findAccount(*C, Call.m_key);
-  if (A == nullptr && !R->m_public)
+  if (!R->m_public && findAccount(*C, Call.m_key) == nullptr)
     return rejection(Verdict::Unauthorized, "unknown key");
+  const std::string Id = Call.m_path.substr(R->m_prefix.size());
+  const bool Counts = Id.empty() && Call.m_method == CallerCall::Method::Query;
+  if (!Counts && !isJobId(Id))
+    return rejection(Verdict::BadRequest, "the id is not 16 hex digits");
+  return std::nullopt;
+}
+
+std::variant<CallerRequest, CallerReply>
+route(const std::optional<batch::Config> &C, CallerCall Call) {
+  if (auto Rejected = rejectionOf(C, Call))
+    return std::move(*Rejected);
+  const batch::Route *R = findRoute(*C, Call.m_host, Call.m_path);
+  const batch::Account *A = findAccount(*C, Call.m_key);
   CallerRequest Out;
   Out.m_id = Call.m_path.substr(R->m_prefix.size());
   Out.m_queue = R->m_queue;
   Out.m_account = A == nullptr ? "" : A->m_name;
   Out.m_remainingMs = Call.m_remainingMs;
-  if (Out.m_id.empty() && Call.m_method == CallerCall::Method::Query) {
+  if (Out.m_id.empty()) {
     Out.m_kind = CallerRequestKind::CountPending;
     return Out;
   }
-  if (!isJobId(Out.m_id))
-    return rejection(Verdict::BadRequest, "the id is not 16 hex digits");
   switch (Call.m_method) {
   case CallerCall::Method::Query:
     Out.m_kind = CallerRequestKind::Query;
--- a/src/node/router.h
+++ b/src/node/router.h
@@ -21,6 +21,11 @@
   base::Millis m_remainingMs = 0;
 };
 
+/// Returns the reply that rejects a call for anything but its body: its path,
+/// its key, its id or a missing configuration.
+std::optional<batch::CallerReply>
+rejectionOf(const std::optional<batch::Config> &C, const CallerCall &Call);
+
 /// Turns a call into a request to the leader according to the configuration
 /// \p C, or into a reply that rejects it. Without a configuration the reply
 /// asks the caller to retry, because the call cannot be checked yet.
--- a/src/node/settings.cc
+++ b/src/node/settings.cc
@@ -2,6 +2,8 @@
 
 #include "settings/settings.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <array>
 #include <fstream>
@@ -19,6 +21,13 @@
 constexpr double MaxBoundS = 30.0 * 24 * 3600;
 /// More events, connections or cores than any machine has.
 constexpr int MaxCount = 1000000;
+/// A process without callers has less than this resident.
+constexpr int MinMemoryMb = 32;
+constexpr std::int64_t MinCallerBytes = 4 * 1024 * 1024;
+constexpr std::int64_t MaxCallerBytes = 1LL << 40;
+constexpr std::int64_t MaxTimeoutMs = 3600 * 1000;
+/// A quarter of the smallest machine, an agent's with 128 MB.
+constexpr std::size_t DefaultCallerBytes = 32 * 1024 * 1024;
 
 bool isBound(Millis Value, Millis Min) {
   return Value >= Min && Value <= MaxBoundMs;
@@ -58,6 +67,38 @@
   return base::success();
 }
 
+base::Status checkCallerLimits(const CallerLimits &L) {
+  struct Row {
+    const char *m_name;
+    const char *m_unit;
+    std::int64_t m_value;
+    std::int64_t m_min;
+    std::int64_t m_max;
+    const char *m_reason;
+  };
+  const Row Rows[] = {{"bytes", "bytes",
+                       L.m_bytes == 0 ? MinCallerBytes : L.m_bytes,
+                       MinCallerBytes, MaxCallerBytes,
+                       "or 0; ten requests of 262144 bytes must fit"},
+                      {"headerFields", "fields", L.m_headerFields, 20, MaxCount,
+                       "clients and balancers send up to 20"},
+                      {"aheadBytes", "bytes", L.m_aheadBytes, 1024, 1024 * 1024,
+                       "less makes each body take many reads"},
+                      {"requestMs", "ms", L.m_requestMs, 3000, MaxTimeoutMs,
+                       "callers wait 3000 ms"},
+                      {"responseMs", "ms", L.m_responseMs, 3000, MaxTimeoutMs,
+                       "callers wait 3000 ms"}};
+  for (const Row &R : Rows) {
+    if (R.m_value < R.m_min || R.m_value > R.m_max)
+      return Error{ErrorKind::BadSettings,
+                   fmt::format("\"callerLimits.{}\" must be from {} to {} {} "
+                               "({})",
+                               R.m_name, R.m_min, R.m_max, R.m_unit,
+                               R.m_reason)};
+  }
+  return base::success();
+}
+
 base::Status checkSettings(const Settings &S, Role R) {
   if (S.m_name.empty())
     return Error{ErrorKind::BadSettings, "\"name\" must not be empty"};
@@ -66,6 +107,14 @@
     return Error{
         ErrorKind::BadSettings,
         "\"eventRing\", \"maxConnections\" or \"cores\" is out of range"};
+  if (S.m_memoryMb != 0 &&
+      (S.m_memoryMb < MinMemoryMb || S.m_memoryMb > MaxCount))
+    return Error{ErrorKind::BadSettings,
+                 fmt::format("\"memoryMb\" must be 0 or from {} to {} MB; "
+                             "a process needs {} MB for itself",
+                             MinMemoryMb, MaxCount, MinMemoryMb)};
+  if (auto Checked = checkCallerLimits(S.m_callerLimits); !Checked)
+    return Checked;
   const Bounds &B = S.m_bounds;
   if (!isBound(B.m_leaseMaxMs, 1000) || !isBound(B.m_stopGraceMs, 0) ||
       !isBound(B.m_gangTimeoutMs, 1) || !isBound(B.m_configApplyMs, 1) ||
@@ -84,6 +133,16 @@
 
 } // namespace
 
+std::size_t callerBytesOf(const Settings &S) {
+  constexpr std::size_t BytesPerMb = 1024 * 1024;
+  constexpr std::size_t Share = 4;
+  if (S.m_callerLimits.m_bytes > 0)
+    return static_cast<std::size_t>(S.m_callerLimits.m_bytes);
+  return S.m_memoryMb > 0
+             ? static_cast<std::size_t>(S.m_memoryMb) * BytesPerMb / Share
+             : DefaultCallerBytes;
+}
+
 Millis leaseOf(const Bounds &B) { return std::min(B.m_leaseMaxMs, MaxLeaseMs); }
 
 base::Result<Settings> loadSettings(const std::string &File, Role R) {
--- a/src/node/settings.h
+++ b/src/node/settings.h
@@ -4,6 +4,8 @@
 #include "base/error.h"
 #include "base/fields.h"
 
+#include <cstddef>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -37,6 +39,26 @@
 /// that lost work restarts soon.
 Millis leaseOf(const Bounds &B);
 
+/// Limits that keep callers from binding the memory and the connections of a
+/// process. Ordinary callers do not reach them.
+struct CallerLimits {
+  /// Bytes that all connections may bind; 0: a quarter of the memory.
+  std::int64_t m_bytes = 0;
+  int m_headerFields = 100; ///< Of one request.
+  int m_aheadBytes = 16384; ///< Read beyond a header before it is handled.
+  int m_requestMs = 30000;  ///< For a request to arrive.
+  int m_responseMs = 30000; ///< For a peer to read a response.
+
+  static constexpr auto fields() {
+    return std::tuple{
+        base::optional("bytes", &CallerLimits::m_bytes),
+        base::optional("headerFields", &CallerLimits::m_headerFields),
+        base::optional("aheadBytes", &CallerLimits::m_aheadBytes),
+        base::optional("requestMs", &CallerLimits::m_requestMs),
+        base::optional("responseMs", &CallerLimits::m_responseMs)};
+  }
+};
+
 /// JSON settings of `pomelokeel platform entry` and `... agent`.
 struct Settings {
   std::string m_name;
@@ -52,6 +74,7 @@
   int m_eventRing = 512;
   int m_maxConnections = 1500;
   int m_memoryMb = 0; ///< Memory of this machine; 0: not known.
+  CallerLimits m_callerLimits;
 
   static constexpr auto fields() {
     return std::tuple{
@@ -67,10 +90,14 @@
         base::optional("bounds", &Settings::m_bounds),
         base::optional("eventRing", &Settings::m_eventRing),
         base::optional("maxConnections", &Settings::m_maxConnections),
-        base::optional("memoryMb", &Settings::m_memoryMb)};
+        base::optional("memoryMb", &Settings::m_memoryMb),
+        base::optional("callerLimits", &Settings::m_callerLimits)};
   }
 };
 
+/// Returns the bytes that all connections of the process may bind.
+std::size_t callerBytesOf(const Settings &S);
+
 enum class Role { Entry, Agent };
 
 /// Reads and checks a settings file. Error: badSettings, with the file and the
--- a/tests/base/json_test.cc
+++ b/tests/base/json_test.cc
@@ -40,6 +40,20 @@
   EXPECT_TRUE(parseMsgpack(DeepMaps.data(), DeepMaps.size()).is_discarded());
 }
 
+// Guards against the memory of very many short values: an empty array takes one
+// byte of msgpack and 80 bytes once parsed.
+TEST(Json, NumbersOfValuesAndSeparatorsAreLimited) {
+  const auto Bytes = Json::to_msgpack(parseJson("[[],[],{\"a\":1}]"));
+  constexpr std::size_t Values = 5;
+  EXPECT_FALSE(parseMsgpack(Bytes.data(), Bytes.size(), Values).is_discarded());
+  EXPECT_TRUE(
+      parseMsgpack(Bytes.data(), Bytes.size(), Values - 1).is_discarded());
+  const std::string Text = R"([1,"a,[{\",",{"b":[]}])";
+  constexpr std::size_t Separators = 5;
+  EXPECT_FALSE(parseJson(Text, Separators).is_discarded());
+  EXPECT_TRUE(parseJson(Text, Separators - 1).is_discarded());
+}
+
 TEST(Json, NestingCountsArraysAndObjects) {
   EXPECT_FALSE(nestedDeeperThan(1, 0));
   EXPECT_TRUE(nestedDeeperThan(Json::array(), 0));
--- a/tests/http/http_test.cc
+++ b/tests/http/http_test.cc
@@ -1,6 +1,7 @@
 #include "http/http.h"
 
 #include "base/fields.h"
+#include "http/caller_budget.h"
 #include "standin/raw.h"
 #include "standin/wait.h"
 
@@ -225,6 +226,156 @@
   EXPECT_TRUE(std::holds_alternative<Response>(First->call(get("/"), CallMs)));
 }
 
+// Guards against bodies that are read although the header shows that they will
+// be refused. The body is never sent here.
+TEST_F(HttpServer, ARequestIsRefusedByItsHeader) {
+  ServerLimits Limits;
+  Limits.m_checkHead =
+      [](const Request &Head) -> std::variant<std::size_t, Response> {
+    if (Head.m_target == "/none")
+      return Response{404, "{}"};
+    return Head.m_target == "/ready" ? std::size_t{0} : std::size_t{10};
+  };
+  start(Limits);
+  const auto Send = [&](const std::string &Target, const std::string &Fields) {
+    RawConnection Raw(m_server->address());
+    EXPECT_TRUE(Raw.send("POST " + Target + " HTTP/1.1\r\n" + Fields + "\r\n"));
+    const std::string Out = Raw.readUntil("}");
+    EXPECT_TRUE(Raw.closedByPeer());
+    return Out.substr(0, 12);
+  };
+  EXPECT_EQ(Send("/none", "Content-Length: 5\r\n"), "HTTP/1.1 404");
+  EXPECT_EQ(Send("/none", "Transfer-Encoding: chunked\r\n"), "HTTP/1.1 404");
+  EXPECT_EQ(Send("/none", "Content-Length: 5\r\nExpect: 100-continue\r\n"),
+            "HTTP/1.1 404");
+  EXPECT_EQ(Send("/ready", "Content-Length: 1\r\n"), "HTTP/1.1 413");
+  EXPECT_EQ(Send("/", "Content-Length: 11\r\n"), "HTTP/1.1 413");
+  EXPECT_EQ(m_requests, 0);
+  EXPECT_EQ(callOnce({"POST", "/", "0123456789"}).m_status, 200);
+  EXPECT_EQ(callOnce(get("/ready")).m_status, 200);
+  RawConnection Chunked(m_server->address());
+  ASSERT_TRUE(Chunked.send("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
+                           "\r\n6\r\nabcdef\r\n6\r\nabcdef\r\n"));
+  EXPECT_EQ(kindOf(Chunked.readUntil("}}")), "tooLarge");
+}
+
+// Guards against the memory that many short header fields take.
+TEST_F(HttpServer, TooManyHeaderFieldsAreRefused) {
+  ServerLimits Limits;
+  Limits.m_maxHeaderFields = 3;
+  start(Limits);
+  RawConnection Three(m_server->address());
+  ASSERT_TRUE(Three.send("GET /x HTTP/1.1\r\na:b\r\na:b\r\na:b\r\n\r\n"));
+  EXPECT_NE(Three.readUntil("GET /x ").find("200 OK"), std::string::npos);
+  RawConnection Four(m_server->address());
+  ASSERT_TRUE(Four.send("GET /x HTTP/1.1\r\na:b\r\na:b\r\na:b\r\na:b\r\n\r\n"));
+  EXPECT_EQ(kindOf(Four.readUntil("}}")), "tooLarge");
+  EXPECT_EQ(m_requests, 1);
+}
+
+// Guards against requests that are read in many pieces and against lost bytes
+// between pipelined ones.
+TEST_F(HttpServer, RequestsArriveInSmallPieces) {
+  start();
+  RawConnection Raw(m_server->address());
+  const std::string Text =
+      "POST /a HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc"
+      "POST /b HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "2\r\nde\r\n1\r\nf\r\n0\r\n\r\nGET /c HTTP/1.1\r\n\r\n";
+  for (const char Byte : Text)
+    ASSERT_TRUE(Raw.send(std::string(1, Byte)));
+  const std::string Answers = Raw.readUntil("GET /c ");
+  EXPECT_NE(Answers.find("POST /a abc"), std::string::npos);
+  EXPECT_NE(Answers.find("POST /b def"), std::string::npos);
+  EXPECT_NE(Answers.find("GET /c "), std::string::npos);
+  RawConnection Whole(m_server->address());
+  ASSERT_TRUE(Whole.send(Text));
+  EXPECT_NE(Whole.readUntil("GET /c ").find("POST /b def"), std::string::npos);
+}
+
+// A server with a budget for its connections.
+class HttpBudget : public Fixture {
+protected:
+  ~HttpBudget() override { m_server.reset(); }
+
+  void start(std::size_t Connections) {
+    m_budget.m_onClosed = [this](http::CloseReason Reason) {
+      m_closedForBytes += Reason == http::CloseReason::Budget ? 1 : 0;
+      m_replaced += Reason == http::CloseReason::Connections ? 1 : 0;
+    };
+    ServerLimits Limits;
+    Limits.m_budget = &m_budget;
+    Limits.m_maxConnections = Connections;
+    Fixture::start(Limits);
+  }
+
+  http::CallerBudget m_budget{1024 * 1024};
+  std::atomic<int> m_closedForBytes = 0;
+  std::atomic<int> m_replaced = 0;
+};
+
+// Guards against crowds that withhold the last byte of a body. What is closed
+// was not handled.
+TEST_F(HttpBudget, WithheldBodiesGiveWayToANewRequest) {
+  constexpr std::size_t BodyBytes = 300000;
+  start(256);
+  std::vector<std::unique_ptr<RawConnection>> Crowd;
+  for (int I = 0; I < 8; ++I) {
+    Crowd.push_back(std::make_unique<RawConnection>(m_server->address()));
+    ASSERT_TRUE(Crowd.back()->send(
+        "POST / HTTP/1.1\r\nContent-Length: " + std::to_string(BodyBytes) +
+        "\r\n\r\n" + std::string(BodyBytes - 1, 'x')));
+  }
+  EXPECT_TRUE(eventually([&] { return m_closedForBytes >= 5; }));
+  EXPECT_EQ(callOnce({"POST", "/", std::string(BodyBytes, 'x')}).m_status, 200);
+  EXPECT_EQ(m_requests, 1);
+  EXPECT_TRUE(Crowd.front()->closedByPeer());
+}
+
+// Guards against connections that keep others out by being idle.
+TEST_F(HttpBudget, ANewConnectionReplacesAnIdleOne) {
+  start(2);
+  RawConnection First(m_server->address());
+  RawConnection Second(m_server->address());
+  ASSERT_TRUE(First.send(rawGet("/a")));
+  First.readUntil("GET /a ");
+  ASSERT_TRUE(Second.send(rawGet("/hold")));
+  ASSERT_TRUE(isHeld());
+  EXPECT_EQ(callOnce(get("/")).m_status, 200);
+  EXPECT_TRUE(First.closedByPeer());
+  EXPECT_EQ(m_replaced, 1);
+  answerHeld("held");
+  EXPECT_NE(Second.readUntil("held").find("200 OK"), std::string::npos);
+}
+
+// Guards against connections that keep others out by requests without a pause.
+TEST_F(HttpBudget, ANewConnectionReplacesOneThatSendsAhead) {
+  start(1);
+  RawConnection Ahead(m_server->address());
+  ASSERT_TRUE(Ahead.send(rawGet("/hold") + rawGet("/ahead")));
+  ASSERT_TRUE(isHeld());
+  EXPECT_EQ(callOnce(get("/")).m_status, 200);
+  answerHeld("held");
+  EXPECT_NE(Ahead.readUntil("held").find("200 OK"), std::string::npos);
+  EXPECT_TRUE(Ahead.closedByPeer());
+  EXPECT_EQ(m_requests, 2);
+  EXPECT_EQ(m_replaced, 1);
+}
+
+// Guards against bytes that stay counted and so close later connections.
+TEST_F(HttpBudget, ClosedConnectionsBindNothing) {
+  start(256);
+  {
+    const auto C = client();
+    ASSERT_TRUE(std::holds_alternative<Response>(
+        C->call({"POST", "/", std::string(400000, 'x')}, CallMs)));
+    ASSERT_TRUE(
+        std::holds_alternative<Response>(C->call(get("/lastly"), CallMs)));
+    m_server->stop(1000);
+  }
+  EXPECT_EQ(m_budget.bytes(), 0U);
+}
+
 // Guards against abandoned long polls using up the connection limit.
 TEST_F(HttpServer, ClientThatDisconnectsFreesItsConnection) {
   ServerLimits Limits;
--- a/tests/node/router_test.cc
+++ b/tests/node/router_test.cc
@@ -49,6 +49,19 @@
   EXPECT_EQ(std::get<CallerRequest>(R).m_account, "acc");
 }
 
+// Guards against bodies that are kept although the path or the key is refused.
+TEST(Router, CallsAreRejectedWithoutTheirBody) {
+  CallerCall Good = call("/a/00000000000000aa");
+  Good.m_method = CallerCall::Method::Submit;
+  EXPECT_FALSE(rejectionOf(config(), Good).has_value());
+  EXPECT_EQ(rejectionOf(config(), call("/none/"))->m_verdict, Verdict::NoQueue);
+  EXPECT_EQ(rejectionOf(config(), call("/a/00000000000000aa", "x"))->m_verdict,
+            Verdict::Unauthorized);
+  Good.m_path = "/a/";
+  EXPECT_EQ(rejectionOf(config(), Good)->m_verdict, Verdict::BadRequest);
+  EXPECT_EQ(rejectionOf(std::nullopt, Good)->m_verdict, Verdict::Unavailable);
+}
+
 // Before the configuration is read, the queue may exist, so the answer must not
 // be "no such queue".
 TEST(Router, WithoutAConfigurationTheCallerIsAskedToRetry) {
--- a/tests/node/settings_test.cc
+++ b/tests/node/settings_test.cc
@@ -53,6 +53,35 @@
   EXPECT_FALSE(load("{" + std::string(Entry) + "}", Role::Agent).ok());
 }
 
+TEST(NodeSettings, CallersMayBindAQuarterOfTheMemory) {
+  const auto Bytes = [](const std::string &More) {
+    const auto S = load("{" + std::string(Entry) + More + "}", Role::Entry);
+    return S ? callerBytesOf(*S) : 0;
+  };
+  constexpr std::size_t Mb = 1024 * 1024;
+  EXPECT_EQ(Bytes(""), 32 * Mb);
+  EXPECT_EQ(Bytes(",\"memoryMb\":160"), 40 * Mb);
+  EXPECT_EQ(Bytes(",\"memoryMb\":160,\"callerLimits\":{\"bytes\":5000000}"),
+            5000000U);
+}
+
+// A limit that ordinary clients reach must be reported with its range, unit and
+// reason.
+TEST(NodeSettings, CallerLimitsAreChecked) {
+  for (const char *Text : {"\"memoryMb\":31", "\"memoryMb\":-1",
+                           "\"callerLimits\":{\"bytes\":4194303}",
+                           "\"callerLimits\":{\"headerFields\":19}",
+                           "\"callerLimits\":{\"aheadBytes\":1023}",
+                           "\"callerLimits\":{\"requestMs\":2999}",
+                           "\"callerLimits\":{\"responseMs\":3600001}"}) {
+    const auto S =
+        load("{" + std::string(Entry) + "," + Text + "}", Role::Entry);
+    ASSERT_FALSE(S.ok()) << Text;
+    EXPECT_NE(S.error().m_message.find("must be"), std::string::npos)
+        << S.error().m_message;
+  }
+}
+
 // Guards against conversions and sums that overflow: bounds beyond any use were
 // accepted, also from a file that changes while the process runs.
 TEST(NodeSettings, OddValuesAreErrors) {
--- a/tests/platform/decode_test.cc
+++ b/tests/platform/decode_test.cc
@@ -50,6 +50,31 @@
   EXPECT_FALSE(batch::check(*S).ok());
 }
 
+// Guards against the memory that very many short elements take, and against a
+// limit that bodies of the usual size reach.
+TEST(DecodeJob, NumbersOfStepsAndElementsAreLimited) {
+  const auto Repeated = [](const std::string &Text, std::size_t Times) {
+    std::string Out = "{\"steps\":[" + Text;
+    for (std::size_t I = 1; I < Times; ++I)
+      Out += "," + Text;
+    return Out + "]}";
+  };
+  EXPECT_TRUE(decodeJob(Repeated("{}", batch::MaxSteps)).ok());
+  EXPECT_FALSE(decodeJob(Repeated("{}", batch::MaxSteps + 1)).ok());
+  // With two brackets and a comma after all elements but the last one, 175,000.
+  constexpr std::size_t Elements = 174999;
+  const auto WithSpare = [](const std::string &Steps) {
+    return "{\"spare\"" + Steps.substr(Steps.find(':'));
+  };
+  EXPECT_TRUE(decodeJob(WithSpare(Repeated("0", Elements))).ok());
+  EXPECT_FALSE(decodeJob(WithSpare(Repeated("0", Elements + 1))).ok());
+  constexpr std::size_t BodyBytes = 262144;
+  const std::string Dense = WithSpare(Repeated("[]", BodyBytes / 3 - 4));
+  EXPECT_LE(Dense.size(), BodyBytes);
+  EXPECT_GT(Dense.size(), BodyBytes - 10);
+  EXPECT_TRUE(decodeJob(Dense).ok());
+}
+
 TEST(DecodeConfig, NumbersOutOfRangeAreErrors) {
   EXPECT_FALSE(decodeConfig({"config", R"({"version":1e300})"}).ok());
   EXPECT_FALSE(decodeConfig({"config", R"({"version":1,"routes":[)"
--- a/tests/settings/docs_test.cc
+++ b/tests/settings/docs_test.cc
@@ -50,6 +50,7 @@
   expectRows<settings::AgentSettings>("## Settings of `pomelokeel agent`");
   expectRows<node::Settings>("## Settings of `pomelokeel platform`");
   expectRows<node::Bounds>("### Bounds of `pomelokeel platform`");
+  expectRows<node::CallerLimits>("### Caller limits of `pomelokeel platform`");
 }
 
 // Guards against log events that OPERATIONS.md does not explain.
