Count a handled request as often as it is in memory

A request that cannot be read because others bind all memory is refused as overloaded (not run) instead of being closed. A response is sent even if the budget is used up, since its request may have had an effect.

--- a/src/http/caller_budget.cc
+++ b/src/http/caller_budget.cc
@@ -99,9 +99,9 @@
   It->second.m_bytes = Bytes;
   while (m_bytes > m_limit && !m_unfinished.empty()) {
     const Id Closed = m_unfinished.front();
-    evict(Closed, CloseReason::Budget);
     if (Closed == Connection)
       return false;
+    evict(Closed, CloseReason::Budget);
   }
   return true;
 }
--- a/src/http/caller_budget.h
+++ b/src/http/caller_budget.h
@@ -57,7 +57,8 @@
 
   /// Sets the bytes that the connection binds. While the sum exceeds the
   /// budget, closes the unfinished connection that has made no progress for
-  /// longest. This may be \p Connection itself; returns false in that case.
+  /// longest. If that is \p Connection itself, returns false, and the caller
+  /// refuses its request.
   bool charge(Id Connection, std::size_t Bytes);
 
   /// Closes the connection of \p Owner that has been idle or unfinished for
--- a/src/http/http.h
+++ b/src/http/http.h
@@ -102,6 +102,8 @@
   /// is set, a new connection over the limit takes the place of the one that
   /// has been idle or unfinished for longest. It must outlive the server.
   CallerBudget *m_budget = nullptr;
+  /// How often the body of a request is in memory while it is handled.
+  std::size_t m_handledCopies = 1;
   /// May be empty: then all bodies up to m_maxBodyBytes are read.
   HeadCheck m_checkHead;
 };
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -205,8 +205,8 @@
       B->countClosed(Reason);
   }
 
-  // Charges what the connection binds now. Returns false if this has closed the
-  // connection.
+  // Charges what the connection binds now. Returns false if an unfinished
+  // request of it is to be refused.
   bool charge() {
     CallerBudget *B = m_owner.limits().m_budget;
     if (B == nullptr)
@@ -308,7 +308,8 @@
         break;
     }
     if (!charge())
-      return;
+      return refuse(CloseReason::Budget, ErrorKind::Overloaded,
+                    "requests bind all memory that is meant for them");
     if (m_parser->is_done())
       return onRequest();
     receive();
@@ -378,7 +379,8 @@
     Request R = headOf(Received);
     R.m_body = std::move(Received.body());
     R.m_connection = m_connectionNumber;
-    m_requestBytes = R.m_body.size() + m_headerBytes;
+    m_requestBytes =
+        R.m_body.size() * m_owner.limits().m_handledCopies + m_headerBytes;
     releaseBuffer();
     // The request may have waited while this process was suspended. Its client
     // has given up and may rely on the request having had no effect.
@@ -453,8 +455,9 @@
       m_message.body().clear();
     m_requestBytes = 0;
     setActivity(CallerBudget::Activity::Unfinished);
-    if (!charge())
-      return;
+    // The response is sent even if nothing else can be closed, since the
+    // request may have had an effect. Later charges may close the connection.
+    charge();
     beast::http::async_write(m_socket, m_message,
                              [Self = shared_from_this()](Code E, std::size_t) {
                                if (Self->m_phase != Phase::Writing)
--- a/src/node/settings.cc
+++ b/src/node/settings.cc
@@ -21,9 +21,9 @@
 constexpr double MaxBoundS = 30.0 * 24 * 3600;
 /// More events, connections or cores than any machine has.
 constexpr int MaxCount = 1000000;
-/// A process without callers has less than this resident.
-constexpr int MinMemoryMb = 32;
-constexpr std::int64_t MinCallerBytes = 4 * 1024 * 1024;
+/// A quarter of it is MinCallerBytes.
+constexpr int MinMemoryMb = 48;
+constexpr std::int64_t MinCallerBytes = 12 * 1024 * 1024;
 constexpr std::int64_t MaxCallerBytes = 1LL << 40;
 constexpr std::int64_t MaxTimeoutMs = 3600 * 1000;
 /// A quarter of the smallest machine, an agent's with 128 MB.
@@ -76,18 +76,18 @@
     std::int64_t m_max;
     const char *m_reason;
   };
-  const Row Rows[] = {{"bytes", "bytes",
-                       L.m_bytes == 0 ? MinCallerBytes : L.m_bytes,
-                       MinCallerBytes, MaxCallerBytes,
-                       "or 0; ten requests of 262144 bytes must fit"},
-                      {"headerFields", "fields", L.m_headerFields, 20, MaxCount,
-                       "clients and balancers send up to 20"},
-                      {"aheadBytes", "bytes", L.m_aheadBytes, 1024, 1024 * 1024,
-                       "less makes each body take many reads"},
-                      {"requestMs", "ms", L.m_requestMs, 3000, MaxTimeoutMs,
-                       "callers wait 3000 ms"},
-                      {"responseMs", "ms", L.m_responseMs, 3000, MaxTimeoutMs,
-                       "callers wait 3000 ms"}};
+  const Row Rows[] = {
+      {"bytes", "bytes", L.m_bytes == 0 ? MinCallerBytes : L.m_bytes,
+       MinCallerBytes, MaxCallerBytes,
+       "or 0; ten requests of 262144 bytes must fit, with four copies each"},
+      {"headerFields", "fields", L.m_headerFields, 20, MaxCount,
+       "clients and balancers send up to 20"},
+      {"aheadBytes", "bytes", L.m_aheadBytes, 1024, 1024 * 1024,
+       "less makes each body take many reads"},
+      {"requestMs", "ms", L.m_requestMs, 3000, MaxTimeoutMs,
+       "callers wait 3000 ms"},
+      {"responseMs", "ms", L.m_responseMs, 3000, MaxTimeoutMs,
+       "callers wait 3000 ms"}};
   for (const Row &R : Rows) {
     if (R.m_value < R.m_min || R.m_value > R.m_max)
       return Error{ErrorKind::BadSettings,
@@ -111,8 +111,9 @@
       (S.m_memoryMb < MinMemoryMb || S.m_memoryMb > MaxCount))
     return Error{ErrorKind::BadSettings,
                  fmt::format("\"memoryMb\" must be 0 or from {} to {} MB; "
-                             "a process needs {} MB for itself",
-                             MinMemoryMb, MaxCount, MinMemoryMb)};
+                             "a quarter must hold ten requests of 262144 "
+                             "bytes",
+                             MinMemoryMb, MaxCount)};
   if (auto Checked = checkCallerLimits(S.m_callerLimits); !Checked)
     return Checked;
   const Bounds &B = S.m_bounds;
--- a/tests/clients/main.cc
+++ b/tests/clients/main.cc
@@ -212,6 +212,17 @@
        [](int N) { return posted(N, ordinaryJob()); }},
       {"SlowReaders", "controlListen", false, Crowd, Whole, 0, false,
        [](int) { return repeated(head("GET", "/v1/events", ""), 20); }},
+      {"WholeBodies", "callerListen", false, Crowd, Whole, 0, true,
+       [](int N) {
+         const std::string Job = ordinaryJob();
+         return posted(N, "{\"spec\":\"" + std::string(BodyBytes - 200, 'x') +
+                              Job.substr(Job.find("s\",") + 1));
+       }},
+      {"WholeMembers", "callerListen", false, Crowd, Whole, 0, true,
+       [](int N) {
+         return posted(N,
+                       manyOf(R"({"spec":"s","steps":[],"x":[)", "[0]", "]}"));
+       }},
       {"HalfRequests", "callerListen", false, Crowd, Whole, 0, true,
        [](int N) { return posted(N, ordinaryJob()).substr(0, 40); }},
   };
--- a/tests/http/caller_budget_test.cc
+++ b/tests/http/caller_budget_test.cc
@@ -77,6 +77,7 @@
   const Id Large = add(&m_server, Activity::Unfinished);
   EXPECT_TRUE(m_budget.charge(Idle, 100));
   EXPECT_FALSE(m_budget.charge(Large, 1000));
+  m_budget.remove(Large);
   EXPECT_EQ(m_budget.bytes(), 100U);
   EXPECT_TRUE(isOpen(Idle));
 }
--- a/tests/http/http_test.cc
+++ b/tests/http/http_test.cc
@@ -332,6 +332,27 @@
   EXPECT_TRUE(Crowd.front()->closedByPeer());
 }
 
+// Guards against answers that get lost because of other requests. The refusal
+// is true: what was not read whole is not handled.
+TEST_F(HttpBudget, ARequestIsRefusedWhileOthersBindAllMemory) {
+  start(256);
+  std::vector<std::unique_ptr<RawConnection>> Held;
+  for (std::size_t I = 1; I <= 3; ++I) {
+    Held.push_back(std::make_unique<RawConnection>(m_server->address()));
+    ASSERT_TRUE(Held.back()->send(
+        "POST /hold HTTP/1.1\r\nContent-Length: 340000\r\n\r\n" +
+        std::string(340000, 'x')));
+    ASSERT_TRUE(isHeld(I));
+  }
+  const Response Refused = callOnce({"POST", "/", std::string(200000, 'x')});
+  EXPECT_EQ(kindOf(Refused.m_body), "overloaded");
+  EXPECT_EQ(m_requests, 3);
+  answerHeld("held");
+  for (const auto &Raw : Held)
+    EXPECT_NE(Raw->readUntil("held").find("200 OK"), std::string::npos);
+  EXPECT_EQ(callOnce({"POST", "/", std::string(200000, 'x')}).m_status, 200);
+}
+
 // Guards against connections that keep others out by being idle.
 TEST_F(HttpBudget, ANewConnectionReplacesAnIdleOne) {
   start(2);
