Bound preemptions, and start first what can still be on time

With overload.policy = costAware a run is preempted at most twice (guaranteed jobs may exceed that if nothing else fits), and gangs that can still be on time come first.

--- a/src/batch/job.h
+++ b/src/batch/job.h
@@ -186,7 +186,8 @@
   std::string m_checkpoint;        ///< Newest checkpoint, or "".
   std::string m_agent;             ///< Agent of the current run.
   std::string m_workerIncarnation; ///< Of the current run.
-  int m_failedRun = 0; ///< Newest run of a gang that was counted as failed.
+  int m_failedRun = 0;   ///< Newest run of a gang that was counted as failed.
+  int m_preemptions = 0; ///< Runs that were stopped for more urgent ones.
 
   /// Its TaskName as text, set once it is first needed.
   std::string m_fullName;
@@ -212,7 +213,8 @@
                       base::optional("saved", &Task::m_checkpoint),
                       base::optional("agent", &Task::m_agent),
                       base::optional("life", &Task::m_workerIncarnation),
-                      base::optional("failedRun", &Task::m_failedRun)};
+                      base::optional("failedRun", &Task::m_failedRun),
+                      base::optional("preemptions", &Task::m_preemptions)};
   }
 };
 
--- a/src/batch/leader_runs.cc
+++ b/src/batch/leader_runs.cc
@@ -58,6 +58,8 @@
   Task Fresh;
   Fresh.m_run = T.m_run;
   Fresh.m_failures = T.m_failures;
+  Fresh.m_preemptions =
+      T.m_preemptions + (T.m_stop == StopReason::Preempted ? 1 : 0);
   Fresh.m_failedRun = T.m_failedRun;
   Fresh.m_checkpoint = std::move(T.m_checkpoint);
   Fresh.m_avoid = std::move(T.m_avoid);
--- a/src/batch/leader_schedule.cc
+++ b/src/batch/leader_schedule.cc
@@ -133,12 +133,15 @@
   m_counters.get("scheduling_passes")++;
   judgeNewFaults(Now);
   const std::vector<CandidateWorker> Workers = makeCandidateWorkers(Now);
-  const Plan P =
-      plan(m_openJobs, Workers, m_guarantees, m_timing.m_reclaimMs, Now);
+  const Plan P = plan(m_openJobs, Workers, m_guarantees, m_timing.m_reclaimMs,
+                      Now, {m_policy, m_wallNow});
   for (const TaskName &Name : P.m_preempted)
     stopRun(*findTask(Name), Name, StopReason::Preempted);
   m_counters.get("preemptions") +=
       static_cast<std::int64_t>(P.m_preempted.size());
+  constexpr double MsPerSecond = 1000;
+  m_counters.get("preemption_lost_core_ms") +=
+      static_cast<std::int64_t>(P.m_lostCoreSeconds * MsPerSecond);
   for (const std::string &Id : P.m_haveRoom)
     noteRoom(m_jobs.at(Id), Now);
   logLongWaits(P, Workers, Now);
--- a/src/batch/schedule.cc
+++ b/src/batch/schedule.cc
@@ -18,10 +18,14 @@
 constexpr double MilliCoresPerCore = 1000;
 constexpr double MsPerSecond = 1000;
 
+/// What the result of a job is still worth to its caller if it starts now.
+enum class Outlook { OnTime, Late, Useless };
+
 /// Urgency of a unit; lower ranks come first. Guaranteed jobs have a class of
 /// their own, so they may preempt jobs of priority 0 beyond a guarantee.
 struct Rank {
   int m_class = 0;
+  Outlook m_outlook = Outlook::OnTime;
   Millis m_dueMs = 0;
   auto operator<=>(const Rank &) const = default;
 };
@@ -122,6 +126,19 @@
          static_cast<Millis>(Fits ? Stretched : MaxStretchedMs);
 }
 
+/// A job counts as late if it would miss its due time by more than this share
+/// of its declared time, because declared times are rough.
+constexpr double LateTolerance = 0.5;
+
+Outlook outlookOf(const JobSpec &S, Millis DueMs, Millis WallNow) {
+  const auto Path = static_cast<double>(criticalPathMs(S));
+  const Objective O = objectiveOf(S);
+  const double OverdueMs = static_cast<double>(WallNow - DueMs) + Path;
+  if (OverdueMs > static_cast<double>(O.m_limitMs - O.m_onTimeMs))
+    return Outlook::Useless;
+  return OverdueMs > Path * LateTolerance ? Outlook::Late : Outlook::OnTime;
+}
+
 int classOf(const JobSpec &S, const std::set<std::string> &Guaranteed) {
   return Guaranteed.contains(S.m_id) ? GuaranteedClass
                                      : UrgentClass + S.m_queue.m_priority;
@@ -173,7 +190,8 @@
 }
 
 void addUnits(const JobState &J, const std::set<std::string> &Guaranteed,
-              const WorkerIndex &Index, std::vector<Candidate> &Out) {
+              const WorkerIndex &Index, const PassPolicy &Policy,
+              std::vector<Candidate> &Out) {
   const auto &Occurrences = J.m_progress.m_occurrences;
   for (std::size_t K = 0; K < Occurrences.size(); ++K) {
     for (std::size_t S = 0; S < Occurrences[K].size(); ++S) {
@@ -197,7 +215,13 @@
       U.m_spec = &J.m_spec;
       U.m_step = &Kind;
       const int Class = classOf(J.m_spec, Guaranteed);
-      Out.push_back({{Class, dueOf(J.m_spec, Class, K)}, std::move(U)});
+      const Millis Due = dueOf(J.m_spec, Class, K);
+      const bool ByOutlook = Policy.m_overload == OverloadPolicy::CostAware &&
+                             Class != GuaranteedClass && Kind.m_gang;
+      const Outlook View = ByOutlook
+                               ? outlookOf(J.m_spec, Due, Policy.m_wallNow)
+                               : Outlook::OnTime;
+      Out.push_back({{Class, View, Due}, std::move(U)});
     }
   }
 }
@@ -205,6 +229,7 @@
 // A run or gang that may be preempted, with its tasks.
 struct Stoppable {
   int m_class = 0;
+  int m_preemptions = 0; ///< So far, of the task or the gang.
   Victim m_victim;
   std::vector<TaskName> m_tasks;
 };
@@ -214,16 +239,23 @@
   std::vector<Stoppable *> m_owners; ///< Owner of each victim.
 };
 
-double costOf(const Step &S, const Task &T, Millis Now) {
+/// Added to the lost time of a run for each earlier preemption, so that of runs
+/// that lose about as much, one that was not stopped before is stopped.
+constexpr Millis PreemptedBeforeMs = 100;
+
+double costOf(const Step &S, const Task &T, Millis Now,
+              OverloadPolicy Overload) {
   // A stop takes a checkpoint where the step has them.
-  if (S.m_checkpoints || !T.m_running)
-    return 0;
-  return weightOf(S.m_each) * static_cast<double>(Now - T.m_placedAt) /
+  const Millis Lost = S.m_checkpoints || !T.m_running ? 0 : Now - T.m_placedAt;
+  const Millis Repeated = Overload == OverloadPolicy::CostAware
+                              ? PreemptedBeforeMs * T.m_preemptions
+                              : 0;
+  return weightOf(S.m_each) * static_cast<double>(Lost + Repeated) /
          MsPerSecond;
 }
 
 void addStoppable(const JobState &J, const std::set<std::string> &Guaranteed,
-                  const WorkerIndex &Index, Millis Now,
+                  const WorkerIndex &Index, Millis Now, OverloadPolicy Overload,
                   std::vector<Stoppable> &Out) {
   const auto &Occurrences = J.m_progress.m_occurrences;
   for (std::size_t K = 0; K < Occurrences.size(); ++K) {
@@ -241,7 +273,8 @@
         Stoppable One;
         One.m_class = classOf(J.m_spec, Guaranteed);
         One.m_victim.m_freed = {{*At, allocationOf(Kind)}};
-        One.m_victim.m_cost = costOf(Kind, T, Now);
+        One.m_victim.m_cost = costOf(Kind, T, Now, Overload);
+        One.m_preemptions = T.m_preemptions;
         One.m_tasks = {{J.m_spec.m_id, static_cast<int>(K), static_cast<int>(S),
                         static_cast<int>(I)}};
         if (!Kind.m_gang) {
@@ -254,6 +287,7 @@
         }
         Gang->m_victim.m_freed.push_back(One.m_victim.m_freed.front());
         Gang->m_victim.m_cost += One.m_victim.m_cost;
+        Gang->m_preemptions = std::max(Gang->m_preemptions, One.m_preemptions);
         Gang->m_tasks.push_back(One.m_tasks.front());
       }
       if (Gang)
@@ -329,11 +363,11 @@
 public:
   SchedulingPass(const OpenJobs &Jobs, std::vector<CandidateWorker> Workers,
                  const Guarantees &AccountGuarantees, Millis ReclaimMs,
-                 Millis Now)
+                 Millis Now, const PassPolicy &Policy)
       : m_jobs(Jobs), m_fleet(makeFleet(std::move(Workers))),
         m_index(m_fleet.m_workers),
         m_guaranteed(guaranteedJobs(Jobs, AccountGuarantees)),
-        m_reclaimMs(ReclaimMs), m_now(Now) {
+        m_reclaimMs(ReclaimMs), m_now(Now), m_policy(Policy) {
     double All = 0;
     for (const CandidateWorker &W : m_fleet.m_workers)
       All += static_cast<double>(W.m_capacity.m_accelerators);
@@ -353,7 +387,7 @@
     std::vector<Candidate> Units;
     for (const auto &[Id, J] : m_jobs) {
       if (!isEnded(J->m_progress.m_phase))
-        addUnits(*J, m_guaranteed, m_index, Units);
+        addUnits(*J, m_guaranteed, m_index, m_policy, Units);
     }
     std::stable_sort(Units.begin(), Units.end(),
                      [](const Candidate &A, const Candidate &B) {
@@ -616,16 +650,25 @@
     if (!m_stoppables) {
       m_stoppables.emplace();
       for (const auto &[Id, J] : m_jobs)
-        addStoppable(*J, m_guaranteed, m_index, m_now, *m_stoppables);
+        addStoppable(*J, m_guaranteed, m_index, m_now, m_policy.m_overload,
+                     *m_stoppables);
       std::stable_sort(m_stoppables->begin(), m_stoppables->end(),
                        [](const Stoppable &A, const Stoppable &B) {
                          return A.m_victim.m_cost < B.m_victim.m_cost;
                        });
     }
-    const Stoppables &Lower = stoppablesBelow(R.m_class);
-    const auto Chosen = chooseVictims(U, m_fleet, Lower.m_victims);
+    bool Limited = m_policy.m_overload == OverloadPolicy::CostAware;
+    auto Chosen = chooseVictims(U, m_fleet,
+                                stoppablesBelow(R.m_class, Limited).m_victims);
+    // A guarantee is a promise, so it comes before the limit.
+    if (!Chosen && Limited && R.m_class == GuaranteedClass) {
+      Limited = false;
+      Chosen = chooseVictims(U, m_fleet,
+                             stoppablesBelow(R.m_class, Limited).m_victims);
+    }
     if (!Chosen)
       return false;
+    const Stoppables &Lower = stoppablesBelow(R.m_class, Limited);
     double Lost = 0;
     for (const std::size_t V : *Chosen)
       Lost += Lower.m_victims.m_all[V]->m_cost;
@@ -634,6 +677,7 @@
     if (R.m_class != GuaranteedClass && Lost > workOf(U))
       return false;
     m_notFittingSoon.clear();
+    m_plan.m_lostCoreSeconds += Lost;
     for (const std::size_t V : *Chosen) {
       Stoppable &S = *Lower.m_owners[V];
       for (const auto &[At, Freed] : S.m_victim.m_freed)
@@ -648,14 +692,16 @@
   }
 
   // Runs that a unit of this class may preempt and that are not preempted yet.
-  const Stoppables &stoppablesBelow(int Class) {
-    const auto [It, New] = m_stoppablesBelow.try_emplace(Class);
+  // If Limited, without those that were preempted too often before.
+  const Stoppables &stoppablesBelow(int Class, bool Limited) {
+    const auto [It, New] = m_stoppablesBelow.try_emplace({Class, Limited});
     Stoppables &Out = It->second;
     if (!New)
       return Out;
     std::vector<const Victim *> Cheapest;
     for (Stoppable &S : *m_stoppables) {
-      if (S.m_class <= Class || S.m_tasks.empty())
+      if (S.m_class <= Class || S.m_tasks.empty() ||
+          (Limited && S.m_preemptions >= MaxPreemptions))
         continue;
       Cheapest.push_back(&S.m_victim);
       Out.m_owners.push_back(&S);
@@ -670,6 +716,7 @@
   std::set<std::string> m_guaranteed;
   Millis m_reclaimMs;
   Millis m_now;
+  PassPolicy m_policy;
   // Accelerators that gangs without a guarantee may still reserve.
   double m_idleBudget = 0;    ///< Idle ones.
   double m_awaitedBudget = 0; ///< All, idle or not.
@@ -680,8 +727,9 @@
   std::unordered_map<std::string_view, Load> m_loads; ///< By service.
   std::map<int, Releases> m_releases; ///< By class of the waiting unit.
   std::optional<std::vector<Stoppable>> m_stoppables; // Built on first use.
-  /// By class of the waiting unit. Cleared by a preemption.
-  std::map<int, Stoppables> m_stoppablesBelow;
+  /// By class of the waiting unit, and whether the number of preemptions is
+  /// limited. Cleared by a preemption.
+  std::map<std::pair<int, bool>, Stoppables> m_stoppablesBelow;
   /// Shapes that did not fit the free resources, and shapes that did not fit
   /// after preemption either. Free resources only shrink during a pass, except
   /// that a preemption adds to those of Horizon::Soon and clears the second
@@ -711,8 +759,11 @@
 }
 
 Plan plan(const OpenJobs &Jobs, const std::vector<CandidateWorker> &Workers,
-          const Guarantees &AccountGuarantees, Millis ReclaimMs, Millis Now) {
-  return SchedulingPass(Jobs, Workers, AccountGuarantees, ReclaimMs, Now).run();
+          const Guarantees &AccountGuarantees, Millis ReclaimMs, Millis Now,
+          const PassPolicy &Policy) {
+  return SchedulingPass(Jobs, Workers, AccountGuarantees, ReclaimMs, Now,
+                        Policy)
+      .run();
 }
 
 } // namespace pomelokeel::batch
--- a/src/batch/schedule.h
+++ b/src/batch/schedule.h
@@ -2,6 +2,7 @@
 
 #include "base/names.h"
 #include "batch/job_table.h"
+#include "batch/overload.h"
 #include "batch/placement.h"
 
 #include <array>
@@ -52,6 +53,7 @@
   /// Units of jobs whose wait is due to be logged, at most one for each job.
   std::vector<LongWait> m_longWaits;
   std::vector<TaskName> m_preempted; ///< Runs to stop for more urgent units.
+  double m_lostCoreSeconds = 0;      ///< Work that stopping them loses.
   /// Jobs that have nothing at work and room on a fleet that is not busy, but
   /// only where it is kept for gangs.
   std::set<std::string> m_haveRoom;
@@ -68,6 +70,16 @@
 /// about as fast as stopping another run, and loses no work.
 bool endsSoon(const Task &T, Millis Now);
 
+/// With OverloadPolicy::CostAware a run is preempted at most this often. A job
+/// within its guarantee may exceed it if nothing else makes room.
+constexpr int MaxPreemptions = 2;
+
+/// What a scheduling pass goes by when the work exceeds the capacity.
+struct PassPolicy {
+  OverloadPolicy m_overload = OverloadPolicy::Priority;
+  Millis m_wallNow = 0;
+};
+
 /// Decides which units start on which workers and which runs are preempted for
 /// them. Jobs of priority 0 within their account's guarantee come first, then
 /// all others by priority and due time. Guaranteed jobs may preempt any job
@@ -77,8 +89,13 @@
 /// A gang that does not fit even after preemption reserves the workers where
 /// it will fit soonest. A gang within its guarantee may span racks early enough
 /// to begin within \p ReclaimMs of its acceptance.
+///
+/// With OverloadPolicy::CostAware, gangs of one priority that can still be done
+/// on time come before those that will be late, and these before those whose
+/// result is of no use any more.
 Plan plan(const OpenJobs &Jobs, const std::vector<CandidateWorker> &Workers,
-          const Guarantees &AccountGuarantees, Millis ReclaimMs, Millis Now);
+          const Guarantees &AccountGuarantees, Millis ReclaimMs, Millis Now,
+          const PassPolicy &Policy = {});
 
 } // namespace pomelokeel::batch
 
--- a/tests/batch/leader_test.cc
+++ b/tests/batch/leader_test.cc
@@ -844,5 +844,19 @@
   EXPECT_EQ(phaseOf(Id), JobPhase::Done);
 }
 
+// Guards against a limit on preemptions that starts anew with each leader.
+TEST_F(LeaderTest, PreemptionsAreCountedAcrossLeaders) {
+  addAgent("w");
+  submit("low", jobOf({step(1, 8)}), 2);
+  pass(300);
+  submit("urgent", jobOf({step(1, 8)}), 0);
+  pass(500);
+  ASSERT_EQ(m_starts["urgent.0.0.0"], 1);
+  restartLeader();
+  const Task &T =
+      m_leader->jobs().at("low").m_progress.m_occurrences[0][0].front();
+  EXPECT_EQ(T.m_preemptions, 1);
+}
+
 } // namespace
 } // namespace pomelokeel::batch::tests
--- a/tests/batch/schedule_test.cc
+++ b/tests/batch/schedule_test.cc
@@ -80,7 +80,15 @@
   }
 
   Plan planNow() {
-    return plan(openJobs(m_jobs), m_workers, m_guarantees, ReclaimMs, Now);
+    return plan(openJobs(m_jobs), m_workers, m_guarantees, ReclaimMs, Now,
+                m_policy);
+  }
+
+  // Adds a job that runs on a whole worker and was preempted before.
+  void runPreempted(const std::string &Id, std::size_t Worker, int Times) {
+    JobState &J = addJob(Id, 2, {step(1, 8)});
+    run(J, {Worker}, 100);
+    J.m_progress.m_occurrences[0][0][0].m_preemptions = Times;
   }
 
   static std::set<std::string> started(const Plan &P) {
@@ -100,6 +108,7 @@
   JobTable m_jobs;
   std::vector<CandidateWorker> m_workers;
   Guarantees m_guarantees;
+  PassPolicy m_policy;
 };
 
 TEST_F(ScheduleTest, PacksSmallTasksAndKeepsWorkersWhole) {
@@ -179,6 +188,58 @@
 
 // Guards against a conversion that is undefined: a job with a stretch too large
 // came before all others.
+// A burst of urgent gangs on a fleet full of low-priority work. Guards against
+// a job that is stopped by each of them and never done: single jobs lost 110
+// runs on a day.
+TEST_F(ScheduleTest, ABurstOfUrgentJobsStopsNoRunForTheThirdTime) {
+  addWorkers(2);
+  runPreempted("often", 0, MaxPreemptions);
+  runPreempted("once", 1, 1);
+  addJob("urgent", 0, {step(1, 8)});
+  addJob("urgent2", 0, {step(1, 8)});
+  m_policy.m_overload = OverloadPolicy::CostAware;
+  EXPECT_EQ(preempted(planNow()), std::set<std::string>{"once"});
+  m_policy.m_overload = OverloadPolicy::Priority;
+  EXPECT_EQ(preempted(planNow()).size(), 2U);
+}
+
+// A guarantee has a time bound, so it comes before the limit.
+TEST_F(ScheduleTest, AGuaranteedJobStopsARunForTheThirdTimeIfNothingElseFits) {
+  addWorkers(1);
+  runPreempted("often", 0, MaxPreemptions);
+  addJob("urgent", 0, {step(1, 8)});
+  m_guarantees["acc"] = 8;
+  m_policy.m_overload = OverloadPolicy::CostAware;
+  EXPECT_EQ(preempted(planNow()), std::set<std::string>{"often"});
+}
+
+TEST_F(ScheduleTest, OfRunsThatLoseAboutAsMuchTheOneNotStoppedBeforeIsStopped) {
+  addWorkers(2);
+  runPreempted("before", 0, 1);
+  runPreempted("first", 1, 0);
+  addJob("urgent", 0, {step(1, 8)});
+  m_policy.m_overload = OverloadPolicy::CostAware;
+  EXPECT_EQ(preempted(planNow()), std::set<std::string>{"first"});
+}
+
+// Steady overload. Guards against an order by due time alone, in which every
+// gang starts when it is too late for it.
+TEST_F(ScheduleTest, GangsThatCanBeOnTimeComeBeforeLateAndUselessOnes) {
+  addWorkers(1);
+  for (const char *Id : {"useless", "late", "inTime"})
+    addJob(Id, 1, {gang(1, 8)}).m_spec.m_queue.m_slackMs = 2000;
+  constexpr Millis ObjectiveMs = 3000;
+  m_policy = {OverloadPolicy::CostAware, Now};
+  m_jobs["useless"].m_spec.m_acceptedMs = Now - 3 * ObjectiveMs;
+  m_jobs["late"].m_spec.m_acceptedMs = Now - ObjectiveMs;
+  m_jobs["inTime"].m_spec.m_acceptedMs = Now - 1000;
+  EXPECT_EQ(started(planNow()), std::set<std::string>{"inTime"});
+  m_jobs.erase("inTime");
+  EXPECT_EQ(started(planNow()), std::set<std::string>{"late"});
+  m_jobs.erase("late");
+  EXPECT_EQ(started(planNow()), std::set<std::string>{"useless"});
+}
+
 TEST_F(ScheduleTest, AnOddStretchMakesNoJobUrgent) {
   for (const double Stretch :
        {1e300, -1e300, std::nan(""), std::numeric_limits<double>::infinity()}) {
