--- a/src/node/evacuations.cc
+++ b/src/node/evacuations.cc
@@ -18,7 +18,7 @@
         DataCentre && !R.m_value.empty())
       Found.insert(*DataCentre);
   }
-  replace(std::move(Found));
+  replace(Found);
 }
 
 bool Evacuations::apply(const KeyedRecord &R, std::int64_t End) {
@@ -40,7 +40,7 @@
   replace({DataCentres.begin(), DataCentres.end()});
 }
 
-void Evacuations::replace(std::set<std::string> DataCentres) {
+void Evacuations::replace(const std::set<std::string> &DataCentres) {
   const std::set<std::string> Before = m_dataCentres;
   for (const std::string &Each : Before) {
     if (!DataCentres.contains(Each))
--- a/src/node/evacuations.h
+++ b/src/node/evacuations.h
@@ -42,7 +42,7 @@
   std::int64_t readUntil() const { return m_readUntil; }
 
 private:
-  void replace(std::set<std::string> DataCentres);
+  void replace(const std::set<std::string> &DataCentres);
   void set(const std::string &DataCentre, bool Evacuated);
 
   EvacuationKeyReader m_readKey;
--- a/tests/clients/main.cc
+++ b/tests/clients/main.cc
@@ -241,7 +241,8 @@
     constexpr int Bytes = 4096;
     ::setsockopt(Out, SOL_SOCKET, SO_RCVBUF, &Bytes, sizeof(Bytes));
   }
-  ::connect(Out, reinterpret_cast<sockaddr *>(&To), sizeof(To));
+  // The connection is completed later; poll() shows it.
+  (void)::connect(Out, reinterpret_cast<sockaddr *>(&To), sizeof(To));
   return Out;
 }
 
