--- a/src/batch/schedule.cc
+++ b/src/batch/schedule.cc
@@ -239,23 +239,16 @@
   std::vector<Stoppable *> m_owners; ///< Owner of each victim.
 };
 
-/// Added to the lost time of a run for each earlier preemption, so that of runs
-/// that lose about as much, one that was not stopped before is stopped.
-constexpr Millis PreemptedBeforeMs = 100;
-
-double costOf(const Step &S, const Task &T, Millis Now,
-              OverloadPolicy Overload) {
+double costOf(const Step &S, const Task &T, Millis Now) {
   // A stop takes a checkpoint where the step has them.
-  const Millis Lost = S.m_checkpoints || !T.m_running ? 0 : Now - T.m_placedAt;
-  const Millis Repeated = Overload == OverloadPolicy::CostAware
-                              ? PreemptedBeforeMs * T.m_preemptions
-                              : 0;
-  return weightOf(S.m_each) * static_cast<double>(Lost + Repeated) /
+  if (S.m_checkpoints || !T.m_running)
+    return 0;
+  return weightOf(S.m_each) * static_cast<double>(Now - T.m_placedAt) /
          MsPerSecond;
 }
 
 void addStoppable(const JobState &J, const std::set<std::string> &Guaranteed,
-                  const WorkerIndex &Index, Millis Now, OverloadPolicy Overload,
+                  const WorkerIndex &Index, Millis Now,
                   std::vector<Stoppable> &Out) {
   const auto &Occurrences = J.m_progress.m_occurrences;
   for (std::size_t K = 0; K < Occurrences.size(); ++K) {
@@ -273,7 +266,7 @@
         Stoppable One;
         One.m_class = classOf(J.m_spec, Guaranteed);
         One.m_victim.m_freed = {{*At, allocationOf(Kind)}};
-        One.m_victim.m_cost = costOf(Kind, T, Now, Overload);
+        One.m_victim.m_cost = costOf(Kind, T, Now);
         One.m_preemptions = T.m_preemptions;
         One.m_tasks = {{J.m_spec.m_id, static_cast<int>(K), static_cast<int>(S),
                         static_cast<int>(I)}};
@@ -650,8 +643,7 @@
     if (!m_stoppables) {
       m_stoppables.emplace();
       for (const auto &[Id, J] : m_jobs)
-        addStoppable(*J, m_guaranteed, m_index, m_now, m_policy.m_overload,
-                     *m_stoppables);
+        addStoppable(*J, m_guaranteed, m_index, m_now, *m_stoppables);
       std::stable_sort(m_stoppables->begin(), m_stoppables->end(),
                        [](const Stoppable &A, const Stoppable &B) {
                          return A.m_victim.m_cost < B.m_victim.m_cost;
