--- a/review/standins-2/lab.py
+++ b/review/standins-2/lab.py
@@ -221,7 +221,7 @@
     RECORD_BYTES = 262144
     CALL_BYTES = 2097152
     PAGE_ITEMS = 500
-    PAGE_BYTES = 1 << 20
+    PAGE_BYTES = 1000000   # Of the values, before their coding as text.
     APPEND_S = 0.003
 
     def __init__(self, record):
@@ -231,7 +231,7 @@
         self.away = {}          # machine -> "busy", "silent" or "reset"
         self.addresses = {}
         self.servers = []
-        self.bytes_per_s = {}   # machine -> rate of its answers, or none
+        self.bytes_per_s = {}   # machine -> rate of its link, or none
         self.on_append = None   # (machine, topic, records) -> None or "lose"
         self.on_refused = None  # (machine, text) for an append over a limit
 
@@ -644,7 +644,8 @@
         self.entries, self.agents, self.workers = [], [], []
         self.tasks = []
         self.version = 0
-        self.accepted, self.refused, self.shown = {}, {}, {}
+        self.accepted, self.refused = {}, {}
+        self.limits = {"memoryMb": 260, "cpuShare": 0.25}  # Of an entry.
 
     def now(self):
         return time.monotonic() - self.began
@@ -660,7 +661,7 @@
 
     async def add_entry(self, name, zone):
         s = self.settings(name, zone, await self.store.open_for(name),
-                          {"memoryMb": 260, "cpuShare": 0.25})
+                          dict(self.limits))
         s["listen"] = {"front": free_address(), "ready": free_address()}
         p = Process(self, name, "entry", s)
         p.front = s["listen"]["front"]
