Let an entry lead that learns of its election from a peer

Cause: an entry learns of a leader record from the answer to its claim, from the stream or from another entry. The first two began to lead if the record was their own; updateFromPeer() only stored it. The epoch was then known, so the record read later and the answer to the claim were ignored as repeated. leads() was true and nobody led.

Change: all three ways end in Election::adopt(), which compares epochs, stores the record and reports either the election or the other leader. The comparison now covers the first read of the store as well: a read sent before a peer's answer replaced the newer leader by an older one. leaderChanged names the way (by=).

--- a/src/node/election.cc
+++ b/src/node/election.cc
@@ -110,18 +110,27 @@
     m_handlers.m_event("recordIgnored", "key=" + R.m_key);
     return;
   }
-  // Later records have higher epochs; an equal epoch is a repeated record.
-  if (m_leaderKnown && Parsed->m_epoch <= m_leader.m_epoch)
+  adopt(*Parsed, RecordSource::Stream);
+}
+
+// All ways to learn of a leader end here. The answer to a claim, the record
+// that is read and the answer of another entry may come in any order, or not at
+// all; the first of them makes the elected entry lead.
+void Election::adopt(const LeaderRecord &R, RecordSource From) {
+  // Later records have higher epochs; an equal epoch is a repeated record. A
+  // second leader in the same epoch would reuse the numbers of its batches.
+  if (R.m_epoch <= m_leader.m_epoch)
     return;
-  setLeader(*Parsed);
-  m_handlers.m_event(
-      "leaderChanged",
-      fmt::format("epoch={} member={}", m_leader.m_epoch, m_leader.m_member));
-  // If the answer to a claim was lost, its record shows that the claim won.
-  if (leads())
-    m_handlers.m_elected(m_leader.m_epoch);
-  else
-    m_handlers.m_leaderChanged(m_leader);
+  setLeader(R);
+  m_handlers.m_event("leaderChanged",
+                     fmt::format("epoch={} member={} by={}", R.m_epoch,
+                                 R.m_member, base::nameOf(From)));
+  if (!leads())
+    return m_handlers.m_leaderChanged(m_leader);
+  m_handlers.m_elected(m_leader.m_epoch);
+  // A read in progress waits too long to confirm the leadership.
+  if (From != RecordSource::Stream)
+    m_follower->restart();
 }
 
 void Election::recordRoundTrip(Millis SentAt) {
@@ -288,12 +297,7 @@
 }
 
 void Election::updateFromPeer(const LeaderRecord &R) {
-  if (R.m_epoch <= m_leader.m_epoch)
-    return;
-  setLeader(R);
-  m_handlers.m_event("leaderChanged", fmt::format("epoch={} member={} by=peer",
-                                                  R.m_epoch, R.m_member));
-  m_handlers.m_leaderChanged(R);
+  adopt(R, RecordSource::Peer);
 }
 
 void Election::claimOnRequest(std::int64_t Epoch) {
@@ -388,16 +392,11 @@
           return;
         if (A.m_outcome == AppendOutcome::Done && !m_leaving) {
           m_claiming = false;
-          // The record may have been read before this answer came. A second
-          // leader in the same epoch would reuse the numbers of its batches.
-          if (m_leader.m_epoch >= R.m_epoch)
-            return;
-          setLeader(R);
-          m_streamEnd = A.m_offset + 1;
-          m_handlers.m_leadershipConfirmed(m_claimSentAt);
-          m_handlers.m_elected(R.m_epoch);
-          // The read in progress waits too long to confirm the leadership.
-          return m_follower->restart();
+          if (m_leader.m_epoch < R.m_epoch) {
+            m_streamEnd = A.m_offset + 1;
+            m_handlers.m_leadershipConfirmed(m_claimSentAt);
+          }
+          return adopt(R, RecordSource::Claim);
         }
         m_handlers.m_event("claimFailed",
                            fmt::format("epoch={} outcome={} moved={}",
--- a/src/node/election.h
+++ b/src/node/election.h
@@ -1,16 +1,19 @@
 #pragma once
 
 #include "base/fields.h"
+#include "base/names.h"
 #include "http/reactor.h"
 #include "node/follower.h"
 #include "node/store.h"
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace pomelokeel::node {
@@ -44,6 +47,13 @@
 std::string memberOf(const std::string &Name, const std::string &Incarnation,
                      const std::string &Address);
 
+/// How an entry has learned of a leader record.
+enum class RecordSource {
+  Claim,  ///< The answer to its own claim.
+  Stream, ///< A read of the store.
+  Peer    ///< Another entry.
+};
+
 struct ElectionSettings {
   std::string m_name;
   std::string m_member;      ///< Made by memberOf().
@@ -133,6 +143,7 @@
   void handleJoinResult(const base::Result<Membership> &M, Millis SentAt);
   void readMembers();
   void handleLeaderRecord(const KeyedRecord &R);
+  void adopt(const LeaderRecord &R, RecordSource From);
   void scheduleClaim();
   void askLeader();
   void continueClaim();
@@ -180,3 +191,10 @@
 };
 
 } // namespace pomelokeel::node
+
+namespace pomelokeel::base {
+template <> struct NameTable<node::RecordSource> {
+  static constexpr std::array<std::string_view, 3> Names = {"claim", "stream",
+                                                            "peer"};
+};
+} // namespace pomelokeel::base
--- a/tests/node/election_test.cc
+++ b/tests/node/election_test.cc
@@ -300,6 +300,56 @@
   EXPECT_FALSE(A.m_election->leads());
 }
 
+// Guards against an entry that counts as the leader and never leads: the store
+// had carried out its claim without an answer, and another entry told it of the
+// record before it could read it (review case 6).
+TEST_F(ElectionTest, AnEntryThatLearnsOfItsElectionFromAPeerLeads) {
+  Candidate A(*m_reactor, m_shared, "a");
+  ASSERT_TRUE(until([&] { return A.m_election->leads(); }));
+  Candidate B(*m_reactor, m_shared, "b");
+  ASSERT_TRUE(until([&] { return B.m_leaderChanges > 0; }));
+  B.m_store.m_dropsWriteAnswers = B.m_store.m_dropsWakeUps = true;
+  B.m_election->claimOnRequest(A.m_epochs.back());
+  ASSERT_TRUE(until([&] { return A.m_leaderChanges > 0; }));
+  ASSERT_FALSE(B.m_election->leads());
+  B.m_election->updateFromPeer(A.m_election->leader());
+  EXPECT_EQ(B.m_epochs, std::vector<std::int64_t>{2});
+  // Reads and the end of the claim tell the same again.
+  EXPECT_TRUE(until([&] { return B.m_confirmations > 2; }));
+  EXPECT_EQ(B.m_epochs, std::vector<std::int64_t>{2});
+  EXPECT_TRUE(B.m_election->leads());
+}
+
+// The same if the answer to the claim comes last.
+TEST_F(ElectionTest, AClaimThatAPeerKnowsBeforeItsAnswerElectsOnce) {
+  Candidate A(*m_reactor, m_shared, "a");
+  ASSERT_TRUE(until([&] { return A.m_election->leads(); }));
+  Candidate B(*m_reactor, m_shared, "b");
+  ASSERT_TRUE(until([&] { return B.m_leaderChanges > 0; }));
+  B.m_store.m_claimAnswerMs = 300;
+  B.m_store.m_dropsWakeUps = true;
+  B.m_election->claimOnRequest(A.m_epochs.back());
+  ASSERT_TRUE(until([&] { return A.m_leaderChanges > 0; }));
+  B.m_election->updateFromPeer(A.m_election->leader());
+  EXPECT_TRUE(until([&] { return B.m_confirmations > 0; }, 200));
+  EXPECT_FALSE(until([&] { return B.m_epochs.size() > 1; }, 600));
+  EXPECT_EQ(B.m_epochs, std::vector<std::int64_t>{2});
+}
+
+// Guards against a first read of the store that was sent before another entry
+// told of a newer leader.
+TEST_F(ElectionTest, AnOldSnapshotDoesNotReplaceANewerLeaderOfAPeer) {
+  Candidate A(*m_reactor, m_shared, "a");
+  ASSERT_TRUE(until([&] { return A.m_election->leads(); }));
+  Candidate B(*m_reactor, m_shared, "b");
+  LeaderRecord Newer = A.m_election->leader();
+  Newer.m_member = memberOf("c", "1", "h:1");
+  Newer.m_name = "c";
+  Newer.m_epoch = 2;
+  B.m_election->updateFromPeer(Newer);
+  EXPECT_FALSE(until([&] { return B.m_election->leader().m_epoch != 2; }, 100));
+}
+
 TEST_F(ElectionTest, ATakeoverRequestOfAnOldEpochIsIgnored) {
   Candidate A(*m_reactor, m_shared, "a");
   ASSERT_TRUE(until([&] { return A.m_election->leads(); }));
--- a/tests/node/fake_store.h
+++ b/tests/node/fake_store.h
@@ -4,6 +4,7 @@
 #include "node/store.h"
 
 #include <algorithm>
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -34,6 +35,8 @@
   bool m_dropsWakeUps = false;      ///< Long polls run to their timeout.
   Millis m_claimAnswerMs = 1;       ///< Until a conditional append is answered.
   Millis m_timeoutMs = 100;
+  /// Called when a conditional append has been carried out, if set.
+  std::function<void()> m_onConditionalAppend;
   int m_followCalls = 0;
 
   void append(const batch::JournalBatch &Batch,
@@ -66,8 +69,11 @@
     Out.m_outcome = Size == End ? AppendOutcome::Done : AppendOutcome::NotDone;
     Out.m_endMoved = Size != End;
     Out.m_offset = End;
-    if (Size == End)
+    if (Size == End) {
       add(S, {R});
+      if (m_onConditionalAppend)
+        m_onConditionalAppend();
+    }
     if (m_dropsWriteAnswers)
       return after(m_timeoutMs, [Done] { Done({}); });
     after(m_claimAnswerMs, [Done, Out] { Done(Out); });
