Append leader records behind the newest one that is known

Cause: claims and resignations were appended at the end of the last read. An entry that knows a newer leader from another entry, which includes its own election, named an end that had moved. Its resignation was then given up as replaced, and a claim on request failed first and was repeated 300 ms later.

Change: both use the epoch of the known leader if that is newer, since an epoch is the offset of the record plus one.

ElectionTest.AnEntryThatLearnedOfItsElectionFromAPeerCanResign: red before (no third record), passes 1 of 1 with the other 21 tests of the election.

--- a/src/node/election.cc
+++ b/src/node/election.cc
@@ -378,24 +378,22 @@
   R.m_member = m_settings.m_member;
   R.m_name = m_settings.m_name;
   R.m_address = m_settings.m_address;
-  R.m_epoch = m_streamEnd + 1;
+  R.m_epoch = knownEnd() + 1;
   m_claimSentAt = base::bootNow();
   m_handlers.m_event(
       "leadershipClaimed",
       fmt::format("epoch={} before={}", R.m_epoch, m_leader.m_member));
   m_store.appendAt(
       Stream::Leaders, {LeaderKey, base::dumpJson(base::encode(R))},
-      m_streamEnd,
+      R.m_epoch - 1,
       [this, R,
        Alive = std::weak_ptr<int>(m_alive)](const ConditionalAppend &A) {
         if (Alive.expired())
           return;
         if (A.m_outcome == AppendOutcome::Done && !m_leaving) {
           m_claiming = false;
-          if (m_leader.m_epoch < R.m_epoch) {
-            m_streamEnd = A.m_offset + 1;
+          if (m_leader.m_epoch < R.m_epoch)
             m_handlers.m_leadershipConfirmed(m_claimSentAt);
-          }
           return adopt(R, RecordSource::Claim);
         }
         m_handlers.m_event("claimFailed",
@@ -413,7 +411,7 @@
   if (!leads())
     return;
   LeaderRecord R;
-  R.m_epoch = m_streamEnd + 1;
+  R.m_epoch = knownEnd() + 1;
   m_handlers.m_event("leadershipResigned",
                      fmt::format("epoch={}", m_leader.m_epoch));
   // The epoch stays that of the resigned leader: if another entry has claimed
--- a/src/node/election.h
+++ b/src/node/election.h
@@ -6,6 +6,7 @@
 #include "node/follower.h"
 #include "node/store.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <functional>
@@ -144,6 +145,11 @@
   void readMembers();
   void handleLeaderRecord(const KeyedRecord &R);
   void adopt(const LeaderRecord &R, RecordSource From);
+  /// Lowest end that Stream::Leaders can have. The known leader's record may be
+  /// newer than the last read.
+  std::int64_t knownEnd() const {
+    return std::max(m_streamEnd, m_leader.m_epoch);
+  }
   void scheduleClaim();
   void askLeader();
   void continueClaim();
--- a/tests/node/election_test.cc
+++ b/tests/node/election_test.cc
@@ -336,6 +336,24 @@
   EXPECT_EQ(B.m_epochs, std::vector<std::int64_t>{2});
 }
 
+// Guards against a resignation that is lost because the entry knew its election
+// from another entry and the end of the stream from an earlier read.
+TEST_F(ElectionTest, AnEntryThatLearnedOfItsElectionFromAPeerCanResign) {
+  Candidate A(*m_reactor, m_shared, "a");
+  ASSERT_TRUE(until([&] { return A.m_election->leads(); }));
+  Candidate B(*m_reactor, m_shared, "b");
+  ASSERT_TRUE(until([&] { return B.m_leaderChanges > 0; }));
+  B.m_store.m_dropsWriteAnswers = B.m_store.m_dropsWakeUps = true;
+  B.m_election->claimOnRequest(A.m_epochs.back());
+  ASSERT_TRUE(until([&] { return A.m_leaderChanges > 0; }));
+  B.m_election->updateFromPeer(A.m_election->leader());
+  ASSERT_TRUE(B.m_election->leads());
+  B.m_store.m_dropsWriteAnswers = false;
+  B.m_election->resign();
+  EXPECT_EQ(claims(), 3U);
+  EXPECT_TRUE(until([&] { return A.m_election->leader().m_epoch == 3; }));
+}
+
 // Guards against a first read of the store that was sent before another entry
 // told of a newer leader.
 TEST_F(ElectionTest, AnOldSnapshotDoesNotReplaceANewerLeaderOfAPeer) {
