Resign when an entry is elected while it stops

Cause: leave() resigns, but a claim under way may be carried out afterwards. Its answer was dropped, and the record that was read made the stopping entry lead. Nobody resigned that leadership, so the others had no leader from the end of the process until they had noticed that it was gone.

Change: an entry that is leaving answers its election with a resignation, whether it learns of it from the answer or from the record.

--- a/src/node/election.cc
+++ b/src/node/election.cc
@@ -127,6 +127,9 @@
                                  R.m_member, base::nameOf(From)));
   if (!leads())
     return m_handlers.m_leaderChanged(m_leader);
+  // The others would wait until they notice that this process has ended.
+  if (m_leaving)
+    return resign();
   m_handlers.m_elected(m_leader.m_epoch);
   // A read in progress waits too long to confirm the leadership.
   if (From != RecordSource::Stream)
@@ -390,7 +393,7 @@
        Alive = std::weak_ptr<int>(m_alive)](const ConditionalAppend &A) {
         if (Alive.expired())
           return;
-        if (A.m_outcome == AppendOutcome::Done && !m_leaving) {
+        if (A.m_outcome == AppendOutcome::Done) {
           m_claiming = false;
           if (m_leader.m_epoch < R.m_epoch)
             m_handlers.m_leadershipConfirmed(m_claimSentAt);
--- a/tests/node/election_test.cc
+++ b/tests/node/election_test.cc
@@ -354,6 +354,28 @@
   EXPECT_TRUE(until([&] { return A.m_election->leader().m_epoch == 3; }));
 }
 
+// Guards against a stopping entry that is elected by a claim under way: it led
+// until its process ended, and the others then waited for its membership.
+TEST_F(ElectionTest, AnEntryThatIsElectedWhileItLeavesResigns) {
+  for (const bool AnswerLost : {false, true}) {
+    SCOPED_TRACE(AnswerLost);
+    m_shared = std::make_shared<FakeStreams>();
+    Candidate A(*m_reactor, m_shared, "a");
+    ASSERT_TRUE(until([&] { return A.m_election->leads(); }));
+    Candidate B(*m_reactor, m_shared, "b");
+    ASSERT_TRUE(until([&] { return B.m_leaderChanges > 0; }));
+    B.m_store.m_claimAnswerMs = 100;
+    B.m_store.m_dropsWakeUps = !AnswerLost;
+    B.m_store.m_dropsWriteAnswers = AnswerLost;
+    B.m_election->claimOnRequest(A.m_epochs.back());
+    ASSERT_TRUE(until([&] { return claims() == 2; }));
+    B.m_election->leave([] {});
+    EXPECT_TRUE(until([&] { return A.m_election->leads(); }, 1000));
+    EXPECT_TRUE(B.m_epochs.empty());
+    EXPECT_FALSE(B.m_election->leads());
+  }
+}
+
 // Guards against a first read of the store that was sent before another entry
 // told of a newer leader.
 TEST_F(ElectionTest, AnOldSnapshotDoesNotReplaceANewerLeaderOfAPeer) {
