Do not repeat a start order to a worker that is shutting down

Cause: an agent repeats a start that its worker has not answered, for as long as it is in contact with a leader. Whether the worker may start anything was asked only when the order arrived, and again when an evacuation began. A heartbeat that said draining, and the notice of the worker's end, changed nothing for orders that were waiting. The leader hid this by stopping such a run after 1.8 s; a new leader counts these anew.

Change: the reasons against starts (worker has left, draining, evacuated) stand in one function, which is asked whenever orders may be sent again. Runs that have not started are withdrawn: by a stop order if a copy may still be under way, else at once, so that the leader can place the task elsewhere. An order under way is left to its answer: a run that has begun goes on.

--- a/src/batch/agent.cc
+++ b/src/batch/agent.cc
@@ -71,7 +71,7 @@
   removeAcknowledgedEnds(R.m_acknowledged);
   // A leader that does not know yet sends no starts.
   if (R.m_evacuated || !R.m_starts.empty())
-    setEvacuated(R.m_evacuated.value_or(false), Now);
+    setEvacuated(R.m_evacuated.value_or(false));
   for (const StopOrder &O : R.m_stops)
     handleStopOrder(O, Now);
   if (!Report.m_describesWorker)
@@ -105,32 +105,59 @@
   // The leader repeats the order to the next process of this agent.
   if (m_stopping)
     return;
-  if (m_worker->m_draining || m_workerLeft)
-    return endUnreportedRun(K, EndKind::NeverStarted, "draining");
-  if (m_evacuated)
-    return endUnreportedRun(K, EndKind::NeverStarted, "evacuated");
+  if (const char *Reason = reasonAgainstStarts())
+    return endUnreportedRun(K, EndKind::NeverStarted, Reason);
   Run &R = m_runs[K];
   R.m_order = O;
   R.m_report = {O.m_task, O.m_run, RunPhase::Starting, 0, "", 0};
   sendStart(R, Now);
 }
 
-// Orders that the worker has not answered may still be carried out. They are
-// stopped, so that a late copy has no effect, and are not repeated.
-void Agent::setEvacuated(bool Evacuated, Millis Now) {
-  if (std::exchange(m_evacuated, Evacuated) == Evacuated)
-    return;
-  m_ports.event("evacuation", "",
-                fmt::format("state={}", Evacuated ? "begun" : "ended"));
-  if (!Evacuated)
+void Agent::setEvacuated(bool Evacuated) {
+  if (std::exchange(m_evacuated, Evacuated) != Evacuated)
+    m_ports.event("evacuation", "",
+                  fmt::format("state={}", Evacuated ? "begun" : "ended"));
+}
+
+const char *Agent::reasonAgainstStarts() const {
+  if (m_workerLeft)
+    return "workerLeft";
+  if (m_worker->m_draining)
+    return "draining";
+  return m_evacuated ? "evacuated" : nullptr;
+}
+
+// Start orders are repeated without the leader, so the reason against them is
+// looked for whenever one may be sent again, however the agent has learned of
+// it. An order under way is left alone: if the worker answers it, the run has
+// begun, and the leader decides whether it can end in time.
+void Agent::withdrawUnstartedRuns(Millis Now) {
+  const char *Reason = reasonAgainstStarts();
+  if (Reason == nullptr)
     return;
-  std::vector<StopOrder> Unstarted;
+  std::vector<Key> Unstarted;
   for (const auto &[K, R] : m_runs) {
-    if (R.m_report.m_phase == RunPhase::Starting)
-      Unstarted.push_back({K.first, K.second});
+    if (R.m_report.m_phase == RunPhase::Starting && !R.m_orderPending)
+      Unstarted.push_back(K);
   }
-  for (const StopOrder &O : Unstarted)
-    handleStopOrder(O, Now);
+  for (const Key &K : Unstarted)
+    withdrawStart(K, Reason, Now);
+}
+
+// A copy of the order that the worker has not answered, also one of an earlier
+// process of this agent, may still be carried out. Only a stop order prevents
+// that.
+void Agent::withdrawStart(const Key &K, const char *Reason, Millis Now) {
+  const auto Late = m_lateStarts.find(K);
+  const bool MayStart = (Late != m_lateStarts.end() && Now <= Late->second) ||
+                        Now < m_inheritedStartsUntil;
+  const auto Name = parseTaskName(K.first);
+  m_ports.event("startWithdrawn", Name ? Name->m_job : "",
+                fmt::format("task={} run={} reason={} sent={}", K.first,
+                            K.second, Reason, MayStart ? "maybe" : "no"));
+  if (MayStart)
+    return handleStopOrder({K.first, K.second}, Now);
+  endUnreportedRun(K, EndKind::NeverStarted, Reason);
 }
 
 void Agent::handleStopOrder(const StopOrder &O, Millis Now) {
@@ -312,6 +339,7 @@
   expireLease(Now);
   if (!m_worker)
     return;
+  withdrawUnstartedRuns(Now);
   for (auto &[K, R] : m_runs) {
     if (R.m_orderPending || Now < R.m_retryAt)
       continue;
--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -184,7 +184,11 @@
   void raiseFence(std::uint64_t Fence, Millis Now);
   void handleStartOrder(const StartOrder &O, Millis SentAt, Millis Now);
   void handleStopOrder(const StopOrder &O, Millis Now);
-  void setEvacuated(bool Evacuated, Millis Now);
+  void setEvacuated(bool Evacuated);
+  /// Why the worker may start no run, or nullptr.
+  const char *reasonAgainstStarts() const;
+  void withdrawUnstartedRuns(Millis Now);
+  void withdrawStart(const Key &K, const char *Reason, Millis Now);
   void removeAcknowledgedEnds(const std::vector<EndReport> &Acknowledged);
   void sendStart(Run &R, Millis Now);
   void sendStop(Run &R, Millis Now);
