Stop a refused start that an earlier agent process may have sent

Cause: an agent whose worker drains, or is in an evacuated data centre, answers a start order with an end as never started. The process before it may have sent the same order without an answer. The worker can carry that copy out late, while the leader has placed the task elsewhere. Orders that the worker refuses were already settled by a stop in this case, those that the agent refuses were not.

Change: both refusals use withdrawStart(), which sends a stop order as long as a copy may be under way.

WithdrawnStartTest.ARefusedOrderOfAnEarlierProcessIsStopped: red before for all three reasons (the late copy started), passes with the other tests of agents, evacuations, departures and restarts.

--- a/src/batch/agent.cc
+++ b/src/batch/agent.cc
@@ -106,7 +106,7 @@
   if (m_stopping)
     return;
   if (const char *Reason = reasonAgainstStarts())
-    return endUnreportedRun(K, EndKind::NeverStarted, Reason);
+    return withdrawStart(K, Reason, Now);
   Run &R = m_runs[K];
   R.m_order = O;
   R.m_report = {O.m_task, O.m_run, RunPhase::Starting, 0, "", 0};
--- a/tests/batch/fake_worker.h
+++ b/tests/batch/fake_worker.h
@@ -86,6 +86,9 @@
     m_ends.push_back({Task, Run, Kind, Saved, ++m_lastEnd, ""});
   }
 
+  /// Delays a start that an earlier process of the agent has sent.
+  void delayStart(const StartCall &C) { m_delayedStarts.push_back(C); }
+
   /// Carries out the delayed starts.
   void applyDelayedStarts() {
     for (const StartCall &C : std::exchange(m_delayedStarts, {}))
--- a/tests/batch/withdrawn_start_test.cc
+++ b/tests/batch/withdrawn_start_test.cc
@@ -130,5 +130,25 @@
   }
 }
 
+// Guards against a task that runs twice: the order of an earlier process of the
+// agent was under way when the next one refused it as never started.
+TEST(WithdrawnStartTest, ARefusedOrderOfAnEarlierProcessIsStopped) {
+  for (const Reason &Why : Reasons) {
+    SCOPED_TRACE(Why.m_name);
+    FakeWorker W;
+    W.heartbeat();
+    W.passWithReplies(100);
+    W.delayStart({startOrder().m_starts.front(), W.clock() + 6000, 0, "w-1"});
+    Why.m_begin(W);
+    AgentReply Order = startOrder();
+    Order.m_evacuated = Why.m_name == std::string("evacuated");
+    W.reply(Order);
+    W.pass(100);
+    EXPECT_TRUE(reportsNeverStarted(W));
+    W.applyDelayedStarts();
+    EXPECT_EQ(W.m_starts, 0);
+  }
+}
+
 } // namespace
 } // namespace pomelokeel::batch::tests
