Send start orders for 2.5 s after the last contact with the leader

Cause: an agent repeated an unanswered start for 4 s after its last contact with a leader. A leader that acknowledges a cancel and ends before its stop order is sent leaves an agent that starts a run of that job up to 4 s later; a cancelled job must start nothing after 3 s.

Change: starts are sent for as long as the leader would place new runs on the agent, 2.5 s after the last contact. Leases are renewed for 4 s as before. A later reply that does not stop the run makes the agent send the order again.

--- a/src/batch/agent.cc
+++ b/src/batch/agent.cc
@@ -207,9 +207,10 @@
 }
 
 void Agent::sendStart(Run &R, Millis Now) {
-  // A start grants a lease, which a worker that may be lost must not get. The
-  // leader counts a run as lost by the time since it was last in contact.
-  if (m_clockAt < 0 || !m_synced || inDoubt() || !inContact(Now) ||
+  // A start grants a lease, which a worker that may be lost must not get. A
+  // leader that is not heard may have been asked to cancel the job.
+  if (m_clockAt < 0 || !m_synced || inDoubt() ||
+      !inContact(Now, m_timing.m_startAutonomyMs) ||
       m_failedPolls >= FailedPollsToUnhealthy) {
     R.m_retryAt = Now + OrderRetryMs;
     return;
--- a/src/batch/agent.h
+++ b/src/batch/agent.h
@@ -20,6 +20,9 @@
   Millis m_leaseMs = 6000; ///< Length of the lease that each poll renews.
   /// The lease is renewed for this long after the last contact with the leader.
   Millis m_autonomyMs = 4000;
+  /// Start orders are sent for this long after the last contact with the
+  /// leader, which may have withdrawn them since.
+  Millis m_startAutonomyMs = SilentAgentMs;
   /// How long the worker may hold a poll until a run ends.
   Millis m_pollWaitMs = 1000;
   Millis m_orderTimeoutMs = 600; ///< Timeout of a start or stop order.
@@ -221,8 +224,8 @@
   bool isWorkerGone() const {
     return m_workerLeft && m_failedPollsAfterNotice >= FailedPollsToUnhealthy;
   }
-  bool inContact(Millis Now) const {
-    return m_contactAt >= 0 && Now - m_contactAt < m_timing.m_autonomyMs;
+  bool inContact(Millis Now, Millis WithinMs) const {
+    return m_contactAt >= 0 && Now - m_contactAt < WithinMs;
   }
 
   const std::string m_name;
--- a/src/batch/agent_worker.cc
+++ b/src/batch/agent_worker.cc
@@ -187,7 +187,7 @@
   // A worker that may be lost gets no new lease, so that there is a time by
   // which all leases have ended.
   if (m_synced && m_clockAt >= 0 && m_failedPolls == 0 && !inDoubt() &&
-      !m_workerLeft && !m_stopping && inContact(Now))
+      !m_workerLeft && !m_stopping && inContact(Now, m_timing.m_autonomyMs))
     C.m_deadline = extendLease(Now);
   if (WaitMs > 0 || m_waitingPoll == 0)
     m_waitingPoll = C.m_serial;
--- a/src/batch/leader.h
+++ b/src/batch/leader.h
@@ -37,7 +37,7 @@
   /// From acceptance until a job within its account's guarantee has begun.
   Millis m_reclaimMs = 3000;
   /// Time since the last contact after which an agent gets no new runs.
-  Millis m_silentMs = 2500;
+  Millis m_silentMs = SilentAgentMs;
   Millis m_retentionMs = 180000; ///< How long ended jobs are kept.
   Millis m_longPollMs = 1000;    ///< Longest time that a report is held.
   /// Shortest time between two rounds of decisions. What arrives in between is
--- a/src/batch/messages.h
+++ b/src/batch/messages.h
@@ -172,6 +172,11 @@
   }
 };
 
+/// Time since the last contact of the leader and an agent, in ms, after which
+/// the one places no new runs and the other starts none. It covers the time for
+/// which a report is held, and is below the 3 s in which a cancel takes effect.
+constexpr Millis SilentAgentMs = 2500;
+
 /// How long a worker may still carry out an order that was not answered, in ms.
 /// The platform specifies seconds; 12 s have been observed.
 constexpr Millis LateOrderMs = 20000;
--- a/tests/batch/withdrawn_start_test.cc
+++ b/tests/batch/withdrawn_start_test.cc
@@ -150,5 +150,26 @@
   }
 }
 
+// Guards against starts of a job that is cancelled: the leader was gone before
+// it could send the stop, and its agent repeated the unanswered order for four
+// seconds after their last contact. A cancelled job starts nothing after 3 s.
+TEST(WithdrawnStartTest, AnOrderIsNotRepeatedForLongWithoutTheLeader) {
+  constexpr Millis CancelMs = 3000;
+  FakeWorker W;
+  W.heartbeat();
+  W.passWithReplies(100);
+  W.m_dropsStarts = true;
+  W.reply(startOrder());
+  W.m_leaderSilent = true;
+  W.pass(CancelMs);
+  W.m_dropsStarts = false;
+  W.pass(3000);
+  EXPECT_EQ(W.m_starts, 0);
+  // The next leader has not withdrawn the run.
+  W.m_leaderSilent = false;
+  W.passWithReplies(1000);
+  EXPECT_EQ(W.m_starts, 1);
+}
+
 } // namespace
 } // namespace pomelokeel::batch::tests
