Let the soak drain workers, and leave orders to them unanswered

Workers of the soak did not leave with a notice. Half of them leave orders unanswered meanwhile, and all entries are killed as they begin to drain. A run that starts later than 2.5 s after the acknowledgement is a violation.

--- a/tests/soak/history.cc
+++ b/tests/soak/history.cc
@@ -142,6 +142,25 @@
                           Task, Worker, DataCentre, Now - It->second));
 }
 
+void History::drainAcknowledged(const std::string &Worker) {
+  m_drainAcknowledgedAt[Worker] = base::bootNow();
+  log("drain-acknowledged " + Worker);
+}
+
+void History::checkStartWhileDraining(const std::string &Worker,
+                                      const std::string &Task, Millis LateMs) {
+  const auto It = m_drainAcknowledgedAt.find(Worker);
+  const Millis Now = base::bootNow();
+  if (It == m_drainAcknowledgedAt.end() ||
+      Now - LateMs <= It->second + DrainMs ||
+      Now - m_agents[Worker.substr(0, Worker.find('.'))].m_disturbedAt <
+          ContactMs)
+    return;
+  violation(fmt::format("drain {}: started on {} {} ms after its draining was "
+                        "acknowledged",
+                        Task, Worker, Now - It->second));
+}
+
 void History::evacuationBegun(const std::string &DataCentre) {
   m_evacuatedSince[DataCentre] = base::bootNow();
   log("evacuation of " + DataCentre + " begins");
@@ -159,6 +178,7 @@
   log(fmt::format("start {} run={} worker={}{}", Task, Run, Worker,
                   LateMs > 0 ? " late" : ""));
   checkStartInEvacuation(Worker, DataCentre, Task, LateMs);
+  checkStartWhileDraining(Worker, Task, LateMs);
   struct Run New;
   New.m_worker = Worker;
   New.m_number = Run;
--- a/tests/soak/history.h
+++ b/tests/soak/history.h
@@ -19,6 +19,10 @@
 /// Time from the acknowledgement of an evacuation after which no task starts.
 constexpr Millis EvacuationMs = 5000;
 
+/// Time from the acknowledgement of a worker's draining after which no task
+/// starts there.
+constexpr Millis DrainMs = 2500;
+
 /// Records what callers and workers observe and checks it at once. Each event
 /// is one line that is passed to \p Log. Violations are also stored.
 class History {
@@ -58,6 +62,13 @@
   /// The operator is about to end the evacuation.
   void evacuationEnded(const std::string &DataCentre);
 
+  /// The agent of \p Worker has acknowledged that it drains.
+  void drainAcknowledged(const std::string &Worker);
+  /// The worker has restarted and does not drain any more.
+  void drainEnded(const std::string &Worker) {
+    m_drainAcknowledgedAt.erase(Worker);
+  }
+
   /// A process that serves \p Worker has started.
   void agentStarted(const std::string &Worker);
   /// The worker's agent does not run freely at this time.
@@ -123,6 +134,9 @@
                               const std::string &DataCentre,
                               const std::string &Task, Millis LateMs);
 
+  void checkStartWhileDraining(const std::string &Worker,
+                               const std::string &Task, Millis LateMs);
+
   std::function<void(const std::string &)> m_log;
   std::vector<std::string> m_violations;
   std::map<std::string, Job> m_jobs;
@@ -133,7 +147,8 @@
   /// Tasks of which a run ended as done, by job.
   std::map<std::string, std::set<std::string>> m_done;
   std::map<std::string, Agent> m_agents; ///< By the first id of its worker.
-  std::map<std::string, Millis> m_evacuatedSince; ///< By data centre.
+  std::map<std::string, Millis> m_drainAcknowledgedAt; ///< By worker.
+  std::map<std::string, Millis> m_evacuatedSince;      ///< By data centre.
   Millis m_storeDisturbedAt = 0;
   Millis m_unplannedAt = 0;
   std::size_t m_starts = 0;
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -11,6 +11,7 @@
 #include <CLI/CLI.hpp>
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
@@ -40,6 +41,9 @@
 constexpr int UsualWorkers = 4;
 constexpr Millis MinJobIntervalMs = 50;
 constexpr Millis FaultIntervalMs = 700;
+constexpr Millis DrainIntervalMs = 1500;
+/// A worker drains at most this long after it ceased to answer orders.
+constexpr Millis MaxDrainDelayMs = 1500;
 /// The soak itself was held up if a tick is later than this.
 constexpr Millis MaxTickDelayMs = 100;
 /// Time after the last fault within which all jobs must end. It covers leases
@@ -72,6 +76,9 @@
   /// Plays planned work, and other faults only with m_killsAll.
   bool m_planned = false;
 
+  /// Also drains workers, some of which leave orders unanswered meanwhile.
+  bool m_drains = false;
+
   /// Every second seed evacuates data centres, too.
   bool evacuates() const { return m_seed % 2 == 0; }
   bool playsFaults() const { return !m_planned || m_killsAll; }
@@ -92,7 +99,7 @@
 public:
   Soak(const Options &O, const std::string &Folder)
       : m_options(O), m_random(O.m_seed), m_killRandom(~O.m_seed),
-        m_log(Folder + "/history.log"),
+        m_drainRandom(O.m_seed + 1), m_log(Folder + "/history.log"),
         m_history([this](const std::string &Line) {
           m_log << base::bootNow() << ' ' << Line << '\n';
         }),
@@ -228,6 +235,36 @@
     }
   }
 
+  // At least half of the workers stay in service.
+  void tickDrains(Millis Now) {
+    auto &All = m_workers.all();
+    if (m_drainAt >= 0 && Now >= m_drainAt) {
+      All[m_drainNext]->drain();
+      m_drainAt = -1;
+      // Whoever leads next does not know of orders without an answer.
+      if (All[m_drainNext]->m_delaysOrders) {
+        const Millis RestartMs = randomBetween(m_drainRandom, 100, 1500);
+        for (Process &P : m_fleet.entries())
+          m_fleet.terminate(P, SIGKILL, RestartMs, Now);
+      }
+    }
+    if (m_drainAt >= 0 || Now < m_nextDrainAt)
+      return;
+    m_nextDrainAt = Now + DrainIntervalMs;
+    m_drainNext = m_drainRandom() % All.size();
+    const auto Draining = std::count_if(
+        All.begin(), All.end(), [](const auto &W) { return W->draining(); });
+    if (All[m_drainNext]->draining() ||
+        2 * (static_cast<std::size_t>(Draining) + 1) > All.size())
+      return;
+    m_drainAt = Now + randomBetween(m_drainRandom, 0, MaxDrainDelayMs);
+    if (m_drainRandom() % 2 == 0)
+      return;
+    m_history.unplanned();
+    All[m_drainNext]->m_delaysOrders = true;
+    m_workerFaultsEnd = m_drainAt + randomBetween(m_drainRandom, 1500, 4500);
+  }
+
   void startOutage(Millis Now) {
     KillAll &K = m_killAll;
     K.m_active = true;
@@ -381,6 +418,8 @@
       }
       if (m_options.m_planned)
         m_operations->tick(Now);
+      if (m_options.m_drains)
+        tickDrains(Now);
       if (Now >= m_nextFaultAt && m_options.playsFaults()) {
         m_nextFaultAt = Now + FaultIntervalMs;
         if (!m_killAll.m_active || !m_killAll.m_alone)
@@ -416,7 +455,8 @@
 
   const Options m_options;
   std::mt19937_64 m_random;
-  std::mt19937_64 m_killRandom; ///< Of the fault that kills all processes.
+  std::mt19937_64 m_killRandom;  ///< Of the fault that kills all processes.
+  std::mt19937_64 m_drainRandom; ///< Of the workers that drain.
   std::ofstream m_log;
   History m_history;
   std::unique_ptr<http::Reactor> m_reactor;
@@ -434,6 +474,9 @@
   Millis m_tickedAt = 0;
   Millis m_nextJobAt = 0;
   Millis m_nextFaultAt = 0;
+  Millis m_nextDrainAt = 0;
+  Millis m_drainAt = -1; ///< When m_drainNext drains; -1: none will.
+  std::size_t m_drainNext = 0;
   Millis m_storeFaultEnd = 0;
   Millis m_workerFaultsEnd = 0;
   Millis m_finalCheckAt = 0;
@@ -500,6 +543,9 @@
   App.add_option("--workers", O.m_workers, "Workers");
   App.add_flag("--kill-all", O.m_killsAll,
                "Interrupt the store and kill all processes at once, too");
+  App.add_flag("--drains", O.m_drains,
+               "Drain and replace workers, some of which leave orders "
+               "unanswered, too");
   App.add_flag("--planned", O.m_planned,
                "Play planned work in series and overlapping; without "
                "--kill-all, no other faults");
--- a/tests/soak/worker.cc
+++ b/tests/soak/worker.cc
@@ -20,6 +20,10 @@
 constexpr Millis GangTimeoutMs = 3000;
 constexpr Millis StopDurationMs = 300;
 constexpr Millis OrderDelayMs = 2000;
+/// A draining worker serves for this long beyond the bound.
+constexpr Millis LeaveDelayMs = 800;
+/// A worker without an acknowledgement ends after this time.
+constexpr Millis UnacknowledgedDrainMs = 6000;
 
 std::string stepOf(const std::string &Task) {
   return Task.substr(0, Task.rfind('.'));
@@ -60,6 +64,8 @@
   m_lastEndNumber = m_heartbeatSequence = 0;
   m_fence = 0;
   m_leaseEnd = 0;
+  m_drainingSince = m_drainAcknowledgedAt = -1;
+  m_owner.m_history.drainEnded(m_name);
   m_startTime = std::max(base::wallNow(), m_startTime + 1);
   m_clockStart = base::bootNow();
   for (Poll &P : std::exchange(m_polls, {}))
@@ -73,6 +79,25 @@
   m_name = m_firstName + "." + std::to_string(++m_replacements);
 }
 
+void Worker::drain() {
+  m_drainingSince = base::bootNow();
+  m_owner.m_history.log("fault worker " + m_name + " drains");
+  heartbeat();
+}
+
+void Worker::leaveIfDrained(Millis Now) {
+  const bool Due = m_drainAcknowledgedAt >= 0
+                       ? Now >= m_drainAcknowledgedAt + DrainMs + LeaveDelayMs
+                       : Now >= m_drainingSince + UnacknowledgedDrainMs;
+  if (!draining() || !Due)
+    return;
+  http::Request R;
+  R.m_method = "DELETE";
+  R.m_target = names::InstancesPrefix + m_name;
+  m_agent->call(R, HeartbeatTimeoutMs, [](const http::CallResult &) {});
+  replace();
+}
+
 void Worker::serve(const http::Request &R, const http::Responder &Answer) {
   const std::string Path = http::pathOf(R.m_target);
   if (Path == names::PollRuns)
@@ -222,15 +247,26 @@
        {"zone", m_dataCentre},
        {"version", "v1"},
        {"slots", Accelerators},
-       {"state", "ready"},
+       {"state", draining() ? "draining" : "ready"},
+       {"remainingMs", draining() ? DrainMs : 0},
        {"coldLeftMs", 0},
        {"capacity", {{"cpu", 64000}, {"memMb", 65536}, {"gpu", Accelerators}}},
        {"labels", {"k", "r1"}},
        {"clockMs", clock()},
        {"born", m_startTime},
        {"seq", ++m_heartbeatSequence}});
-  // The answer is ignored: the next heartbeat follows in any case.
-  m_agent->call(R, HeartbeatTimeoutMs, [](const http::CallResult &) {});
+  // Other answers are ignored: the next heartbeat follows in any case.
+  m_agent->call(R, HeartbeatTimeoutMs,
+                [this, Name = m_name,
+                 Since = m_drainingSince](const http::CallResult &Result) {
+                  const auto *Got = std::get_if<http::Response>(&Result);
+                  if (Got == nullptr || Got->m_status != 200 || Since < 0 ||
+                      Name != m_name || Since != m_drainingSince ||
+                      m_drainAcknowledgedAt >= 0)
+                    return;
+                  m_drainAcknowledgedAt = base::bootNow();
+                  m_owner.m_history.drainAcknowledged(m_name);
+                });
 }
 
 void Worker::end(const std::string &Task, const std::string &EndKind) {
@@ -247,6 +283,7 @@
 void Worker::tick(Millis Now) {
   if (Now >= m_heartbeatAt)
     heartbeat();
+  leaveIfDrained(Now);
   checkLease();
   std::vector<std::pair<std::string, std::string>> Ended;
   for (auto &[Task, R] : m_runs) {
--- a/tests/soak/worker.h
+++ b/tests/soak/worker.h
@@ -35,6 +35,10 @@
   void crash();
   /// Crashes for good. A worker with a new id takes its place.
   void replace();
+  /// Reports that it drains. Some time after the acknowledgement it announces
+  /// its end, and a worker with a new id takes its place.
+  void drain();
+  bool draining() const { return m_drainingSince >= 0; }
 
 private:
   friend class Workers;
@@ -70,6 +74,7 @@
   void checkLease();
   http::Response listRuns() const;
   void heartbeat();
+  void leaveIfDrained(Millis Now);
   void tick(Millis Now);
   void end(const std::string &Task, const std::string &EndKind);
   /// Time since this incarnation started.
@@ -86,6 +91,8 @@
   std::shared_ptr<http::AsyncClient> m_agent;
   Millis m_heartbeatAt = 0;
   std::int64_t m_heartbeatSequence = 0;
+  Millis m_drainingSince = -1; ///< -1: it is not draining.
+  Millis m_drainAcknowledgedAt = -1;
   std::int64_t m_startTime = 0; ///< Unix time in ms; tells incarnations apart.
   Millis m_clockStart = 0;      ///< Time at which clock() was 0.
   Millis m_leaseEnd = 0;        ///< In terms of clock().
