Start nothing on a draining worker after the time of a reservation

Cause: in the stand-alone mode an agent repeats a start that its worker has not answered until the start timeout, 10 s, and a repeated reservation was renewed.

Change: a reservation is not renewed while the worker drains, and tasks that have not been released by the time that a reservation lasts, 3 s, are stopped.

TaskTable.ADrainingWorkerStartsNothingAfterTheTimeOfAReservation: red before in both forms (the task ran), passes with the other 12 tests of TaskTable.

--- a/src/agent/tasks.cc
+++ b/src/agent/tasks.cc
@@ -189,7 +189,7 @@
   if (Task *T = find(C)) {
     if (isEnded(T->m_hold))
       return Error{ErrorKind::Cancelled, "the attempt has ended here"};
-    if (T->m_hold.m_state == HoldState::Reserved)
+    if (T->m_hold.m_state == HoldState::Reserved && !m_draining)
       T->m_reservedUntil = Now + m_limits.m_reserveTtlMs;
     return std::nullopt;
   }
--- a/src/agent/tasks.h
+++ b/src/agent/tasks.h
@@ -148,7 +148,8 @@
   /// of this agent. Extends the orphan limit of the tasks.
   void onLeaderContact(Millis At);
 
-  /// New reservations are refused while draining.
+  /// While draining, new reservations are refused, and tasks that have not been
+  /// released by the time that a reservation lasts are stopped.
   void setDraining(bool Draining) { m_draining = Draining; }
   /// Reservations are refused while the worker does not answer.
   void setWorkerReachable(bool Reachable) { m_workerReachable = Reachable; }
@@ -255,6 +256,7 @@
   bool m_tasksKnown = false;
   bool m_workerReachable = true;
   bool m_draining = false;
+  Millis m_drainingSince = -1; ///< As advance() has seen it; -1: not draining.
   bool m_stopping = false;
   std::string m_workerIncarnation;
   std::map<std::string, Task> m_tasks; ///< By task id.
--- a/src/agent/tasks_timers.cc
+++ b/src/agent/tasks_timers.cc
@@ -89,6 +89,10 @@
     requestTaskStop(T, "the orphan limit has passed");
   if (T.m_confirmed && Now >= T.m_leaseEnd)
     requestTaskStop(T, "the worker did not renew the task lease");
+  const bool MayBegin =
+      m_drainingSince < 0 || Now < m_drainingSince + m_limits.m_reserveTtlMs;
+  if (!T.m_releaseIssued && !MayBegin)
+    requestTaskStop(T, "the worker is draining");
   if (T.m_stopReason)
     return;
   if (!T.m_confirmed && isDue(T, CallKind::Start, Now)) {
@@ -187,6 +191,10 @@
 }
 
 Effects TaskTable::advance(Millis Now) {
+  if (!m_draining)
+    m_drainingSince = -1;
+  else if (m_drainingSince < 0)
+    m_drainingSince = Now;
   for (auto It = m_tasks.begin(); It != m_tasks.end();) {
     Task &T = It->second;
     if (T.m_hold.m_state == HoldState::Reserved) {
--- a/tests/agent/simulation.h
+++ b/tests/agent/simulation.h
@@ -124,6 +124,7 @@
     std::unique_ptr<TaskTable> m_table;
     SimulatedWorker m_worker;
     Millis m_frozenUntil = 0;
+    bool m_workerSilent = false; ///< Its calls are lost.
     std::vector<std::function<void()>> m_buffered;
   };
 
@@ -218,8 +219,9 @@
       Lost.m_sentAt = Sent;
       Lost.m_error = base::ErrorKind::Timeout;
       WorkerAnswer A = Lost;
-      const bool Sends =
-          Sent < Call.m_notAfter && percent() >= m_faults.m_lossRate / 2;
+      const bool Sends = Sent < Call.m_notAfter &&
+                         percent() >= m_faults.m_lossRate / 2 &&
+                         !m_nodes[I].m_workerSilent;
       if (Sends)
         A = m_nodes[I].m_worker.apply(Call, Sent, m_now);
       if (percent() < m_faults.m_lossRate / 2)
--- a/tests/agent/tasks_test.cc
+++ b/tests/agent/tasks_test.cc
@@ -107,6 +107,30 @@
   EXPECT_EQ(S.send(Other), std::nullopt);
 }
 
+// Guards G6: a start that the worker did not answer was repeated until its
+// timeout, and a reservation renewed, while the worker drained.
+TEST(TaskTable, ADrainingWorkerStartsNothingAfterTheTimeOfAReservation) {
+  for (const bool Ordered : {true, false}) {
+    SCOPED_TRACE(Ordered);
+    SingleAgent S;
+    const Millis ReservedMs = TaskLimits().m_reserveTtlMs;
+    S.m_sim.node(0).m_workerSilent = true;
+    EXPECT_EQ(S.send(command(CommandKind::Reserve)), std::nullopt);
+    if (Ordered) {
+      EXPECT_EQ(S.send(command(CommandKind::Start)), std::nullopt);
+    }
+    S.run(300);
+    S.table().setDraining(true);
+    S.run(ReservedMs / 2);
+    S.send(command(CommandKind::Reserve));
+    S.run(ReservedMs / 2 + 200);
+    S.m_sim.node(0).m_workerSilent = false;
+    S.send(command(CommandKind::Start));
+    S.run(3000);
+    EXPECT_FALSE(S.m_sim.node(0).m_worker.everRan("j.1.0"));
+  }
+}
+
 // Guards G4: a stop that arrives before the start must prevent the attempt.
 TEST(TaskTable, StopBeforeReserveBlocksTheAttempt) {
   SingleAgent S;
