--- a/tests/node/leadership_test.cc
+++ b/tests/node/leadership_test.cc
@@ -76,7 +76,7 @@
       if (Now < m_faultUntil[I])
         continue;
       calm(I);
-      if (m_random() % 100 == 0)
+      if (m_random() % StepsPerFault == 0)
         beginFault(I, Now);
     }
   }
@@ -105,6 +105,8 @@
 private:
   static constexpr char NameOfFirst = 'a';
   static constexpr Millis MembershipMs = 1200;
+  /// Mean number of steps until an entry without a fault gets one.
+  static constexpr unsigned StepsPerFault = 100;
   static constexpr Millis Never = std::numeric_limits<Millis>::max();
 
   bool served(std::size_t I) const {
@@ -201,7 +203,8 @@
   StoreOfElected.m_timeoutMs = Fleet::StoreTimeoutMs;
   // The third entry reads the record, and is turned away before it is asked.
   until([] { return false; }, 30);
-  F.m_entries[Fleet::Size - First - Elected]->m_store.m_unreachable = true;
+  const std::size_t Third = 0 + 1 + 2 - First - Elected;
+  F.m_entries[Third]->m_store.m_unreachable = true;
   until([] { return false; }, NoticeMs);
   StoreOfElected.m_unreachable = true;
   until([] { return false; }, 2 * NoticeMs);
