review: a job that has not begun is not counted as pending

A start order gets no answer; once the leader gives it up, the job is shown as running and left out of pending, though no task of it has begun at any worker.

--- a/review/standins-3/lab3.py
+++ b/review/standins-3/lab3.py
@@ -278,6 +278,8 @@
         self.end_number = 0
         self.state = "ready"
         self.dead = False
+        self.late = {}  # (Task, run) -> ms. Start orders for it get no answer
+        # and are carried out that much later, as PROTOCOL.md says of calls.
         self.cond = threading.Condition()
         self.server, self.address = serve(WorkerHandler, self, ip, port)
         threading.Thread(target=self._work, daemon=True).start()
@@ -394,6 +396,10 @@
         if self.headers.get("X-Expect-Instance", w.id) != w.id:
             return self.reply(421, {"clockMs": w.clock(), "born": w.born})
         if self.path == "/pomelokeel/run-start":
+            w.lab.orders += 1
+            if (b["task"], b["run"]) in w.late:
+                w.lab.unanswered += 1
+                return self.unanswered(b, w.late[b["task"], b["run"]] / 1000)
             return self.reply(*w.start(b))
         if self.path == "/pomelokeel/run-stop":
             return self.reply(*w.stop(b))
@@ -402,6 +408,21 @@
         self.reply(404)
 
 
+    def unanswered(self, b, delay_s):
+        w = self.owner
+        w.lab.note("start order for %s run %d gets no answer and is carried "
+                   "out %.1f s later" % (b["task"], b["run"], delay_s))
+
+        def carry_out():
+            status, out = w.start(b)
+            w.lab.note("late start order for %s run %d carried out: %s %s"
+                       % (b["task"], b["run"], status, out.get("reason", "")))
+
+        threading.Timer(delay_s, carry_out).start()
+        self.rfile.read(1)  # Until the caller closes the connection.
+        self.close_connection = True
+
+
 class Proxy:
     """Forwards TCP connections. silence() makes the open ones pass nothing
     any more, without a reset; new ones work."""
@@ -528,6 +549,7 @@
         self.lines = open(os.path.join(case, "record.txt"), "w")
         self.lock = threading.Lock()
         self.starts, self.finished = [], []
+        self.orders = self.unanswered = 0  # Start orders at all workers.
         self.processes = {}
         self.log_starts = True
         self.store = Store(record=self.note, **store)
