End the exclusion of workers on which a task failed

Cause: a failure adds the worker to the task's avoided workers for as long as the leader lives. The placement excluded them whenever the other workers could hold the unit if they were idle, however long they would be in use. Logs: unitWaits with avoided=1 workers=2 fit=0 fitIdle=16 every 5 s for 45 s, no quarantine, no reservation. Neither time, nor work that the worker completed since, nor its replacement ended it.

Change: avoidance.cc decides which workers are excluded. It ends at once if the worker completes a run that began later, or restarts. Excluded workers stay the last choice afterwards. Preemption now leaves out excluded workers too: it stopped runs there for a unit that could not use their room. A step's tasks are skipped by the exclusions in force instead of by all avoided workers; a task that had failed on many workers was skipped beside one that had failed on few.

AvoidedWorker has a time now, so ScheduleTest gives one: 100 ms before the pass.

--- a/src/batch/job.h
+++ b/src/batch/job.h
@@ -177,6 +177,13 @@
   Evacuated
 };
 
+/// A worker on which a task failed or stalled.
+struct AvoidedWorker {
+  std::string m_agent;
+  std::string m_workerIncarnation;
+  Millis m_failedAt = 0; ///< When it last failed or was found stalled there.
+};
+
 /// One task. The members in fields() are stored; the others describe the
 /// current run and are kept only in the memory of the leader.
 struct Task {
@@ -203,8 +210,8 @@
   int m_percent = 0;
   int m_firstPercent = 0;   ///< m_percent when first reported as running.
   Millis m_firstSeenAt = 0; ///< When first reported as running.
-  /// Agents on whose workers it failed or stalled.
-  std::vector<std::string> m_avoid;
+  /// Workers on which it, or several tasks of its step, failed or stalled.
+  std::vector<AvoidedWorker> m_avoid;
 
   static constexpr auto fields() {
     return std::tuple{base::required("phase", &Task::m_phase),
--- a/src/batch/leader.h
+++ b/src/batch/leader.h
@@ -149,6 +149,7 @@
   int m_evidence = 0;          ///< That the worker fails sound work.
   /// Last completed run or end of a quarantine.
   Millis m_clearedAt = 0;
+  Millis m_provenAt = -1; ///< CandidateWorker::m_provenAt.
   /// Evidence without which the quarantine ends; 0 if the worker refused
   /// orders.
   int m_evidenceNeeded = 0;
@@ -338,8 +339,8 @@
   bool isLongRunAtWork(const TaskName &Name) const;
   void judgeWorker(AgentView &A, HealthReview &Review, Millis Now);
   void judgeNewFaults(Millis Now);
-  static void avoid(Task &T, const std::string &Agent);
-  void avoidForStep(const TaskName &OfStep, const std::string &Agent);
+  static void avoid(Task &T, const AvoidedWorker &W);
+  void avoidForStep(const TaskName &OfStep, const AvoidedWorker &W);
   static bool mayQuarantine(const WorkerEvidence &E, const ServiceUse &Use);
   void quarantine(AgentView &A, const std::string &Job, const char *Reason,
                   const WorkerEvidence &E, Millis Now);
--- a/src/batch/leader_health.cc
+++ b/src/batch/leader_health.cc
@@ -105,6 +105,7 @@
   if (E.m_kind == EndKind::Done) {
     m_faults.refute(A.m_name, PlacedAt);
     A.m_clearedAt = Now;
+    A.m_provenAt = std::max(A.m_provenAt, PlacedAt);
     if (PlacedAt >= A.m_quarantinedUntil)
       A.m_quarantineMs = 0;
   }
@@ -133,7 +134,7 @@
   if (std::exchange(A.m_hasNewFaults, false)) {
     for (const TaskName &OfStep :
          m_faults.faultySteps(A.m_name, FaultyTasksToAvoid))
-      avoidForStep(OfStep, A.m_name);
+      avoidForStep(OfStep, {A.m_name, A.m_worker.m_workerIncarnation, Now});
   }
   if (Now < A.m_quarantinedUntil)
     return;
@@ -163,14 +164,20 @@
   }
 }
 
-void Leader::avoid(Task &T, const std::string &Agent) {
-  if (std::find(T.m_avoid.begin(), T.m_avoid.end(), Agent) == T.m_avoid.end())
-    T.m_avoid.push_back(Agent);
+// Only a failure of the task itself makes it wait again for other workers.
+void Leader::avoid(Task &T, const AvoidedWorker &W) {
+  const auto Known = std::find_if(
+      T.m_avoid.begin(), T.m_avoid.end(),
+      [&](const AvoidedWorker &A) { return A.m_agent == W.m_agent; });
+  if (Known == T.m_avoid.end())
+    T.m_avoid.push_back(W);
+  else
+    *Known = W;
 }
 
 // A worker that fails what it starts is the first to be free again, and would
 // get all tasks of the step.
-void Leader::avoidForStep(const TaskName &OfStep, const std::string &Agent) {
+void Leader::avoidForStep(const TaskName &OfStep, const AvoidedWorker &W) {
   if (findTask(OfStep) == nullptr) // The job is gone.
     return;
   Occurrence &O =
@@ -178,8 +185,14 @@
           .m_progress
           .m_occurrences[static_cast<std::size_t>(OfStep.m_occurrence)];
   for (Task &T : O[static_cast<std::size_t>(OfStep.m_step)]) {
-    if (T.m_phase == TaskPhase::Waiting && T.m_avoid.size() < MaxAvoided)
-      avoid(T, Agent);
+    const bool Known = std::any_of(
+        T.m_avoid.begin(), T.m_avoid.end(), [&](const AvoidedWorker &A) {
+          return A.m_agent == W.m_agent &&
+                 A.m_workerIncarnation == W.m_workerIncarnation;
+        });
+    if (T.m_phase == TaskPhase::Waiting && !Known &&
+        T.m_avoid.size() < MaxAvoided)
+      avoid(T, W);
   }
 }
 
@@ -259,6 +272,7 @@
   m_faults.forget(A.m_name);
   A.m_quarantinedUntil = A.m_quarantineMs = A.m_faultsSince = 0;
   A.m_clearedAt = 0;
+  A.m_provenAt = -1;
   A.m_evidence = A.m_evidenceNeeded = 0;
 }
 
--- a/src/batch/leader_runs.cc
+++ b/src/batch/leader_runs.cc
@@ -250,7 +250,7 @@
       batch::Task &T = *findTask(Name);
       if (isLongRunAtWork(Name))
         T.m_avoid.clear();
-      avoid(T, A.m_name);
+      avoid(T, {A.m_name, T.m_workerIncarnation, Now});
     }
     endRun(J, Name, E.m_kind, E.m_checkpoint, Now, WallNow);
   }
@@ -493,7 +493,7 @@
       A.m_unhealthy || Now - A.m_workerReportedAt > m_timing.m_silentMs)
     return StopReason::None;
   recordFault(A, Name, true, Now);
-  avoid(T, T.m_agent);
+  avoid(T, {T.m_agent, T.m_workerIncarnation, Now});
   return StopReason::Stalled;
 }
 
--- a/src/batch/leader_schedule.cc
+++ b/src/batch/leader_schedule.cc
@@ -41,6 +41,7 @@
     W.m_failures =
         static_cast<int>(m_faults.faultyTasksAfter(Name, A.m_clearedAt)) +
         (A.m_quarantineMs > 0 ? 1 : 0);
+    W.m_provenAt = A.m_provenAt;
     W.m_usable = acceptsWork(A, Now);
     W.m_up = Now - A.m_workerReportedAt < m_timing.m_silentMs;
     for (const auto &[Key, Reserved] : A.m_endingGangRuns) {
--- a/src/batch/placement.cc
+++ b/src/batch/placement.cc
@@ -1,5 +1,7 @@
 #include "batch/placement.h"
 
+#include "batch/avoidance.h"
+
 #include <algorithm>
 #include <limits>
 #include <map>
@@ -17,13 +19,8 @@
   return Label.empty() || contains(W.m_labels, Label);
 }
 
-/// Whether a unit may be placed on workers where it failed before.
-enum class Avoided { Allowed, Excluded };
-
-bool mayRun(const Unit &U, const CandidateWorker &W, Avoided A) {
-  return W.m_usable && W.m_service == U.m_spec->m_queue.m_service &&
-         hasLabel(W, U.m_step->m_label) &&
-         (A == Avoided::Allowed || !contains(U.m_avoid, W.m_agent));
+bool mayRun(const Unit &U, const CandidateWorker &W) {
+  return isEligible(U, W) && !contains(U.m_excluded, W.m_agent);
 }
 
 // How many tasks fit into the free resources.
@@ -55,7 +52,7 @@
 
 // What does not depend on the free resources while a unit is being placed.
 struct FitContext {
-  FitContext(const Unit &U, const Fleet &F, Avoided A = Avoided::Allowed);
+  FitContext(const Unit &U, const Fleet &F);
 
   const Unit &m_unit;
   const Fleet &m_fleet;
@@ -115,12 +112,12 @@
   return Out.empty() ? std::vector<const Scope *>{&F.m_all} : Out;
 }
 
-FitContext::FitContext(const Unit &U, const Fleet &F, Avoided A)
+FitContext::FitContext(const Unit &U, const Fleet &F)
     : m_unit(U), m_fleet(F), m_each(allocationOf(*U.m_step)),
       m_needed(static_cast<std::int64_t>(U.m_indices.size())),
       m_mayRun(F.m_workers.size()) {
   for (std::size_t I = 0; I < F.m_workers.size(); ++I)
-    m_mayRun[I] = mayRun(U, F.m_workers[I], A);
+    m_mayRun[I] = mayRun(U, F.m_workers[I]);
   m_scopes = scopesOf(*this);
 }
 
@@ -164,7 +161,7 @@
                   SpeedPreference Speed) {
   const bool Far =
       !U.m_step->m_dataRack.empty() && U.m_step->m_dataRack != W.m_rack;
-  const bool Avoided = contains(U.m_avoid, W.m_agent);
+  const bool Avoided = isAvoided(U, W);
   const std::int64_t Sign = When == Horizon::Now ? 1 : -1;
   return std::tuple(Far, Avoided, W.m_failures, speedKey(W, Speed),
                     Sign * W.m_free.m_accelerators,
@@ -280,35 +277,6 @@
       [&](const auto &Freed) { return X.m_mayRun[Freed.first]; });
 }
 
-bool fitsWhenIdle(const FitContext &X) {
-  return std::any_of(X.m_scopes.begin(), X.m_scopes.end(), [&](const Scope *S) {
-    return tasksWhenIdle(X, *S) >= X.m_needed;
-  });
-}
-
-/// A unit that has failed on more than this part of the workers is the likelier
-/// cause. It would wait for few workers while the others have room.
-constexpr std::ptrdiff_t MaxAvoidedPart = 3;
-
-// Excludes the workers where the unit failed, unless these are many or no
-// others could hold it. Long-running tasks have no limited number of attempts
-// and need not wait.
-Avoided avoidanceOf(const Unit &U, const Fleet &F) {
-  if (U.m_avoid.empty() || U.m_step->m_longRunning)
-    return Avoided::Allowed;
-  const auto Eligible = [&](Avoided A) {
-    return std::count_if(
-        F.m_workers.begin(), F.m_workers.end(),
-        [&](const CandidateWorker &W) { return mayRun(U, W, A); });
-  };
-  const auto All = Eligible(Avoided::Allowed);
-  const auto MaxAvoided = (All + MaxAvoidedPart - 1) / MaxAvoidedPart;
-  if (All - Eligible(Avoided::Excluded) > MaxAvoided)
-    return Avoided::Allowed;
-  return fitsWhenIdle(FitContext(U, F, Avoided::Excluded)) ? Avoided::Excluded
-                                                           : Avoided::Allowed;
-}
-
 } // namespace
 
 Fleet makeFleet(std::vector<CandidateWorker> Workers) {
@@ -329,7 +297,7 @@
 }
 
 std::optional<Assignment> place(const Unit &U, const Fleet &F, Horizon When) {
-  const FitContext X(U, F, avoidanceOf(U, F));
+  const FitContext X(U, F);
   TaskCounts Counts(F.m_workers.size(), 0);
   for (std::size_t I = 0; I < Counts.size(); ++I)
     Counts[I] = tasksThatFit(X, I, freeResources(F.m_workers[I], When));
@@ -348,10 +316,22 @@
   return Best;
 }
 
+bool isEligible(const Unit &U, const CandidateWorker &W) {
+  return W.m_usable && W.m_service == U.m_spec->m_queue.m_service &&
+         hasLabel(W, U.m_step->m_label);
+}
+
+bool fitsWhenIdle(const Unit &U, const Fleet &F) {
+  const FitContext X(U, F);
+  return std::any_of(X.m_scopes.begin(), X.m_scopes.end(), [&](const Scope *S) {
+    return tasksWhenIdle(X, *S) >= X.m_needed;
+  });
+}
+
 Fit fitOf(const Unit &U, const Fleet &F) {
   /// Of tasks that need nothing, any number fits.
   constexpr std::int64_t MaxCounted = 1'000'000;
-  const FitContext X(U, F, avoidanceOf(U, F));
+  const FitContext X(U, F);
   const auto Count = [&](std::size_t I, const Resources &Free) {
     return X.m_mayRun[I] ? std::min({countThatFit(X.m_each, Free),
                                      perWorkerLimit(U, I), MaxCounted})
@@ -372,11 +352,10 @@
   return Out;
 }
 
-std::optional<Assignment> placeEarliest(const Unit &U, const Fleet &F,
-                                        const Releases &R) {
-  const FitContext X(U, F, avoidanceOf(U, F));
-  std::optional<Assignment> Best;
-  Millis BestMs = std::numeric_limits<Millis>::max();
+std::optional<EarliestFit> placeEarliest(const Unit &U, const Fleet &F,
+                                         const Releases &R) {
+  const FitContext X(U, F);
+  std::optional<EarliestFit> Best;
   for (const Scope *S : X.m_scopes) {
     // For each task that fits: from when, on a worker of which speed, and on
     // which worker.
@@ -412,12 +391,11 @@
       continue;
     std::stable_sort(Slots.begin(), Slots.end());
     const Millis LastMs = std::get<0>(Slots[Needed - 1]);
-    if (LastMs >= BestMs)
+    if (Best && LastMs >= Best->m_inMs)
       continue;
-    BestMs = LastMs;
-    Best.emplace();
+    Best = EarliestFit{{}, LastMs};
     for (std::size_t N = 0; N < Needed; ++N)
-      Best->push_back(std::get<2>(Slots[N]));
+      Best->m_workers.push_back(std::get<2>(Slots[N]));
   }
   return Best;
 }
--- a/src/batch/placement.h
+++ b/src/batch/placement.h
@@ -22,11 +22,13 @@
   std::string m_rack;
   std::vector<std::string> m_labels;
   Resources m_capacity;
-  Resources m_free;      ///< Not in use now.
-  Resources m_freeSoon;  ///< Free once all runs that are stopping have ended.
-  bool m_usable = true;  ///< Accepts new runs.
-  bool m_up = true;      ///< Its agent was in contact recently.
-  int m_failures = 0;    ///< Failed tasks since the last success.
+  Resources m_free;     ///< Not in use now.
+  Resources m_freeSoon; ///< Free once all runs that are stopping have ended.
+  bool m_usable = true; ///< Accepts new runs.
+  bool m_up = true;     ///< Its agent was in contact recently.
+  int m_failures = 0;   ///< Failed tasks since the last success.
+  /// When the newest run that it completed was placed, or -1.
+  Millis m_provenAt = -1;
   double m_slowness = 1; ///< Run time relative to a healthy worker.
 };
 
@@ -40,7 +42,9 @@
   /// Tasks of the same step and occurrence that each worker already runs. Empty
   /// if the step has no limit per worker.
   std::vector<int> m_running;
-  std::vector<std::string> m_avoid; ///< Agents where it failed before.
+  std::vector<AvoidedWorker> m_avoid; ///< Used after all others.
+  /// Agents of avoided workers that it may not use yet. See avoidance.h.
+  std::vector<std::string> m_excluded;
   bool m_anyRack = false; ///< May span racks even if it runs much slower.
 };
 
@@ -67,8 +71,7 @@
 /// Chooses workers for all tasks of \p U. Returns nothing if they do not fit.
 /// Packs onto the fullest workers, so that whole workers stay free for large
 /// tasks. Keeps rack-local gangs on one rack unless no rack could ever hold
-/// them, and avoids workers where the unit failed unless no others could hold
-/// it.
+/// them, and prefers workers where the unit has not failed.
 std::optional<Assignment> place(const Unit &U, const Fleet &F, Horizon When);
 
 /// How many tasks of a unit fit on the workers that may run it.
@@ -82,6 +85,13 @@
 
 Fit fitOf(const Unit &U, const Fleet &F);
 
+/// True if the workers that \p U may use could hold all its tasks if they were
+/// idle.
+bool fitsWhenIdle(const Unit &U, const Fleet &F);
+
+/// True if \p W has the service and the label that \p U needs and accepts runs.
+bool isEligible(const Unit &U, const CandidateWorker &W);
+
 /// Resources that become free on a worker when a run there ends.
 struct Release {
   Millis m_inMs = 0; ///< Expected time until the run ends.
@@ -91,10 +101,16 @@
 /// Expected releases by worker.
 using Releases = std::vector<std::vector<Release>>;
 
+/// Where a unit fits first, and when.
+struct EarliestFit {
+  Assignment m_workers;
+  Millis m_inMs = 0;
+};
+
 /// Chooses the workers where all tasks of \p U fit soonest as runs end. Returns
 /// nothing if they never fit. Starts from the resources of Horizon::Soon.
-std::optional<Assignment> placeEarliest(const Unit &U, const Fleet &F,
-                                        const Releases &R);
+std::optional<EarliestFit> placeEarliest(const Unit &U, const Fleet &F,
+                                         const Releases &R);
 
 /// Subtracts the resources of \p A from the free resources of its workers. With
 /// Horizon::Soon and Later they stay reserved until the runs that hold them
--- a/src/batch/schedule.cc
+++ b/src/batch/schedule.cc
@@ -1,5 +1,7 @@
 #include "batch/schedule.h"
 
+#include "batch/avoidance.h"
+
 #include <algorithm>
 #include <compare>
 #include <functional>
@@ -388,6 +390,7 @@
                      });
     for (Candidate &C : Units) {
       if (C.m_unit.m_step->m_gang) {
+        excludeAvoided(C.m_unit, tasksOf(C.m_unit).back());
         tryUnit(C.m_unit, C.m_rank);
         continue;
       }
@@ -398,43 +401,86 @@
 
 private:
   // Starts as many tasks of the unit as fit. The tasks differ only in the
-  // agents that they avoid. If one of them does not fit, only the workers that
-  // it avoids may have room, and tasks that avoid these too are not tried.
+  // agents that they may not use yet. If one of them does not fit, only the
+  // workers that are excluded for it may have room, and tasks for which these
+  // are excluded too are not tried.
   void startTasks(Candidate &C) {
-    const TaskName &Name = C.m_unit.m_name;
-    const auto &Tasks =
-        m_jobs.at(Name.m_job)
-            ->m_progress.m_occurrences[static_cast<std::size_t>(
-                Name.m_occurrence)][static_cast<std::size_t>(Name.m_step)];
+    const auto &Tasks = tasksOf(C.m_unit);
     std::optional<std::vector<std::string>> MayHaveRoom; // Any if not set.
     for (const int I : C.m_unit.m_indices) {
+      if (MayHaveRoom && MayHaveRoom->empty())
+        return;
       const Task &T = Tasks[static_cast<std::size_t>(I)];
-      const auto Avoids = [&](const std::string &Agent) {
-        return std::find(T.m_avoid.begin(), T.m_avoid.end(), Agent) !=
-               T.m_avoid.end();
+      Unit One = singleTaskUnit(C.m_unit, I, T);
+      excludeAvoided(One, T);
+      const auto IsExcluded = [&](const std::string &Agent) {
+        return std::find(One.m_excluded.begin(), One.m_excluded.end(), Agent) !=
+               One.m_excluded.end();
       };
       if (MayHaveRoom &&
-          std::all_of(MayHaveRoom->begin(), MayHaveRoom->end(), Avoids))
+          std::all_of(MayHaveRoom->begin(), MayHaveRoom->end(), IsExcluded))
         continue;
-      const auto At = tryUnit(singleTaskUnit(C.m_unit, I, T), C.m_rank);
+      const auto At = tryUnit(One, C.m_rank);
       if (At && !C.m_unit.m_running.empty())
         ++C.m_unit.m_running[At->front()];
       if (At)
         continue;
       if (MayHaveRoom)
-        std::erase_if(*MayHaveRoom, std::not_fn(Avoids));
+        std::erase_if(*MayHaveRoom, std::not_fn(IsExcluded));
       else
-        MayHaveRoom = T.m_avoid;
+        MayHaveRoom = One.m_excluded;
     }
   }
 
+  const std::vector<Task> &tasksOf(const Unit &U) const {
+    const TaskName &Name = U.m_name;
+    return m_jobs.at(Name.m_job)
+        ->m_progress.m_occurrences[static_cast<std::size_t>(Name.m_occurrence)]
+                                  [static_cast<std::size_t>(Name.m_step)];
+  }
+
+  // Keeps the unit off workers on which it failed, for a limited time: a short
+  // one if its job stands still on a fleet with room. Losing the last attempt
+  // loses the job, so it waits longer then if that helps.
+  void excludeAvoided(Unit &U, const Task &T) {
+    U.m_excluded = excludedAgents(U, m_fleet, Patience::Long, m_now);
+    if (U.m_excluded.empty() || !hasMoreRoomThanWork(*U.m_spec) ||
+        !standsStill(U.m_name.m_job))
+      return;
+    const bool LastAttempt = T.m_failures + 1 >= U.m_spec->m_queue.m_attempts;
+    if (LastAttempt && fitsSoonElsewhere(U))
+      return;
+    U.m_excluded = excludedAgents(U, m_fleet, Patience::Short, m_now);
+  }
+
+  // True if no task of the job was placed before this pass.
+  bool standsStill(const std::string &Job) {
+    const auto [It, New] = m_standsStill.try_emplace(Job, false);
+    if (New)
+      It->second = !hasPlacedTasks(*m_jobs.at(Job));
+    return It->second;
+  }
+
+  // True if other workers are expected to have room for the unit before it may
+  // use those again that are excluded.
+  bool fitsSoonElsewhere(const Unit &U) {
+    if (!m_knownReleases) {
+      m_knownReleases.emplace(m_fleet.m_workers.size());
+      for (const auto &[Id, J] : m_jobs)
+        addReleases(*J, &SchedulingPass::knownRemainingMs, *m_knownReleases);
+      sortReleases(*m_knownReleases);
+    }
+    const auto Fit = placeEarliest(U, m_fleet, *m_knownReleases);
+    return Fit && Fit->m_inMs < exclusionLeftMs(U, Patience::Long, m_now);
+  }
+
   // Starts the unit if it fits now. Otherwise it keeps resources for the unit
   // that are becoming free, preempting other runs if necessary. Returns the
   // workers only if the unit starts.
   std::optional<Assignment> tryUnit(const Unit &U, const Rank &R) {
     const Shape Wanted = shapeOf(U, R);
-    // The limit per worker and the agents to avoid are not part of the shape.
-    const bool ByShape = U.m_step->m_perWorker == 0 && U.m_avoid.empty();
+    // The limit per worker and excluded workers are not part of the shape.
+    const bool ByShape = U.m_step->m_perWorker == 0 && U.m_excluded.empty();
     if (!isKnownNotToFit(m_notFittingNow, Wanted)) {
       if (auto At = place(U, m_fleet, Horizon::Now)) {
         start(U, *At);
@@ -581,16 +627,17 @@
     const bool Guaranteed = R.m_class == GuaranteedClass;
     if (!Guaranteed && (m_idleBudget <= 0 || m_awaitedBudget <= 0))
       return WaitReason::NoReserve;
-    const auto At = placeEarliest(U, m_fleet, releases(R));
-    if (!At)
+    const auto Fit = placeEarliest(U, m_fleet, releases(R));
+    if (!Fit)
       return WaitReason::NotPossible;
-    const std::set<std::size_t> Workers(At->begin(), At->end());
+    const Assignment &At = Fit->m_workers;
+    const std::set<std::size_t> Workers(At.begin(), At.end());
     if (!Guaranteed) {
       for (const std::size_t I : Workers)
         m_idleBudget -= static_cast<double>(std::max<std::int64_t>(
             m_fleet.m_workers[I].m_free.m_accelerators, 0));
     }
-    keep(U, *At, Horizon::Later, !Guaranteed);
+    keep(U, At, Horizon::Later, !Guaranteed);
     m_awaitedBudget -= static_cast<double>(U.m_step->m_each.m_accelerators) *
                        static_cast<double>(U.m_indices.size());
     return WaitReason::Reserved;
@@ -608,17 +655,27 @@
     for (const auto &[Id, J] : m_jobs) {
       const bool Stoppable =
           Stops && classOf(J->m_spec, m_guaranteed) > R.m_class;
-      addReleases(*J, Stoppable, It->second);
+      addReleases(
+          *J, Stoppable ? &SchedulingPass::atOnce : &SchedulingPass::expectedMs,
+          It->second);
     }
-    for (auto &OfWorker : It->second)
+    sortReleases(It->second);
+    return It->second;
+  }
+
+  static void sortReleases(Releases &R) {
+    for (auto &OfWorker : R)
       std::stable_sort(OfWorker.begin(), OfWorker.end(),
                        [](const Release &A, const Release &B) {
                          return A.m_inMs < B.m_inMs;
                        });
-    return It->second;
   }
 
-  void addReleases(const JobState &J, bool Stoppable, Releases &Out) const {
+  /// Time until a run ends, or nothing if it does not count as ending.
+  using EndEstimate = std::optional<Millis> (SchedulingPass::*)(
+      const Step &, const Task &) const;
+
+  void addReleases(const JobState &J, EndEstimate EndsIn, Releases &Out) const {
     forEachTask(J.m_progress, [&](int, int S, int, const Task &T) {
       if (T.m_phase != TaskPhase::Placed || T.m_stop != StopReason::None ||
           endsSoon(T, m_now))
@@ -627,18 +684,28 @@
       if (!At)
         return;
       const Step &Kind = J.m_spec.m_steps[static_cast<std::size_t>(S)];
-      Out[*At].push_back(
-          {Stoppable ? 0 : expectedMs(Kind, T), allocationOf(Kind)});
+      if (const auto InMs = (this->*EndsIn)(Kind, T))
+        Out[*At].push_back({*InMs, allocationOf(Kind)});
     });
   }
 
-  // Time until the run ends, estimated from its progress, or the declared time
-  // if it has made none.
-  Millis expectedMs(const Step &S, const Task &T) const {
+  std::optional<Millis> atOnce(const Step &, const Task &) const { return 0; }
+
+  // Estimated from the progress of the run, or the declared time if it has made
+  // none.
+  std::optional<Millis> expectedMs(const Step &S, const Task &T) const {
     const Millis Left = estimateRemainingMs(T, m_now);
     return Left >= 0 ? Left : S.m_estimateMs;
   }
 
+  // Like expectedMs(), without runs that last and those that should have ended.
+  std::optional<Millis> knownRemainingMs(const Step &S, const Task &T) const {
+    const Millis ByProgress = estimateRemainingMs(T, m_now);
+    const Millis Left =
+        ByProgress >= 0 ? ByProgress : S.m_estimateMs - (m_now - T.m_placedAt);
+    return S.m_longRunning || Left <= 0 ? std::nullopt : std::optional(Left);
+  }
+
   bool preempt(const Unit &U, const Rank &R) {
     if (!m_stoppables) {
       m_stoppables.emplace();
@@ -715,9 +782,11 @@
   /// Free resources that are kept for gangs and may be lent, by worker.
   std::vector<Resources> m_kept;
   bool m_anyKept = false;
+  std::unordered_map<std::string, bool> m_standsStill; ///< Known so far.
   std::set<std::string> m_lentTo; ///< Jobs with a unit that uses kept room.
   std::unordered_map<std::string_view, Load> m_loads; ///< By service.
-  std::map<int, Releases> m_releases; ///< By class of the waiting unit.
+  std::map<int, Releases> m_releases;      ///< By class of the waiting unit.
+  std::optional<Releases> m_knownReleases; ///< Of runs whose end is in sight.
   std::optional<std::vector<Stoppable>> m_stoppables; // Built on first use.
   /// By class of the waiting unit, and whether the number of preemptions is
   /// limited. Cleared by a preemption.
--- a/tests/batch/leader_fixture.h
+++ b/tests/batch/leader_fixture.h
@@ -108,6 +108,7 @@
     bool m_draining = false;
     Millis m_coldLeftMs = 0;
     std::string m_dataCentre;
+    std::vector<std::string> m_labels;
     bool m_evacuated = false; ///< As the leader said last.
     std::vector<StopOrder> m_stops;
     std::vector<EndReport> m_acknowledged;
@@ -153,6 +154,7 @@
     W.m_service = "s";
     W.m_dataCentre = B.m_dataCentre;
     W.m_rack = "r";
+    W.m_labels = B.m_labels;
     W.m_capacity = {16000, 10000, 8};
     W.m_draining = B.m_draining;
     W.m_remainingMs = 2000;
--- a/tests/batch/schedule_test.cc
+++ b/tests/batch/schedule_test.cc
@@ -79,6 +79,15 @@
     }
   }
 
+  /// Workers on which a task failed 100 ms ago.
+  static std::vector<AvoidedWorker>
+  failedOn(const std::vector<std::string> &Agents) {
+    std::vector<AvoidedWorker> Out;
+    for (const std::string &Agent : Agents)
+      Out.push_back({Agent, Agent + "@1", Now - 100});
+    return Out;
+  }
+
   Plan planNow() {
     return plan(openJobs(m_jobs), m_workers, m_guarantees, ReclaimMs, Now,
                 m_policy);
@@ -393,7 +402,7 @@
   addWorkers(2);
   run(addJob("busy", 0, {step(1, 8)}), {1}, 100);
   JobState &J = addJob("job", 0, {step(1, 1)});
-  J.m_progress.m_occurrences[0][0][0].m_avoid = {"w0"};
+  J.m_progress.m_occurrences[0][0][0].m_avoid = failedOn({"w0"});
   EXPECT_TRUE(planNow().m_starts.empty());
   // If there is no other worker, the task goes back.
   m_workers.pop_back();
@@ -407,7 +416,7 @@
   addWorkers(2);
   run(addJob("busy", 0, {step(1, 8)}), {1}, 100);
   JobState &J = addJob("job", 0, {step(3, 1)});
-  J.m_progress.m_occurrences[0][0][0].m_avoid = {"w0"};
+  J.m_progress.m_occurrences[0][0][0].m_avoid = failedOn({"w0"});
   const Plan P = planNow();
   ASSERT_EQ(P.m_starts.size(), 2u);
   EXPECT_EQ(P.m_starts[0].m_unit.m_indices, std::vector<int>{1});
@@ -420,7 +429,7 @@
   addWorkers(5);
   run(addJob("busy", 0, {step(2, 8)}), {3, 4}, 100);
   JobState &J = addJob("job", 0, {step(1, 1)});
-  J.m_progress.m_occurrences[0][0][0].m_avoid = {"w0", "w1", "w2"};
+  J.m_progress.m_occurrences[0][0][0].m_avoid = failedOn({"w0", "w1", "w2"});
   EXPECT_EQ(planNow().m_starts.size(), 1u);
 }
 
@@ -432,9 +441,9 @@
   JobState &J = addJob("job", 0, {step(6, 1)});
   auto &Tasks = J.m_progress.m_occurrences[0][0];
   for (int I = 0; I < 5; ++I)
-    Tasks[static_cast<std::size_t>(I)].m_avoid = {"w0",
-                                                  "w" + std::to_string(I + 1)};
-  Tasks[5].m_avoid = {"w1", "w2"};
+    Tasks[static_cast<std::size_t>(I)].m_avoid =
+        failedOn({"w0", "w" + std::to_string(I + 1)});
+  Tasks[5].m_avoid = failedOn({"w1", "w2"});
   const Plan P = planNow();
   ASSERT_EQ(P.m_starts.size(), 1u);
   EXPECT_EQ(P.m_starts[0].m_unit.m_indices, std::vector<int>{5});
