Log which workers a waiting unit may not use yet

unitWaits gave the number of workers on which a unit had failed, not whether that kept it off them. It names them now as excluded=, at most four. unitPlaced counts the tasks that return to such a worker, and so does the counter runs_returned.

--- a/src/batch/leader_schedule.cc
+++ b/src/batch/leader_schedule.cc
@@ -1,3 +1,4 @@
+#include "batch/avoidance.h"
 #include "batch/leader.h"
 
 #include <fmt/format.h>
@@ -21,6 +22,18 @@
       Percent(L.m_inUse.m_accelerators, L.m_capacity.m_accelerators));
 }
 
+// The first of the agents that the unit may not use yet, and how many more.
+std::string excludedText(const Unit &U) {
+  constexpr std::size_t MaxNamed = 4;
+  const auto Named = std::min(U.m_excluded.size(), MaxNamed);
+  const auto End = U.m_excluded.begin() + static_cast<std::ptrdiff_t>(Named);
+  std::string Out =
+      fmt::format("{}", fmt::join(U.m_excluded.begin(), End, ","));
+  if (U.m_excluded.size() > Named)
+    Out += fmt::format(",+{}", U.m_excluded.size() - Named);
+  return Out;
+}
+
 } // namespace
 
 std::vector<CandidateWorker> Leader::makeCandidateWorkers(Millis Now) const {
@@ -106,6 +119,7 @@
                                  J.m_spec.m_queue.m_priority),
                      Now - J.m_acceptedAt);
   std::string Where;
+  std::int64_t Returned = 0;
   for (std::size_t I = 0; I < U.m_indices.size(); ++I) {
     Task &T = Tasks[static_cast<std::size_t>(U.m_indices[I])];
     const CandidateWorker &W = Workers[A[I]];
@@ -117,15 +131,17 @@
     T.m_batch = m_journal.nextBatch();
     T.m_placedAt = T.m_progressAt = Now;
     Where += (I == 0 ? "" : ",") + W.m_agent;
+    Returned += isAvoided(U, W) ? 1 : 0;
   }
   m_counters.get("runs_placed") +=
       static_cast<std::int64_t>(U.m_indices.size());
+  m_counters.get("runs_returned") += Returned;
   m_ports.event(
       "unitPlaced", U.m_name.m_job,
-      fmt::format("task={} run={} tasks={} agents={} waitedMs={}",
+      fmt::format("task={} run={} tasks={} agents={} returned={} waitedMs={}",
                   toString(U.m_name),
                   Tasks[static_cast<std::size_t>(U.m_indices[0])].m_run,
-                  U.m_indices.size(), Where, Now - J.m_acceptedAt));
+                  U.m_indices.size(), Where, Returned, Now - J.m_acceptedAt));
 }
 
 void Leader::schedule(Millis Now) {
@@ -174,14 +190,15 @@
         "unitWaits", U.m_name.m_job,
         fmt::format("task={} reason={} tasks={} cores={} memMb={} "
                     "accelerators={} gang={} rackLocal={} label={} avoided={} "
-                    "workers={} fit={} fitUnreserved={} fitIdle={} "
+                    "excluded={} workers={} fit={} fitUnreserved={} fitIdle={} "
                     "inUse={} waitedMs={}",
                     toString(U.m_name), base::nameOf(L.m_reason),
                     U.m_indices.size(), Each.m_milliCores, Each.m_memoryMb,
                     Each.m_accelerators, U.m_step->m_gang,
                     U.m_step->m_rackLocal, U.m_step->m_label, U.m_avoid.size(),
-                    L.m_fit.m_workers, L.m_fit.m_now, fitOf(U, Before).m_now,
-                    L.m_fit.m_idle, usageText(L.m_load), Now - J.m_acceptedAt));
+                    excludedText(U), L.m_fit.m_workers, L.m_fit.m_now,
+                    fitOf(U, Before).m_now, L.m_fit.m_idle, usageText(L.m_load),
+                    Now - J.m_acceptedAt));
   }
 }
 
