Let rack-local gangs span racks that lasting tasks hold

A rack-local gang waited without an end for a rack if tasks that last take up a part of each rack, while workers on several racks had room. On a fleet with less than half in use the gang could span racks already if it fitted twice over; otherwise no time did it.

A gang that has waited for its estimated time, 10 s at most, spans racks now if no rack could hold it beside its long-running tasks. Preemption and workers that become free come first, as before. While a rack can become free by itself the gang still waits for it.

HeldRacksTest, two of its three tests red before: the gang was never started. The third, for a rack that becomes free, holds with either code.

--- a/src/batch/leader_schedule.cc
+++ b/src/batch/leader_schedule.cc
@@ -90,8 +90,11 @@
           allocationOf(J.m_spec.m_steps[static_cast<std::size_t>(Step)]);
       CandidateWorker &W = Out[At->second];
       W.m_free = W.m_free - Each;
-      if (T.m_stop == StopReason::None && !endsSoon(T, Now))
-        W.m_freeSoon = W.m_freeSoon - Each;
+      if (T.m_stop != StopReason::None || endsSoon(T, Now))
+        return;
+      W.m_freeSoon = W.m_freeSoon - Each;
+      if (J.m_spec.m_steps[static_cast<std::size_t>(Step)].m_longRunning)
+        W.m_lasting = W.m_lasting + Each;
     });
   }
   return Out;
--- a/src/batch/placement.cc
+++ b/src/batch/placement.cc
@@ -321,6 +321,18 @@
          hasLabel(W, U.m_step->m_label);
 }
 
+bool fitsBesideLasting(const Unit &U, const Fleet &F) {
+  const FitContext X(U, F);
+  return std::any_of(X.m_scopes.begin(), X.m_scopes.end(), [&](const Scope *S) {
+    std::int64_t Sum = 0;
+    for (const std::size_t I : *S) {
+      const CandidateWorker &W = F.m_workers[I];
+      Sum += tasksThatFit(X, I, W.m_capacity - W.m_lasting);
+    }
+    return Sum >= X.m_needed;
+  });
+}
+
 bool fitsWhenIdle(const Unit &U, const Fleet &F) {
   const FitContext X(U, F);
   return std::any_of(X.m_scopes.begin(), X.m_scopes.end(), [&](const Scope *S) {
--- a/src/batch/placement.h
+++ b/src/batch/placement.h
@@ -24,6 +24,7 @@
   Resources m_capacity;
   Resources m_free;     ///< Not in use now.
   Resources m_freeSoon; ///< Free once all runs that are stopping have ended.
+  Resources m_lasting;  ///< In use by long-running tasks.
   bool m_usable = true; ///< Accepts new runs.
   bool m_up = true;     ///< Its agent was in contact recently.
   int m_failures = 0;   ///< Failed tasks since the last success.
@@ -89,6 +90,10 @@
 /// idle.
 bool fitsWhenIdle(const Unit &U, const Fleet &F);
 
+/// True if they could hold it once all runs but those of long-running tasks
+/// have ended.
+bool fitsBesideLasting(const Unit &U, const Fleet &F);
+
 /// True if \p W has the service and the label that \p U needs and accepts runs.
 bool isEligible(const Unit &U, const CandidateWorker &W);
 
--- a/src/batch/schedule.cc
+++ b/src/batch/schedule.cc
@@ -504,7 +504,7 @@
       if (ByShape)
         m_notFittingSoon.push_back(Wanted);
     }
-    if (shouldSpanRacks(U, R)) {
+    if (shouldSpanRacks(U, R) || isHeldOffRacks(U)) {
       Unit Spread = U;
       Spread.m_anyRack = true;
       return tryUnit(Spread, R);
@@ -533,9 +533,7 @@
     if (WaitedMs < KeptRoomWaitMs || m_lentTo.contains(U.m_name.m_job) ||
         !hasMoreRoomThanWork(*U.m_spec) || hasPlacedTasks(J))
       return std::nullopt;
-    const bool MaySpan =
-        Wanted.m_oneRack &&
-        WaitedMs >= std::min(U.m_step->m_estimateMs, MaxRackWaitMs);
+    const bool MaySpan = Wanted.m_oneRack && hasWaitedForRack(U);
     Wanted.m_oneRack = Wanted.m_oneRack && !MaySpan;
     if ((!m_anyKept && !MaySpan) || isKnownNotToFit(m_notFittingKept, Wanted))
       return std::nullopt;
@@ -620,6 +618,18 @@
                static_cast<double>(m_reclaimMs) * RackLocalShare;
   }
 
+  bool hasWaitedForRack(const Unit &U) const {
+    return m_now - m_jobs.at(U.m_name.m_job)->m_acceptedAt >=
+           std::min(U.m_step->m_estimateMs, MaxRackWaitMs);
+  }
+
+  // True for a rack-local gang that has waited for a rack, while tasks that
+  // last take up a part of each. None becomes free by itself.
+  bool isHeldOffRacks(const Unit &U) const {
+    return U.m_step->m_gang && U.m_step->m_rackLocal && !U.m_anyRack &&
+           hasWaitedForRack(U) && !fitsBesideLasting(U, m_fleet);
+  }
+
   // Reserves the workers where the gang fits soonest against later units.
   // Without a reservation small units take all resources that become free, and
   // a large gang never finds enough of them at the same time.
--- a/tests/batch/schedule_test.cc
+++ b/tests/batch/schedule_test.cc
@@ -76,6 +76,8 @@
       T.m_startSentAt = T.m_placedAt = Now - Ms;
       W.m_free = W.m_free - allocationOf(J.m_spec.m_steps[0]);
       W.m_freeSoon = W.m_free;
+      if (J.m_spec.m_steps[0].m_longRunning)
+        W.m_lasting = W.m_lasting + allocationOf(J.m_spec.m_steps[0]);
     }
   }
 
@@ -449,6 +451,51 @@
   EXPECT_EQ(P.m_starts[0].m_unit.m_indices, std::vector<int>{5});
 }
 
+/// Racks of three workers, on each of which a task that lasts holds one.
+class HeldRacksTest : public ScheduleTest {
+protected:
+  void SetUp() override {
+    addWorkers(6);
+    Step Lasting = step(2, 8);
+    Lasting.m_each.m_milliCores = 16000;
+    Lasting.m_longRunning = true;
+    run(addJob("lasts", 2, {Lasting}), {0, 3}, 60000);
+  }
+
+  // A gang that needs all workers of a rack.
+  void addGang(Millis WaitedMs) {
+    addJob("gang", 1, {gang(3, 8)}).m_acceptedAt = Now - WaitedMs;
+  }
+};
+
+// Guards against a rack-local gang that waits for a rack without an end, beside
+// workers that have room for it.
+TEST_F(HeldRacksTest, ARackLocalGangDoesNotWaitForTasksThatLast) {
+  addGang(900);
+  EXPECT_FALSE(started(planNow()).contains("gang"));
+  m_jobs.at("gang").m_acceptedAt = Now - 1500;
+  EXPECT_TRUE(started(planNow()).contains("gang"));
+}
+
+TEST_F(HeldRacksTest, ARackLocalGangWaitsTenSecondsAtMost) {
+  addGang(9000);
+  m_jobs.at("gang").m_spec.m_steps[0].m_estimateMs = 60000;
+  EXPECT_FALSE(started(planNow()).contains("gang"));
+  m_jobs.at("gang").m_acceptedAt = Now - 10500;
+  EXPECT_TRUE(started(planNow()).contains("gang"));
+}
+
+// A rack becomes free when its tasks end, and the gang runs much faster there.
+TEST_F(HeldRacksTest, ARackLocalGangWaitsForARackWhoseTasksEnd) {
+  addWorkers(3);
+  Step Ending = step(1, 8);
+  Ending.m_each.m_milliCores = 16000;
+  run(addJob("ends", 2, {Ending}), {6}, 1000);
+  m_workers[1].m_usable = m_workers[2].m_usable = false;
+  addGang(60000);
+  EXPECT_FALSE(started(planNow()).contains("gang"));
+}
+
 double processorMs() {
   timespec T{};
   clock_gettime(CLOCK_THREAD_CPUTIME_ID, &T);
