--- a/tests/batch/avoidance_test.cc
+++ b/tests/batch/avoidance_test.cc
@@ -264,6 +264,23 @@
   EXPECT_LT(waitFor("minutes.0.0.0", MaxMs), 1000);
 }
 
+// Lasting tasks hold a worker of each rack, and there is room for the gang
+// once.
+TEST_F(AvoidanceTest, ARackLocalGangLeavesRacksThatLastingTasksHold) {
+  for (auto &[Name, A] : m_agents)
+    A.m_rack = "r" + Name.substr(1);
+  pass(100);
+  Step Lasting = labelled(3, 8);
+  Lasting.m_longRunning = true;
+  submitFor("lasts", Lasting, 2);
+  pass(500);
+  ASSERT_EQ(running("lasts"), 3u);
+  Step Gang = step(2, 8);
+  Gang.m_gang = Gang.m_rackLocal = true;
+  submitFor("gang", Gang, 3);
+  EXPECT_LT(waitFor("gang.0.0.0", MaxMs), StandstillMs);
+}
+
 // A worker that fails what it starts is the first to be free again. Guards
 // against a task that loses all attempts to it while the others are in use.
 TEST_F(AvoidanceTest, ATaskKeepsItsLastAttemptForAWorkerThatIsSoonFree) {
--- a/tests/batch/leader_fixture.h
+++ b/tests/batch/leader_fixture.h
@@ -108,6 +108,7 @@
     bool m_draining = false;
     Millis m_coldLeftMs = 0;
     std::string m_dataCentre;
+    std::string m_rack = "r";
     std::vector<std::string> m_labels;
     bool m_evacuated = false; ///< As the leader said last.
     std::vector<StopOrder> m_stops;
@@ -153,7 +154,7 @@
     W.m_startTime = B.m_startTime;
     W.m_service = "s";
     W.m_dataCentre = B.m_dataCentre;
-    W.m_rack = "r";
+    W.m_rack = B.m_rack;
     W.m_labels = B.m_labels;
     W.m_capacity = {16000, 10000, 8};
     W.m_draining = B.m_draining;
--- a/tests/batch/schedule_test.cc
+++ b/tests/batch/schedule_test.cc
@@ -451,6 +451,31 @@
   EXPECT_EQ(P.m_starts[0].m_unit.m_indices, std::vector<int>{5});
 }
 
+// A task that had failed on many workers was not tried after one that waits for
+// other workers.
+TEST_F(ScheduleTest, ATaskThatWaitsHoldsUpNoTaskThatNeedNot) {
+  addWorkers(5);
+  run(addJob("busy", 0, {step(4, 8)}), {1, 2, 3, 4}, 100);
+  auto &Tasks = addJob("job", 0, {step(2, 1)}).m_progress.m_occurrences[0][0];
+  Tasks[0].m_avoid = failedOn({"w0"});
+  Tasks[1].m_avoid = failedOn({"w0", "w1", "w2"});
+  const Plan P = planNow();
+  ASSERT_EQ(P.m_starts.size(), 1u);
+  EXPECT_EQ(P.m_starts[0].m_unit.m_indices, std::vector<int>{1});
+}
+
+// A run was preempted for a task that could not use its room.
+TEST_F(ScheduleTest, PreemptsNothingOnAnExcludedWorker) {
+  addWorkers(2);
+  run(addJob("cheap", 2, {step(1, 8)}), {0}, 100);
+  run(addJob("dear", 2, {step(1, 8)}), {1}, 2000);
+  Step Urgent = step(1, 8);
+  Urgent.m_estimateMs = 10000;
+  JobState &J = addJob("urgent", 0, {Urgent});
+  J.m_progress.m_occurrences[0][0][0].m_avoid = failedOn({"w0"});
+  EXPECT_EQ(preempted(planNow()), std::set<std::string>{"dear"});
+}
+
 /// Racks of three workers, on each of which a task that lasts holds one.
 class HeldRacksTest : public ScheduleTest {
 protected:
