Decide exclusions once for tasks that have them in common

Deciding for each task of a wide step which workers it may not use yet copied the step's indices and compared all workers.

--- a/src/batch/avoidance.cc
+++ b/src/batch/avoidance.cc
@@ -1,7 +1,6 @@
 #include "batch/avoidance.h"
 
 #include <algorithm>
-#include <limits>
 
 namespace pomelokeel::batch {
 namespace {
@@ -27,6 +26,10 @@
   return W.m_provenAt >= A.m_failedAt;
 }
 
+Millis waitMs(Patience P) {
+  return P == Patience::Long ? LongWaitMs : ShortWaitMs;
+}
+
 std::ptrdiff_t countEligible(const Unit &U, const Fleet &F) {
   return std::count_if(
       F.m_workers.begin(), F.m_workers.end(),
@@ -49,39 +52,24 @@
                      [&](const AvoidedWorker &A) { return isSame(A, W); });
 }
 
-Millis waitMs(Patience P) {
-  return P == Patience::Long ? LongWaitMs : ShortWaitMs;
+bool keepsOff(const AvoidedWorker &A, const CandidateWorker &W, Patience P,
+              Millis Now) {
+  return isSame(A, W) && Now - A.m_failedAt < waitMs(P) && !isProven(A, W);
 }
 
-// Long-running tasks have no limited number of attempts and need not wait.
-std::vector<std::string> excludedAgents(const Unit &U, const Fleet &F,
-                                        Patience P, Millis Now) {
-  if (U.m_avoid.empty() || U.m_step->m_longRunning)
-    return {};
-  Unit Kept = U;
-  Kept.m_excluded.clear();
-  for (const AvoidedWorker &A : U.m_avoid) {
-    if (Now - A.m_failedAt >= waitMs(P))
-      continue;
-    const auto W = std::find_if(
-        F.m_workers.begin(), F.m_workers.end(),
-        [&](const CandidateWorker &Each) { return isSame(A, Each); });
-    if (W != F.m_workers.end() && !isProven(A, *W))
-      Kept.m_excluded.push_back(A.m_agent);
+Millis exclusionLeftMs(const std::vector<AvoidedWorker> &Avoided, Patience P,
+                       Millis Now) {
+  Millis Left = waitMs(P);
+  for (const AvoidedWorker &A : Avoided) {
+    const Millis OfThis = A.m_failedAt + waitMs(P) - Now;
+    if (OfThis > 0)
+      Left = std::min(Left, OfThis);
   }
-  if (Kept.m_excluded.empty() || failedOnMany(U, F) || !fitsWhenIdle(Kept, F))
-    return {};
-  return std::move(Kept.m_excluded);
+  return Left;
 }
 
-Millis exclusionLeftMs(const Unit &U, Patience P, Millis Now) {
-  Millis Left = std::numeric_limits<Millis>::max();
-  for (const AvoidedWorker &A : U.m_avoid) {
-    if (std::find(U.m_excluded.begin(), U.m_excluded.end(), A.m_agent) !=
-        U.m_excluded.end())
-      Left = std::min(Left, A.m_failedAt + waitMs(P) - Now);
-  }
-  return Left;
+bool mayWaitForOthers(const Unit &U, const Fleet &F) {
+  return !failedOnMany(U, F) && fitsWhenIdle(U, F);
 }
 
 } // namespace pomelokeel::batch
--- a/src/batch/avoidance.h
+++ b/src/batch/avoidance.h
@@ -19,14 +19,17 @@
   Long   ///< Otherwise, or if its last attempt can soon run elsewhere.
 };
 
-Millis waitMs(Patience P);
-
-/// Agents of the workers that \p U may not use now. Empty if the others cannot
-/// hold it, or if it failed on so many that the job is the likelier cause.
-std::vector<std::string> excludedAgents(const Unit &U, const Fleet &F,
-                                        Patience P, Millis Now);
-
-/// Time until the first of the workers in Unit::m_excluded may be used again.
-Millis exclusionLeftMs(const Unit &U, Patience P, Millis Now);
+/// True while the failure keeps the task off \p W, on which it happened.
+bool keepsOff(const AvoidedWorker &A, const CandidateWorker &W, Patience P,
+              Millis Now);
+
+/// Time until the first of these failures keeps the task off no more.
+Millis exclusionLeftMs(const std::vector<AvoidedWorker> &Avoided, Patience P,
+                       Millis Now);
+
+/// True if \p U should wait rather than use Unit::m_excluded: the other workers
+/// could hold it, and it has not failed on so many that the job is the likelier
+/// cause.
+bool mayWaitForOthers(const Unit &U, const Fleet &F);
 
 } // namespace pomelokeel::batch
--- a/src/batch/schedule.cc
+++ b/src/batch/schedule.cc
@@ -353,6 +353,17 @@
                      [&](const Shape &B) { return needsAtLeast(Wanted, B); });
 }
 
+using Agents = std::vector<std::string>;
+
+/// The workers on which a task failed, and those of them that it is kept off.
+struct Avoidance {
+  Agents m_all;
+  Agents m_long;  ///< With Patience::Long.
+  Agents m_short; ///< With Patience::Short.
+  bool m_lastAttempt = false;
+  auto operator<=>(const Avoidance &) const = default;
+};
+
 // One scheduling pass over all waiting units, most urgent first.
 class SchedulingPass {
 public:
@@ -390,7 +401,8 @@
                      });
     for (Candidate &C : Units) {
       if (C.m_unit.m_step->m_gang) {
-        excludeAvoided(C.m_unit, tasksOf(C.m_unit).back());
+        const Task &T = tasksOf(C.m_unit).back();
+        C.m_unit.m_excluded = excludedFor(C.m_unit, avoidanceOf(C.m_unit, T));
         tryUnit(C.m_unit, C.m_rank);
         continue;
       }
@@ -406,20 +418,25 @@
   // are excluded too are not tried.
   void startTasks(Candidate &C) {
     const auto &Tasks = tasksOf(C.m_unit);
-    std::optional<std::vector<std::string>> MayHaveRoom; // Any if not set.
+    std::map<Avoidance, Agents> Known; // What is excluded.
+    std::optional<Agents> MayHaveRoom; // Any if not set.
     for (const int I : C.m_unit.m_indices) {
       if (MayHaveRoom && MayHaveRoom->empty())
         return;
       const Task &T = Tasks[static_cast<std::size_t>(I)];
-      Unit One = singleTaskUnit(C.m_unit, I, T);
-      excludeAvoided(One, T);
+      const auto [Found, New] = Known.try_emplace(avoidanceOf(C.m_unit, T));
+      Agents &Excluded = Found->second;
+      if (New)
+        Excluded = excludedFor(singleTaskUnit(C.m_unit, I, T), Found->first);
       const auto IsExcluded = [&](const std::string &Agent) {
-        return std::find(One.m_excluded.begin(), One.m_excluded.end(), Agent) !=
-               One.m_excluded.end();
+        return std::find(Excluded.begin(), Excluded.end(), Agent) !=
+               Excluded.end();
       };
       if (MayHaveRoom &&
           std::all_of(MayHaveRoom->begin(), MayHaveRoom->end(), IsExcluded))
         continue;
+      Unit One = singleTaskUnit(C.m_unit, I, T);
+      One.m_excluded = Excluded;
       const auto At = tryUnit(One, C.m_rank);
       if (At && !C.m_unit.m_running.empty())
         ++C.m_unit.m_running[At->front()];
@@ -428,7 +445,7 @@
       if (MayHaveRoom)
         std::erase_if(*MayHaveRoom, std::not_fn(IsExcluded));
       else
-        MayHaveRoom = One.m_excluded;
+        MayHaveRoom = Excluded;
     }
   }
 
@@ -439,18 +456,43 @@
                                   [static_cast<std::size_t>(Name.m_step)];
   }
 
-  // Keeps the unit off workers on which it failed, for a limited time: a short
+  // What the workers that a task may not use yet depend on within its step.
+  // Many tasks of a wide step have it in common.
+  Avoidance avoidanceOf(const Unit &U, const Task &T) const {
+    Avoidance Out;
+    // Long-running tasks have no limited number of attempts and need not wait.
+    if (T.m_avoid.empty() || U.m_step->m_longRunning)
+      return Out;
+    Out.m_lastAttempt = T.m_failures + 1 >= U.m_spec->m_queue.m_attempts;
+    for (const AvoidedWorker &A : T.m_avoid) {
+      Out.m_all.push_back(A.m_agent);
+      const auto At = m_index.find(A.m_agent);
+      if (!At)
+        continue;
+      const CandidateWorker &W = m_fleet.m_workers[*At];
+      if (keepsOff(A, W, Patience::Long, m_now))
+        Out.m_long.push_back(A.m_agent);
+      if (keepsOff(A, W, Patience::Short, m_now))
+        Out.m_short.push_back(A.m_agent);
+    }
+    return Out;
+  }
+
+  // The unit is kept off workers on which it failed for a limited time: a short
   // one if its job stands still on a fleet with room. Losing the last attempt
   // loses the job, so it waits longer then if that helps.
-  void excludeAvoided(Unit &U, const Task &T) {
-    U.m_excluded = excludedAgents(U, m_fleet, Patience::Long, m_now);
-    if (U.m_excluded.empty() || !hasMoreRoomThanWork(*U.m_spec) ||
-        !standsStill(U.m_name.m_job))
-      return;
-    const bool LastAttempt = T.m_failures + 1 >= U.m_spec->m_queue.m_attempts;
-    if (LastAttempt && fitsSoonElsewhere(U))
-      return;
-    U.m_excluded = excludedAgents(U, m_fleet, Patience::Short, m_now);
+  Agents excludedFor(const Unit &Of, const Avoidance &A) {
+    if (A.m_long.empty())
+      return {};
+    Unit U = Of;
+    U.m_excluded = A.m_long;
+    if (!mayWaitForOthers(U, m_fleet))
+      return {};
+    if (!hasMoreRoomThanWork(*U.m_spec) || !standsStill(U.m_name.m_job) ||
+        (A.m_lastAttempt && fitsSoonElsewhere(U)))
+      return A.m_long;
+    U.m_excluded = A.m_short;
+    return mayWaitForOthers(U, m_fleet) ? A.m_short : Agents();
   }
 
   // True if no task of the job was placed before this pass.
@@ -471,7 +513,8 @@
       sortReleases(*m_knownReleases);
     }
     const auto Fit = placeEarliest(U, m_fleet, *m_knownReleases);
-    return Fit && Fit->m_inMs < exclusionLeftMs(U, Patience::Long, m_now);
+    return Fit &&
+           Fit->m_inMs < exclusionLeftMs(U.m_avoid, Patience::Long, m_now);
   }
 
   // Starts the unit if it fits now. Otherwise it keeps resources for the unit
