--- a/tests/batch/schedule_test.cc
+++ b/tests/batch/schedule_test.cc
@@ -85,6 +85,7 @@
   static std::vector<AvoidedWorker>
   failedOn(const std::vector<std::string> &Agents) {
     std::vector<AvoidedWorker> Out;
+    Out.reserve(Agents.size());
     for (const std::string &Agent : Agents)
       Out.push_back({Agent, Agent + "@1", Now - 100});
     return Out;
