Compare racks with lasting tasks only where there are any

Each waiting rack-local gang compared all workers in each pass, also on fleets without long-running tasks, where the answer is always that the racks become free. Whether this comparison is the cause was not shown when this was written.

--- a/src/batch/schedule.cc
+++ b/src/batch/schedule.cc
@@ -380,6 +380,7 @@
     m_idleBudget = All * ReservedShare;
     m_awaitedBudget = All * AwaitedShare;
     for (const CandidateWorker &W : m_fleet.m_workers) {
+      m_anyLasting = m_anyLasting || W.m_lasting != Resources();
       if (!W.m_up)
         continue;
       Load &L = m_loads[W.m_service];
@@ -669,8 +670,9 @@
   // True for a rack-local gang that has waited for a rack, while tasks that
   // last take up a part of each. None becomes free by itself.
   bool isHeldOffRacks(const Unit &U) const {
-    return U.m_step->m_gang && U.m_step->m_rackLocal && !U.m_anyRack &&
-           hasWaitedForRack(U) && !fitsBesideLasting(U, m_fleet);
+    return m_anyLasting && U.m_step->m_gang && U.m_step->m_rackLocal &&
+           !U.m_anyRack && hasWaitedForRack(U) &&
+           !fitsBesideLasting(U, m_fleet);
   }
 
   // Reserves the workers where the gang fits soonest against later units.
@@ -835,6 +837,7 @@
   /// Free resources that are kept for gangs and may be lent, by worker.
   std::vector<Resources> m_kept;
   bool m_anyKept = false;
+  bool m_anyLasting = false; ///< Long-running tasks use a part of a worker.
   std::unordered_map<std::string, bool> m_standsStill; ///< Known so far.
   std::set<std::string> m_lentTo; ///< Jobs with a unit that uses kept room.
   std::unordered_map<std::string_view, Load> m_loads; ///< By service.
