Measure the review of faults without pauses of the sanitizer

Cause: one of the twenty measured steps took 16 to 27 ms instead of 4 to 8, the same step in each run of a build, and another one after a line of output was added. No event happens in these steps. The slowest step took 25 and 17 ms with the default of quarantine_size_mb, 256, and 8, 9, 11 and 12 ms with 16 or 2048: the sanitizer's allocator releases the freed memory that it holds back, and the test counted that as a review.

Change: the steps are played three times, each with a new leader, and the least time of each step counts. The bound, the number of reviews and their mean are the same, so work of the review in any of the ten still counts: it falls into the same step each time.

--- a/tests/batch/worker_health_test.cc
+++ b/tests/batch/worker_health_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <functional>
+#include <limits>
 #include <random>
 #include <set>
 #include <string>
@@ -24,6 +25,19 @@
       addAgent("w" + std::to_string(I));
   }
 
+  /// A new leader with an empty store and no agents.
+  void startOver() {
+    m_agents.clear();
+    m_alive.clear();
+    m_stored.clear();
+    m_seen.clear();
+    m_startsOn.clear();
+    m_quarantinedUntil.clear();
+    m_outOfUse.clear();
+    m_lengths.clear();
+    makeLeader();
+  }
+
   /// Advances the time by \p Ms and ends runs by \p Rule.
   void work(Millis Ms, const Outcome &Rule) {
     const Millis End = m_now + Ms;
@@ -491,21 +505,28 @@
 TEST_F(WorkerHealthTest, FaultsOfAWideJobAreReviewedQuickly) {
   constexpr int Workers = 240;
   constexpr int Reviews = 10;
+  constexpr int Repeats = 3;
   constexpr double MaxReviewMs = 2.5;
-  addAgents(Workers);
-  submit("bad", jobOf({step(8 * Workers, 1)}));
-  work(1500, hopeless(1000, 500));
-  ASSERT_GT(m_startsOn.size(), Workers * 9 / 10);
-  double ReviewMs = 0;
-  for (int I = 0; I < Reviews; ++I) {
-    // Every second step of 100 ms has a review; the rest of both is the same.
-    for (const int Sign : {-1, 1}) {
+  // Every second step of 100 ms has a review; the rest of both is the same. The
+  // allocator of the address sanitizer releases freed memory at rare times, in
+  // whichever step is at work then, so each step is played several times.
+  std::vector<double> StepMs(2 * Reviews, std::numeric_limits<double>::max());
+  for (int Repeat = 0; Repeat < Repeats; ++Repeat) {
+    startOver();
+    addAgents(Workers);
+    submit("bad", jobOf({step(8 * Workers, 1)}));
+    work(1500, hopeless(1000, 500));
+    ASSERT_GT(m_startsOn.size(), Workers * 9 / 10);
+    for (double &LeastMs : StepMs) {
       m_now += 100;
       const double Begin = processorMs();
       m_leader->advance(m_now, wallNow());
-      ReviewMs += Sign * (processorMs() - Begin);
+      LeastMs = std::min(LeastMs, processorMs() - Begin);
     }
   }
+  double ReviewMs = 0;
+  for (std::size_t I = 0; I < StepMs.size(); I += 2)
+    ReviewMs += StepMs[I + 1] - StepMs[I];
   EXPECT_LT(ReviewMs / Reviews, MaxReviewMs);
 }
 
