Give each test process its own temporary files

CTest runs the tests of one program in parallel processes, and all NodeSettings tests wrote, read and removed the same file.

A class TempFile puts the process id in the name and removes the file.

--- a/tests/node/settings_test.cc
+++ b/tests/node/settings_test.cc
@@ -1,8 +1,9 @@
 #include "node/settings.h"
 
+#include "standin/temp_file.h"
+
 #include <gtest/gtest.h>
 
-#include <cstdio>
 #include <fstream>
 #include <string>
 #include <vector>
@@ -15,11 +16,9 @@
     R"("1.2.3.4:6","callerListen":"1.2.3.4:7","readyListen":"1.2.3.4:8")";
 
 base::Result<Settings> load(const std::string &Text, Role R) {
-  const std::string File = testing::TempDir() + "node_settings.json";
-  std::ofstream(File) << Text;
-  auto Out = loadSettings(File, R);
-  std::remove(File.c_str());
-  return Out;
+  const standin::TempFile File("node_settings.json");
+  std::ofstream(File.path()) << Text;
+  return loadSettings(File.path(), R);
 }
 
 TEST(NodeSettings, MissingFieldsKeepTheirDefaults) {
--- a/tests/standin/log_test.cc
+++ b/tests/standin/log_test.cc
@@ -1,10 +1,10 @@
 #include "standin/log.h"
 
+#include "standin/temp_file.h"
 #include "standin/wait.h"
 
 #include <gtest/gtest.h>
 
-#include <cstdio>
 #include <fstream>
 
 using namespace pomelokeel;
@@ -59,17 +59,16 @@
 // As in the log service, acknowledged appends survive a restart. The incomplete
 // line at the end of the file is an append that a kill interrupted.
 TEST_F(LogStandinTest, FileKeepsStreamsOverARestart) {
-  const std::string File = testing::TempDir() + "/log_restart.streams";
-  std::remove(File.c_str());
-  start({.m_file = File});
+  const TempFile File("log_restart.streams");
+  start({.m_file = File.path()});
   append(1);
   append(2);
   m_log.reset();
-  std::ofstream(File, std::ios::app) << "{\"stream\":\"s\",\"ti";
-  start({.m_file = File});
+  std::ofstream(File.path(), std::ios::app) << "{\"stream\":\"s\",\"ti";
+  start({.m_file = File.path()});
   EXPECT_EQ(append(3)["first"], 2);
   m_log.reset();
-  start({.m_file = File});
+  start({.m_file = File.path()});
   const Json All = call("GET", "/streams/s/records?from=0&max=9&waitMs=0");
   ASSERT_EQ(All["records"].size(), 3U);
   EXPECT_EQ(All["records"][2]["value"], 3);
